Serve one request end to end through separate processes

The first whole path: stand-ins of the platform and of a target, nodes that read their configuration from the table and join its membership rows, a directory, an entry that checks keys and quotas, and operators' commands.

--- /dev/null
+++ b/.ci/known-red.mjs
@@ -0,0 +1,68 @@
+// Runs the test command and the fixed-seed randomised runs. Passes only if the
+// failures are exactly those that KNOWN-RED.txt names, and prints these.
+import {spawnSync} from 'node:child_process';
+import {existsSync, mkdtempSync, readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+
+const report = path.join(mkdtempSync(path.join(tmpdir(), 'catkindale-ci-')), 'report.json');
+
+function run(command, parameters) {
+	return spawnSync(command, parameters, {stdio: ['ignore', 'pipe', 'inherit'], encoding: 'utf8', maxBuffer: 2 ** 28});
+}
+
+function getFailedTests() {
+	const tests = run('npm', ['test', '--', '--reporter=default', '--reporter=json', `--outputFile.json=${report}`]);
+	process.stdout.write(tests.stdout);
+	if (!existsSync(report)) {
+		throw new Error('the test command wrote no report');
+	}
+
+	const {testResults, numTotalTests, success} = JSON.parse(readFileSync(report, 'utf8'));
+	const failed = testResults.flatMap(file => {
+		const name = path.relative(process.cwd(), file.name);
+		const assertions = file.assertionResults.filter(result => result.status === 'failed').map(result => `${name} > ${result.fullName}`);
+		return file.status === 'failed' && assertions.length === 0 ? [`${name} > (the file)`] : assertions;
+	});
+	if (!success && failed.length === 0) {
+		failed.push('npm test > (ended with an error outside the tests)');
+	}
+
+	return {failed, total: numTotalTests};
+}
+
+function getFailedVerifications() {
+	const verification = run('node', ['packages/cli/dist/main.js', 'verify', '--seed', '1', '--rounds', '100']);
+	process.stdout.write(verification.stdout);
+	const lines = verification.stdout.trim().split('\n');
+	const failed = lines.filter(line => line.includes('FAILED')).map(line => line.split(':')[0]);
+	if (verification.status !== 0 && failed.length === 0) {
+		failed.push('verify (ended with an error)');
+	}
+
+	return {failed, total: lines.length};
+}
+
+const knownText = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : '';
+const known = knownText.split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim());
+const tests = getFailedTests();
+const verifications = getFailedVerifications();
+const failed = [...tests.failed, ...verifications.failed];
+const unexpected = failed.filter(name => !known.includes(name));
+const healed = known.filter(name => !failed.includes(name));
+for (const name of known) {
+	console.log(`known red: ${name}`);
+}
+
+for (const name of unexpected) {
+	console.log(`FAILED: ${name}`);
+}
+
+for (const name of healed) {
+	console.log(`FAILED: KNOWN-RED.txt names a test that passes: ${name}`);
+}
+
+const total = tests.total + verifications.total;
+console.log(`${total - failed.length} passed, ${unexpected.length + healed.length} failed`);
+process.exitCode = unexpected.length + healed.length > 0 ? 1 : 0;
--- /dev/null
+++ b/packages/cli/src/bench-command.ts
@@ -0,0 +1,31 @@
+/** `catkindale bench`: measures the product beside named baselines of its own. */
+import process from 'node:process';
+import type {Argv, CommandModule} from 'yargs';
+import {getBenches} from './bench-registry.js';
+import {exitCodes} from './constants.js';
+import './benches.js';
+
+type BenchArguments = {name: string; seed: number; seconds: number};
+
+const defaultSeconds = 10;
+
+export const benchCommand: CommandModule<object, BenchArguments> = {
+	command: 'bench <name>',
+	describe: 'measure the product beside its baselines',
+	builder: (command: Argv<object>) => command
+		.positional('name', {choices: getBenches().map(bench => bench.name), demandOption: true, describe: 'what to measure'})
+		.option('seed', {type: 'number', default: 1, describe: 'seed of all random choices'})
+		.option('seconds', {type: 'number', default: defaultSeconds, describe: 'how long each part runs'})
+		.epilogue(getBenches().map(bench => `${bench.name}: ${bench.describe}`).join('\n')),
+	async handler({name, seed, seconds}) {
+		const bench = getBenches().find(candidate => candidate.name === name);
+		const isOnTarget = await bench?.run({
+			seed,
+			seconds,
+			print(line) {
+				process.stdout.write(`${line}\n`);
+			},
+		});
+		process.exit(isOnTarget ? exitCodes.done : exitCodes.failed);
+	},
+};
--- /dev/null
+++ b/packages/cli/src/bench-registry.ts
@@ -0,0 +1,20 @@
+/** The measurements that `catkindale bench` can run; each module registers its own. */
+
+export type BenchOptions = {readonly seed: number; readonly seconds: number; readonly print: (line: string) => void};
+
+export type Bench = {
+	readonly name: string;
+	readonly describe: string;
+	/** Prints its report as a text table; resolves with false if a stated target was missed. */
+	readonly run: (options: BenchOptions) => Promise<boolean>;
+};
+
+const benches = new Map<string, Bench>();
+
+export function registerBench(bench: Bench): void {
+	benches.set(bench.name, bench);
+}
+
+export function getBenches(): Bench[] {
+	return [...benches.values()];
+}
--- /dev/null
+++ b/packages/cli/src/benches.ts
@@ -0,0 +1,2 @@
+/** Loads every bench, so that it registers itself. */
+import './bench-rendezvous.js';
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,21 @@
+/** All commands in the order in which `--help` lists them. */
+import type {CommandModule} from 'yargs';
+import {applyCommand} from './apply-command.js';
+import {benchCommand} from './bench-command.js';
+import {checkCommand} from './check-command.js';
+import {demoCommand} from './demo-command.js';
+import {nodeCommand} from './node-command.js';
+import {standinCommand} from './standin-command.js';
+import {statusCommand} from './status-command.js';
+import {verifyCommand} from './verify-command.js';
+
+export const commands = [
+	nodeCommand,
+	applyCommand,
+	checkCommand,
+	statusCommand,
+	demoCommand,
+	benchCommand,
+	verifyCommand,
+	standinCommand,
+] as CommandModule[];
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The catkindale command, as a library. */
+export {commands} from './commands.js';
--- /dev/null
+++ b/packages/cli/src/verifications.ts
@@ -0,0 +1,2 @@
+/** Loads every randomised run, so that it registers itself. */
+import './verification-token-bucket.js';
--- /dev/null
+++ b/packages/common/src/constants.ts
@@ -0,0 +1,6 @@
+/** Units shared by all packages. Every name ends with the unit of its value. */
+
+export const millisecondsPerSecond = 1000;
+export const millisecondsPerMinute = 60_000;
+export const bytesPerMebibyte = 1_048_576;
+export const nanosecondsPerMillisecond = 1_000_000;
--- /dev/null
+++ b/packages/common/src/error-details.ts
@@ -0,0 +1,14 @@
+/** Reads what a caught value says, whatever was thrown. */
+
+export function getErrorMessage(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
+
+/** The code of a system or library error such as `ECONNREFUSED`. */
+export function getErrorCode(error: unknown): string | undefined {
+	if (error instanceof Error && 'code' in error && typeof error.code === 'string') {
+		return error.code;
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/packages/common/src/invariant.ts
@@ -0,0 +1,21 @@
+/**
+ * Checks of what must always hold. A breach is a fault of the program itself:
+ * it is thrown, never handled, and stops the process.
+ */
+import VError from 'verror';
+
+export type InvariantDetails = Record<string, string | number | boolean | undefined>;
+
+/** Thrown when an invariant is broken; `info` carries the details. */
+export class InvariantError extends VError {
+	constructor(invariant: string, details: InvariantDetails) {
+		super({name: 'InvariantError', info: {invariant, ...details}}, 'invariant broken: %s %s', invariant, JSON.stringify(details));
+	}
+}
+
+/** Throws an {@link InvariantError} unless the condition holds. */
+export function assertInvariant(condition: boolean, invariant: string, details: InvariantDetails = {}): asserts condition {
+	if (!condition) {
+		throw new InvariantError(invariant, details);
+	}
+}
--- /dev/null
+++ b/packages/common/src/log.ts
@@ -0,0 +1,61 @@
+/**
+ * Logs: one line of key=value pairs per event, written through `debug` so
+ * that the DEBUG variable selects the levels (`catkindale:*`).
+ */
+import process from 'node:process';
+import createDebug from 'debug';
+
+export const logLevels = ['debug', 'info', 'warn', 'error'] as const;
+export type LogLevel = typeof logLevels[number];
+export type LogFields = Record<string, string | number | boolean | undefined>;
+export type Logger = Record<LogLevel, (event: string, fields?: LogFields) => void>;
+
+const defaultNamespaces = 'catkindale:info,catkindale:warn,catkindale:error';
+const plainValue = /^[\w.:\/@+,\-]+$/v;
+
+/** Formats one event as a line; values with spaces or quotes are JSON strings. */
+export function formatLogLine(fields: LogFields): string {
+	const pairs: string[] = [];
+	for (const [key, value] of Object.entries(fields)) {
+		if (value === undefined) {
+			continue;
+		}
+
+		const text = String(value);
+		pairs.push(`${key}=${plainValue.test(text) ? text : JSON.stringify(text)}`);
+	}
+
+	return pairs.join(' ');
+}
+
+/** Creates the logger of a node. All lines go to the standard error stream. */
+export function createLogger(node: string): Logger {
+	if (!process.env.DEBUG) {
+		createDebug.enable(defaultNamespaces);
+	}
+
+	const levels = logLevels.map(level => [level, createLevelWriter(node, level)]);
+	return Object.fromEntries(levels) as Logger;
+}
+
+/** A logger that drops every event. */
+export function createSilentLogger(): Logger {
+	const drop = () => undefined;
+	return {
+		debug: drop, info: drop, warn: drop, error: drop,
+	};
+}
+
+function createLevelWriter(node: string, level: LogLevel): Logger[LogLevel] {
+	const channel = createDebug(`catkindale:${level}`);
+	return (event, fields = {}) => {
+		if (!channel.enabled) {
+			return;
+		}
+
+		const line = formatLogLine({
+			time: new Date().toISOString(), level, node, event, ...fields,
+		});
+		process.stderr.write(`${line}\n`);
+	};
+}
--- /dev/null
+++ b/packages/kernel/src/life-cycle.ts
@@ -0,0 +1,50 @@
+/**
+ * Life cycle of a process: plug-ins start in order, drain in reverse order
+ * and stop in reverse order. If one fails to start, those before it stop.
+ */
+import {type Logger, millisecondsPerSecond} from '@catkindale/common';
+import type {Plugin, Task} from './plugin-registry.js';
+
+type RunningTask = {readonly name: string; readonly task: Task};
+
+export type LifeCycle = {
+	/** Drains and stops all tasks; safe to call more than once. */
+	stop: () => Promise<void>;
+};
+
+export async function startPlugins<Context>(plugins: ReadonlyArray<Plugin<Context>>, context: Context, logger: Logger): Promise<LifeCycle> {
+	const running: RunningTask[] = [];
+	for (const plugin of plugins) {
+		try {
+			const task = await plugin.start(context);
+			running.push({name: plugin.name, task});
+		} catch (error) {
+			await stopTasks(running, logger);
+			throw error;
+		}
+
+		logger.debug('plugin_started', {plugin: plugin.name});
+	}
+
+	let stopping: Promise<void> | undefined;
+	return {
+		async stop() {
+			stopping ??= stopTasks(running, logger);
+			return stopping;
+		},
+	};
+}
+
+async function stopTasks(running: readonly RunningTask[], logger: Logger): Promise<void> {
+	const reversed = running.toReversed();
+	const startedAt = performance.now();
+	for (const {task} of reversed) {
+		await task.drain?.();
+	}
+
+	for (const {task} of reversed) {
+		await task.stop();
+	}
+
+	logger.info('stopped', {drain_seconds: ((performance.now() - startedAt) / millisecondsPerSecond).toFixed(3)});
+}
--- /dev/null
+++ b/packages/node/src/constants.ts
@@ -0,0 +1,17 @@
+/** Names and limits of the node's interfaces. */
+
+export const roles = ['entry', 'directory', 'control', 'admin'] as const;
+
+export const headerNames = {
+	customer: 'catkindale-customer',
+	deadline: 'catkindale-deadline',
+	outcome: 'catkindale-outcome',
+	requestId: 'catkindale-request-id',
+} as const;
+
+export const reservedHeaderPrefix = 'catkindale-';
+
+export const rowKeys = {
+	configuration: 'configuration',
+	membershipPrefix: 'membership/',
+} as const;
--- /dev/null
+++ b/packages/node/src/entry-plugin.ts
@@ -0,0 +1,111 @@
+/**
+ * Takes callers' requests: finds the route, checks the key, admits within the
+ * quotas this node holds, and hands the request to a target.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Histogram} from 'prom-client';
+import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
+import {
+	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
+} from './exchange.js';
+import {type NodeContext, nodePlugins} from './node-context.js';
+import {sendProblem} from './problem.js';
+import {checkRequest} from './request-check.js';
+import {type RequestQuotas, createRequestQuotas} from './request-quotas.js';
+import {type RoutingTable, createRoutingTable} from './routing-table.js';
+import {createSlotQuota} from './slot-quota.js';
+import {createTargetPools} from './target-pools.js';
+import {createTargetSelector} from './target-selector.js';
+import {createVersionChooser} from './version-chooser.js';
+
+const startOrder = 40;
+const latencyBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+type EntryState = Omit<EntryParts, 'routing'> & {
+	routing: RoutingTable | undefined;
+	readonly quotas: RequestQuotas;
+	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
+};
+
+nodePlugins.register({
+	name: 'entry',
+	roles: ['entry'],
+	order: startOrder,
+	async start(context) {
+		const {bus, settings} = context;
+		const slots = createSlotQuota(settings.node.name);
+		const state: EntryState = {
+			context,
+			routing: undefined,
+			quotas: createRequestQuotas(settings.node.name, context.clock),
+			selector: createTargetSelector(slots),
+			pools: createTargetPools(settings.limits.connectionsPerTarget),
+			versions: createVersionChooser(),
+			latency: createLatencyHistogram(context),
+		};
+		const endings = [
+			bus.subscribe('configuration-changed', ({configuration}) => {
+				state.routing = createRoutingTable(configuration);
+				state.quotas.setCustomers(configuration.customers);
+				state.versions.setConfiguration(configuration);
+				slots.setTargets(configuration.targets);
+				state.pools.setTargets(configuration.targets);
+			}),
+			bus.subscribe('membership-changed', ({members}) => {
+				state.quotas.setMembers(members);
+				slots.setMembers(members);
+			}),
+			bus.subscribe('version-share-changed', ({share}) => {
+				state.versions.setShare(share);
+			}),
+		];
+		context.callerHandlers.entry = (request, response) => {
+			void serve(state, request, response);
+		};
+
+		return {
+			async stop() {
+				for (const end of endings) {
+					end();
+				}
+
+				await state.pools.close();
+			},
+		};
+	},
+});
+
+async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const startedAt = state.context.clock.monotonic();
+	const requestId = createIdentifier();
+	const checked = checkRequest(request, state.routing, state.quotas);
+	if (checked.kind === 'refused' || !state.routing) {
+		if (checked.kind === 'refused') {
+			sendProblem(response, checked.problem, requestId);
+		}
+
+		return;
+	}
+
+	const {route, customer} = checked;
+	const exchange: Exchange = {
+		request, response, requestId, startedAt, route, customer,
+	};
+	const outcome = await runExchange({...state, routing: state.routing}, exchange);
+	observe(state, exchange, outcome);
+}
+
+function observe(state: EntryState, {customer, route, startedAt}: Exchange, outcome: ExchangeOutcome): void {
+	const seconds = (state.context.clock.monotonic() - startedAt) / millisecondsPerSecond;
+	state.latency.observe({customer: customer?.name ?? 'open', class: route.class, outcome}, seconds);
+}
+
+function createLatencyHistogram(context: NodeContext): EntryState['latency'] {
+	return new Histogram({
+		name: 'catkindale_request_seconds',
+		help: 'Time from the request to the end of its answer',
+		labelNames: ['customer', 'class', 'outcome'],
+		buckets: latencyBucketsSeconds,
+		registers: [context.metrics],
+	});
+}
--- /dev/null
+++ b/packages/node/src/http-server.ts
@@ -0,0 +1,37 @@
+/** Start and graceful stop of the node's HTTP servers. */
+import type {AddressInfo, Server as NetServer} from 'node:net';
+import type {Server} from 'node:http';
+import {type Address, formatAddress, parseAddress} from '@catkindale/common';
+
+/** Listens and returns the address in use. Throws if the address is taken or malformed. */
+export async function listenOn(server: NetServer, text: string): Promise<string> {
+	const address = getAddress(text);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address.port, address.host, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	const {port} = server.address() as AddressInfo;
+	return formatAddress({host: address.host, port});
+}
+
+/** Closes the listening socket and idle connections and waits for the rest. */
+export async function closeGracefully(server: Server): Promise<void> {
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+		server.closeIdleConnections();
+	});
+}
+
+export function getAddress(text: string): Address {
+	const address = parseAddress(text);
+	if (!address.ok) {
+		throw new Error(address.error);
+	}
+
+	return address.value;
+}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,6 @@
+/** The plug-ins that make up an entry VM, and the way to start one. */
+export {parseManifest} from './apply-action.js';
+export * from './constants.js';
+export * from './errors.js';
+export * from './settings.js';
+export * from './start-node.js';
--- /dev/null
+++ b/packages/node/src/mesh-link.ts
@@ -0,0 +1,145 @@
+/**
+ * One connection to a peer: both sides prove that they know the fleet's
+ * secret, then exchange messages. Anything unexpected ends the connection.
+ */
+import {randomBytes} from 'node:crypto';
+import type {Socket} from 'node:net';
+import {
+	type HelloMessage, type PeerMessage, createFrameReader, createProofCode, encodeFrame, isProofCode, parsePeerMessage, protocolVersion,
+} from '@catkindale/protocol';
+
+export type LinkIdentity = {readonly id: string; readonly incarnation: string};
+
+export type LinkOptions = {
+	readonly socket: Socket;
+	readonly own: LinkIdentity;
+	readonly secret: string;
+	readonly handshakeTimeoutMilliseconds: number;
+	readonly onReady: (link: MeshLink) => void;
+	readonly onMessage: (link: MeshLink, message: PeerMessage) => void;
+	readonly onClosed: (link: MeshLink, reason: string) => void;
+};
+
+export type MeshLink = {
+	/** Undefined until the peer has proved its membership. */
+	readonly peer: LinkIdentity | undefined;
+	send: (message: PeerMessage) => void;
+	close: (reason: string) => void;
+};
+
+type LinkState
+	= | {readonly kind: 'awaiting-hello'}
+		| {readonly kind: 'awaiting-proof'; readonly hello: HelloMessage}
+		| {readonly kind: 'ready'; readonly peer: LinkIdentity};
+
+const nonceBytes = 16;
+const maximumQueuedBytes = 4_194_304;
+
+export function openLink(options: LinkOptions): MeshLink {
+	const {socket, own, secret} = options;
+	const reader = createFrameReader();
+	const nonce = randomBytes(nonceBytes).toString('hex');
+	let state: LinkState = {kind: 'awaiting-hello'};
+	let closeReason = 'closed by peer';
+
+	const link: MeshLink = {
+		get peer() {
+			return state.kind === 'ready' ? state.peer : undefined;
+		},
+		send(message) {
+			if (socket.writableLength > maximumQueuedBytes) {
+				link.close('the peer reads too slowly');
+				return;
+			}
+
+			socket.write(encodeFrame(message));
+		},
+		close(reason) {
+			closeReason = reason;
+			socket.destroy();
+		},
+	};
+
+	const receiveHello = (message: PeerMessage): void => {
+		if (message.type !== 'hello' || message.protocolVersion !== protocolVersion || message.id === own.id) {
+			link.close('no valid hello');
+			return;
+		}
+
+		state = {kind: 'awaiting-proof', hello: message};
+		link.send({
+			type: 'proof', code: createProofCode({
+				secret, ...own, ownNonce: nonce, peerNonce: message.nonce,
+			}),
+		});
+	};
+
+	const receiveProof = (message: PeerMessage, hello: HelloMessage): void => {
+		const isProven = message.type === 'proof' && isProofCode(message.code, {
+			secret, id: hello.id, incarnation: hello.incarnation, ownNonce: hello.nonce, peerNonce: nonce,
+		});
+		if (!isProven) {
+			link.close('no valid proof of membership');
+			return;
+		}
+
+		socket.setTimeout(0);
+		state = {kind: 'ready', peer: {id: hello.id, incarnation: hello.incarnation}};
+		options.onReady(link);
+	};
+
+	const receive = (frame: unknown): void => {
+		const parsed = parsePeerMessage(frame);
+		if (!parsed.ok) {
+			link.close('an unknown message');
+			return;
+		}
+
+		switch (state.kind) {
+			case 'awaiting-hello': {
+				receiveHello(parsed.value);
+				break;
+			}
+
+			case 'awaiting-proof': {
+				receiveProof(parsed.value, state.hello);
+				break;
+			}
+
+			case 'ready': {
+				options.onMessage(link, parsed.value);
+				break;
+			}
+		}
+	};
+
+	socket.setNoDelay(true);
+	socket.setTimeout(options.handshakeTimeoutMilliseconds, () => {
+		link.close('no handshake in time');
+	});
+	socket.on('data', (chunk: Uint8Array) => {
+		const frames = reader.push(chunk);
+		if (!frames.ok) {
+			link.close(frames.error);
+			return;
+		}
+
+		for (const frame of frames.value) {
+			if (socket.destroyed) {
+				return;
+			}
+
+			receive(frame);
+		}
+	});
+	socket.on('error', error => {
+		closeReason = error.message;
+	});
+	socket.on('close', () => {
+		options.onClosed(link, closeReason);
+	});
+	link.send({
+		type: 'hello', protocolVersion, ...own, nonce,
+	});
+	return link;
+}
--- /dev/null
+++ b/packages/node/src/metrics-plugin.ts
@@ -0,0 +1,66 @@
+/** Serves `/metrics`, `/healthz` and `/readyz`. */
+import {type ServerResponse, createServer} from 'node:http';
+import {roles} from './constants.js';
+import {closeGracefully, listenOn} from './http-server.js';
+import {type NodeContext, nodePlugins} from './node-context.js';
+
+const startOrder = 5;
+const statusReady = 200;
+const statusNotReady = 503;
+const statusNotFound = 404;
+
+nodePlugins.register({
+	name: 'metrics',
+	roles,
+	order: startOrder,
+	async start(context) {
+		let isReady = false;
+		const endings = [
+			context.bus.subscribe('configuration-changed', () => {
+				isReady = true;
+			}),
+			context.bus.subscribe('drain-started', () => {
+				isReady = false;
+			}),
+		];
+		const server = createServer((request, response) => {
+			void answer(context, request.url ?? '/', isReady, response);
+		});
+		context.bound.metrics = await listenOn(server, context.settings.listen.metrics);
+		return {
+			async stop() {
+				for (const end of endings) {
+					end();
+				}
+
+				await closeGracefully(server);
+			},
+		};
+	},
+});
+
+async function answer(context: NodeContext, path: string, isReady: boolean, response: ServerResponse): Promise<void> {
+	switch (path) {
+		case '/metrics': {
+			response.setHeader('content-type', context.metrics.contentType);
+			response.end(await context.metrics.metrics());
+			return;
+		}
+
+		case '/healthz': {
+			response.end('ok\n');
+			return;
+		}
+
+		case '/readyz': {
+			response.statusCode = isReady ? statusReady : statusNotReady;
+			response.end(isReady ? 'ready\n' : 'not ready\n');
+			return;
+		}
+
+		default: {
+			response.statusCode = statusNotFound;
+			response.end('not found\n');
+		}
+	}
+}
--- /dev/null
+++ b/packages/node/src/node-context.ts
@@ -0,0 +1,55 @@
+/** What each plug-in of a node gets at its start. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Registry} from 'prom-client';
+import type {Clock, Logger} from '@catkindale/common';
+import {type MessageBus, createPluginRegistry} from '@catkindale/kernel';
+import type {MachineList, ObjectStore, TableService} from '@catkindale/platform';
+import type {Member} from '@catkindale/policy';
+import type {NodeMessage} from './node-messages.js';
+import type {Settings} from './settings.js';
+
+export type Platform = {
+	readonly table: TableService;
+	readonly objects: ObjectStore;
+	readonly machines: MachineList;
+};
+
+export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** The handlers behind the caller port; each is set by the plug-in that owns it. */
+export type CallerHandlers = {
+	directory?: CallerHandler;
+	entry?: CallerHandler;
+};
+
+/** Addresses in use, known once the sockets listen. */
+export type BoundAddresses = {caller: string; peer: string; admin: string; metrics: string};
+
+export type NodeContext = {
+	readonly settings: Settings;
+	readonly incarnation: string;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Registry;
+	readonly bus: MessageBus<NodeMessage>;
+	readonly platform: Platform;
+	readonly callerHandlers: CallerHandlers;
+	readonly bound: BoundAddresses;
+};
+
+/** The plug-ins of a node register here when their modules are loaded. */
+export const nodePlugins = createPluginRegistry<NodeContext>();
+
+/** This node as a member of the fleet. */
+export function getOwnMember(context: NodeContext): Member {
+	const {name, region, zone} = context.settings.node;
+	return {
+		id: name,
+		incarnation: context.incarnation,
+		region,
+		zone,
+		callerAddress: context.bound.caller,
+		peerAddress: context.bound.peer,
+		state: 'live',
+	};
+}
--- /dev/null
+++ b/packages/node/src/request-check.ts
@@ -0,0 +1,49 @@
+/** Decides whether a request may run at all: its route, its key, its customer's tokens. */
+import type {IncomingMessage} from 'node:http';
+import type {Customer, Route} from '@catkindale/policy';
+import type {Problem} from './problem.js';
+import {getRequestKey} from './request-headers.js';
+import type {RequestQuotas} from './request-quotas.js';
+import type {RoutingTable} from './routing-table.js';
+
+export type CheckedRequest
+	/** The customer is undefined on a route that is open to all. */
+	= | {readonly kind: 'admitted'; readonly route: Route; readonly customer: Customer | undefined}
+		| {readonly kind: 'refused'; readonly problem: Problem};
+
+export function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas): CheckedRequest {
+	if (!routing) {
+		return refuse(503, 'not-configured', 'this VM has no configuration yet');
+	}
+
+	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+	const route = routing.findRoute(request.method ?? 'GET', path);
+	if (!route) {
+		return refuse(404, 'unknown-route', `no route matches ${request.method} ${path}`);
+	}
+
+	if (route.open) {
+		return {kind: 'admitted', route, customer: undefined};
+	}
+
+	const key = getRequestKey(request);
+	const customer = key === undefined ? undefined : routing.findCustomer(key);
+	if (!customer) {
+		return refuse(401, 'unknown-key', 'the route needs the key of a customer');
+	}
+
+	const admission = quotas.admit(customer.name);
+	if (admission.kind === 'refused') {
+		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
+	}
+
+	return {kind: 'admitted', route, customer};
+}
+
+function refuse(status: number, reason: string, detail: string, retryAfterMilliseconds?: number): CheckedRequest {
+	return {
+		kind: 'refused', problem: {
+			status, outcome: 'not-run', reason, detail, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/src/routing-table.ts
@@ -0,0 +1,54 @@
+/** The configuration in the form that the entry needs for each request. */
+import createRouter, {type HTTPMethod} from 'find-my-way';
+import {hashText} from '@catkindale/common';
+import type {
+	Configuration, Customer, Route, Target,
+} from '@catkindale/policy';
+
+export type RoutingTable = {
+	/** The route of a request; undefined if none matches. */
+	findRoute: (method: string, path: string) => Route | undefined;
+	/** The customer that holds the key; undefined for an unknown or withdrawn key. */
+	findCustomer: (key: string) => Customer | undefined;
+	readonly customers: readonly Customer[];
+	/** The targets of a service in the given version that aren't drained. */
+	getTargets: (service: string, version: string) => readonly Target[];
+};
+
+type Found = {readonly store: Route};
+
+export function createRoutingTable(configuration: Configuration): RoutingTable {
+	const router = createRouter({ignoreTrailingSlash: false, caseSensitive: true});
+	for (const route of configuration.routes) {
+		router.on(route.method, route.path, () => undefined, route);
+	}
+
+	const customers = new Map(configuration.customers.map(customer => [customer.name, customer]));
+	const customersByHash = new Map(configuration.keys.map(key => [key.hash, customers.get(key.customer)]));
+	const targets = getTargetsByPool(configuration);
+	return {
+		findRoute(method, path) {
+			const found: Found | null = router.find(method as HTTPMethod, path); // eslint-disable-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument
+			return found?.store;
+		},
+		findCustomer: key => customersByHash.get(hashText(key)),
+		customers: configuration.customers,
+		getTargets: (service, version) => targets.get(getPoolName(service, version)) ?? [],
+	};
+}
+
+function getTargetsByPool(configuration: Configuration): Map<string, Target[]> {
+	const drained = new Set(configuration.drains.filter(drain => drain.kind === 'target').map(drain => drain.name));
+	const serving = configuration.targets.filter(target => !drained.has(target.name));
+	const targets = new Map<string, Target[]>();
+	for (const target of serving) {
+		const name = getPoolName(target.service, target.version);
+		targets.set(name, [...targets.get(name) ?? [], target]);
+	}
+
+	return targets;
+}
+
+function getPoolName(service: string, version: string): string {
+	return `${service} ${version}`;
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,99 @@
+/** The settings of one node: a TOML file checked as a whole. */
+import {readFile} from 'node:fs/promises';
+import {parse} from 'smol-toml';
+import {z} from 'zod';
+import {getErrorMessage, parseAddress} from '@catkindale/common';
+import {roles} from './constants.js';
+import {SettingsError} from './errors.js';
+
+const addressSchema = z.string().refine(text => parseAddress(text).ok, {
+	error: issue => describeAddress(String(issue.input)),
+});
+
+const serviceSettingsSchema = z.strictObject({
+	driver: z.string().default('http'),
+	address: z.url(),
+	timeoutMilliseconds: z.number().positive().default(1000),
+	maximumCallsInFlight: z.int().positive().default(8),
+});
+
+const limitsSchema = z.strictObject({
+	headerBytes: z.int().positive().default(16_384),
+	bodyBytes: z.int().positive().default(1_073_741_824),
+	callerConnections: z.int().positive().default(10_000),
+	headerTimeoutMilliseconds: z.int().positive().default(10_000),
+	idleTimeoutMilliseconds: z.int().positive().default(30_000),
+	connectionsPerTarget: z.int().positive().default(32),
+});
+
+const timingSchema = z.strictObject({
+	tablePollMilliseconds: z.int().positive().default(500),
+	heartbeatMilliseconds: z.int().positive().default(500),
+	freshnessLimitMilliseconds: z.int().positive().default(5000),
+	pauseLimitMilliseconds: z.int().positive().default(2000),
+	graceMilliseconds: z.int().positive().default(30_000),
+});
+
+export const settingsSchema = z.strictObject({
+	node: z.strictObject({
+		name: z.string().min(1),
+		region: z.string().min(1),
+		zone: z.string().min(1),
+		roles: z.array(z.enum(roles)).min(1).default([...roles]),
+	}),
+	listen: z.strictObject({
+		caller: addressSchema,
+		peer: addressSchema,
+		admin: addressSchema,
+		metrics: addressSchema,
+	}),
+	platform: z.strictObject({
+		table: serviceSettingsSchema,
+		objects: serviceSettingsSchema,
+		machines: serviceSettingsSchema,
+	}),
+	/** Addresses of peers to ask when the table can't be reached at start. */
+	peers: z.array(addressSchema).default([]),
+	secrets: z.strictObject({
+		peer: z.string().min(16),
+		operatorToken: z.string().min(16),
+	}),
+	limits: limitsSchema.prefault({}),
+	timing: timingSchema.prefault({}),
+});
+
+export type Settings = z.infer<typeof settingsSchema>;
+export type SettingsInput = z.input<typeof settingsSchema>;
+
+/** Reads a settings file. Throws {@link SettingsError} with a line per fault. */
+export async function readSettings(file: string): Promise<Settings> {
+	let text: string;
+	try {
+		text = await readFile(file, 'utf8');
+	} catch (error) {
+		throw new SettingsError([`${file}: can't be read: ${getErrorMessage(error)}`]);
+	}
+
+	return parseSettings(text, file);
+}
+
+export function parseSettings(text: string, file: string): Settings {
+	let data: unknown;
+	try {
+		data = parse(text);
+	} catch (error) {
+		throw new SettingsError([`${file}: ${getErrorMessage(error)}`]);
+	}
+
+	const parsed = settingsSchema.safeParse(data);
+	if (!parsed.success) {
+		throw new SettingsError(parsed.error.issues.map(issue => `${file}: ${issue.path.join('.') || 'top level'}: ${issue.message}`));
+	}
+
+	return parsed.data;
+}
+
+function describeAddress(text: string): string {
+	const address = parseAddress(text);
+	return address.ok ? 'is an address' : address.error;
+}
--- /dev/null
+++ b/packages/node/src/start-node.ts
@@ -0,0 +1,78 @@
+/** Starts one node from its settings; the library's main entry point. */
+import {Registry} from 'prom-client';
+import {
+	type Clock, type Logger, createIdentifier, createLogger, systemClock,
+} from '@catkindale/common';
+import {createMessageBus, startPlugins} from '@catkindale/kernel';
+import {
+	type DriverSettings, machineListDrivers, objectDrivers, tableDrivers,
+} from '@catkindale/platform';
+import {
+	type BoundAddresses, type NodeContext, type Platform, nodePlugins,
+} from './node-context.js';
+import type {NodeMessage} from './node-messages.js';
+import type {Settings} from './settings.js';
+import './admin-plugin.js';
+import './caller-server-plugin.js';
+import './configuration-plugin.js';
+import './directory-plugin.js';
+import './entry-plugin.js';
+import './membership-plugin.js';
+import './mesh-plugin.js';
+import './metrics-plugin.js';
+
+export type NodeHandle = {
+	readonly addresses: Readonly<BoundAddresses>;
+	readonly context: NodeContext;
+	/** Drains, then stops; no request that runs is cut off within the grace time. */
+	stop: () => Promise<void>;
+};
+
+export type NodeParts = {
+	readonly clock?: Clock;
+	readonly logger?: Logger;
+	readonly platform?: Platform;
+};
+
+/** Starts the plug-ins of the settings' roles. Rejects if a socket can't be opened. */
+export async function startNode(settings: Settings, parts: NodeParts = {}): Promise<NodeHandle> {
+	const logger = parts.logger ?? createLogger(settings.node.name);
+	const platform = parts.platform ?? openPlatform(settings);
+	const context: NodeContext = {
+		settings,
+		logger,
+		platform,
+		incarnation: createIdentifier(),
+		clock: parts.clock ?? systemClock,
+		metrics: new Registry(),
+		bus: createMessageBus<NodeMessage>(),
+		callerHandlers: {},
+		bound: {
+			caller: '', peer: '', admin: '', metrics: '',
+		},
+	};
+	const lifeCycle = await startPlugins(nodePlugins.getPlugins(settings.node.roles), context, logger);
+	logger.info('started', {incarnation: context.incarnation, ...context.bound});
+	return {
+		addresses: context.bound,
+		context,
+		async stop() {
+			await lifeCycle.stop();
+			await Promise.all([platform.table.close(), platform.objects.close(), platform.machines.close()]);
+		},
+	};
+}
+
+function openPlatform(settings: Settings): Platform {
+	const {table, objects, machines} = settings.platform;
+	return {
+		table: tableDrivers.open(table.driver, getDriverSettings(table)),
+		objects: objectDrivers.open(objects.driver, getDriverSettings(objects)),
+		machines: machineListDrivers.open(machines.driver, getDriverSettings(machines)),
+	};
+}
+
+function getDriverSettings(service: Settings['platform']['table']): DriverSettings {
+	const {address, timeoutMilliseconds, maximumCallsInFlight} = service;
+	return {address, timeoutMilliseconds, maximumCallsInFlight};
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,10 @@
+/** Ports and drivers of the platform's services. */
+import './machine-list-http.js';
+import './object-store-http.js';
+import './table-http.js';
+
+export * from './driver-registry.js';
+export * from './errors.js';
+export type * from './machine-list-port.js';
+export type * from './object-store-port.js';
+export type * from './table-port.js';
--- /dev/null
+++ b/packages/platform/src/machine-list-port.ts
@@ -0,0 +1,16 @@
+/** The port to the platform's list of VMs, which lags behind the truth. */
+
+export type ListedMachine = {
+	/** The identifier of a node or the name of a target. */
+	readonly id: string;
+	readonly state: 'live' | 'leaving';
+};
+
+export type MachineListOutcome
+	= | {readonly kind: 'done'; readonly machines: readonly ListedMachine[]}
+		| {readonly kind: 'not-done'; readonly reason: string};
+
+export type MachineList = {
+	list: () => Promise<MachineListOutcome>;
+	close: () => Promise<void>;
+};
--- /dev/null
+++ b/packages/platform/src/table-http.ts
@@ -0,0 +1,53 @@
+/** The table driver for the HTTP interface that the stand-in serves. */
+import {z} from 'zod';
+import {tableDrivers} from './driver-registry.js';
+import {type CallOutcome, createHttpCaller, parseJson} from './http-caller.js';
+import type {Row, TableOutcome, TableService} from './table-port.js';
+
+const rowSchema = z.object({
+	key: z.string(), version: z.int(), changeId: z.string(), value: z.unknown(),
+});
+const rowsSchema = z.object({rows: z.array(rowSchema)});
+
+const statusDone = 200;
+const statusConflict = 409;
+const statusUnavailable = 503;
+
+tableDrivers.register('http', (settings): TableService => {
+	const caller = createHttpCaller(settings);
+	return {
+		async get(key) {
+			const outcome = readRows(await caller.call('GET', `/rows?key=${encodeURIComponent(key)}`), 'not-done');
+			return outcome.kind === 'done' ? {kind: 'done', value: outcome.value[0]} : outcome;
+		},
+		async list(prefix) {
+			return readRows(await caller.call('GET', `/rows?prefix=${encodeURIComponent(prefix)}`), 'not-done');
+		},
+		async transact(changeId, writes) {
+			const body = JSON.stringify({changeId, writes});
+			return readRows(await caller.call('POST', '/transactions', body), 'unknown');
+		},
+		close: async () => caller.close(),
+	};
+});
+
+function readRows(outcome: CallOutcome, kindWhenLost: 'not-done' | 'unknown'): TableOutcome<readonly Row[]> {
+	if (outcome.kind === 'not-sent') {
+		return {kind: 'not-done', reason: outcome.reason};
+	}
+
+	if (outcome.kind === 'lost') {
+		return {kind: kindWhenLost, reason: outcome.reason};
+	}
+
+	if (outcome.status === statusUnavailable) {
+		return {kind: 'not-done', reason: 'the table service is unavailable'};
+	}
+
+	if (outcome.status !== statusDone && outcome.status !== statusConflict) {
+		return {kind: kindWhenLost, reason: `the table service answered with status ${outcome.status}`};
+	}
+
+	const {rows} = rowsSchema.parse(parseJson(outcome.body));
+	return outcome.status === statusConflict ? {kind: 'conflict', rows} : {kind: 'done', value: rows};
+}
--- /dev/null
+++ b/packages/policy/src/configuration.ts
@@ -0,0 +1,134 @@
+/**
+ * The configuration that operators apply, as a schema and the types inferred
+ * from it. A manifest is this configuration written in TOML.
+ */
+import {z} from 'zod';
+
+const name = z.string().regex(/^[\p{L}\p{N}][\p{L}\p{N}_.\-]*$/v, 'must start with a letter or digit and hold only letters, digits, ".", "_" and "-"').max(100);
+const positive = z.number().positive();
+const share = z.number().min(0).max(1);
+const defaultDeadlineMilliseconds = 10_000;
+
+/** Classes of requests; interactive ones go first, bulk keeps a minimum. */
+export const requestClasses = ['interactive', 'bulk'] as const;
+
+export const regionSchema = z.strictObject({name, zones: z.array(name).min(1)});
+
+export const linkSchema = z.strictObject({
+	from: name,
+	to: name,
+	bytesPerSecond: positive,
+});
+
+export const customerSchema = z.strictObject({
+	name,
+	/** Requests per second over the whole fleet. */
+	rate: positive,
+	/** Requests that may come at once over the whole fleet. */
+	burst: z.int().positive(),
+});
+
+export const keySchema = z.strictObject({
+	customer: name,
+	/** SHA-256 of the key in hexadecimal. */
+	hash: z.string().regex(/^[\da-f]{64}$/v, 'must be a SHA-256 in 64 hexadecimal digits'),
+});
+
+export const routeSchema = z.strictObject({
+	service: name,
+	method: z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
+	path: z.string().startsWith('/'),
+	idempotent: z.boolean(),
+	/** An open route needs no key. */
+	open: z.boolean().default(false),
+	class: z.enum(requestClasses).default('interactive'),
+	deadlineMilliseconds: positive.default(defaultDeadlineMilliseconds),
+	/** Whether a second target may be asked when the first is slow. */
+	hedge: z.boolean().default(false),
+});
+
+export const serviceSchema = z.strictObject({
+	name,
+	/** The version that takes all traffic outside a rollout. */
+	version: name,
+});
+
+export const targetSchema = z.strictObject({
+	name,
+	service: name,
+	version: name,
+	region: name,
+	zone: name,
+	/** IP number and port. */
+	address: z.string(),
+	/** Requests that the target may have in flight from the whole fleet. */
+	slots: z.int().positive(),
+});
+
+export const rolloutSchema = z.strictObject({
+	name,
+	service: name,
+	from: name,
+	to: name,
+	/** ISO 8601 time by which the rollout is done or reverted. */
+	deadline: z.iso.datetime({offset: true}),
+	/** The largest share that the new version may take in one step. */
+	cap: share.default(1),
+});
+
+export const shiftSchema = z.strictObject({
+	name,
+	service: name,
+	from: name,
+	to: name,
+	/** The share of the service's traffic from callers of `from` to move. */
+	share,
+	/** The largest share that may move within one window. */
+	cap: share,
+	windowSeconds: positive,
+});
+
+export const drainSchema = z.strictObject({
+	kind: z.enum(['vm', 'target']),
+	name,
+});
+
+export const clientBlockSchema = z.strictObject({
+	/** An IPv4 or IPv6 prefix such as `10.1.0.0/16`. */
+	prefix: z.union([z.cidrv4(), z.cidrv6()]),
+	region: name,
+});
+
+export const configurationSchema = z.strictObject({
+	regions: z.array(regionSchema).min(1),
+	links: z.array(linkSchema).default([]),
+	customers: z.array(customerSchema).default([]),
+	keys: z.array(keySchema).default([]),
+	services: z.array(serviceSchema).default([]),
+	routes: z.array(routeSchema).default([]),
+	targets: z.array(targetSchema).default([]),
+	rollouts: z.array(rolloutSchema).default([]),
+	shifts: z.array(shiftSchema).default([]),
+	drains: z.array(drainSchema).default([]),
+	clientBlocks: z.array(clientBlockSchema).default([]),
+});
+
+export type Region = z.infer<typeof regionSchema>;
+export type Link = z.infer<typeof linkSchema>;
+export type Customer = z.infer<typeof customerSchema>;
+export type CustomerKey = z.infer<typeof keySchema>;
+export type Route = z.infer<typeof routeSchema>;
+export type RequestClass = typeof requestClasses[number];
+export type Service = z.infer<typeof serviceSchema>;
+export type Target = z.infer<typeof targetSchema>;
+export type Rollout = z.infer<typeof rolloutSchema>;
+export type Shift = z.infer<typeof shiftSchema>;
+export type Drain = z.infer<typeof drainSchema>;
+export type ClientBlock = z.infer<typeof clientBlockSchema>;
+export type Configuration = z.infer<typeof configurationSchema>;
+
+/** A configuration with the version under which the table keeps it. */
+export type VersionedConfiguration = {
+	readonly version: number;
+	readonly configuration: Configuration;
+};
--- /dev/null
+++ b/packages/policy/src/token-bucket.ts
@@ -0,0 +1,40 @@
+/**
+ * A token bucket whose tokens grow with time up to the burst. It starts empty
+ * or full as its holder may claim.
+ *
+ * Source: Turner, "New directions in communications", IEEE Communications
+ * Magazine 24(10), 1986.
+ */
+import {millisecondsPerSecond} from '@catkindale/common';
+
+export type TokenBucket = {
+	/** Tokens per second. */
+	readonly rate: number;
+	readonly burst: number;
+	readonly tokens: number;
+	/** The monotonic time up to which tokens have been added. */
+	readonly filledAt: number;
+};
+
+export function createTokenBucket(rate: number, burst: number, tokens: number, now: number): TokenBucket {
+	return {
+		rate, burst, tokens: Math.min(tokens, burst), filledAt: now,
+	};
+}
+
+/** Adds the tokens that have grown since the last call. */
+export function fillTokenBucket(bucket: TokenBucket, now: number): TokenBucket {
+	const elapsed = Math.max(0, now - bucket.filledAt);
+	const tokens = Math.min(bucket.burst, bucket.tokens + (bucket.rate * elapsed / millisecondsPerSecond));
+	return {...bucket, tokens, filledAt: Math.max(now, bucket.filledAt)};
+}
+
+/** Takes one token; undefined if there is none. The bucket must be filled. */
+export function takeToken(bucket: TokenBucket): TokenBucket | undefined {
+	return bucket.tokens >= 1 ? {...bucket, tokens: bucket.tokens - 1} : undefined;
+}
+
+/** Milliseconds until the next token, for a filled bucket. */
+export function getTokenDelay(bucket: TokenBucket): number {
+	return Math.max(0, (1 - bucket.tokens) / bucket.rate * millisecondsPerSecond);
+}
--- /dev/null
+++ b/packages/protocol/src/frame.ts
@@ -0,0 +1,64 @@
+/**
+ * Frames between nodes: a length of four bytes, big endian, then a CBOR item.
+ * A frame above the size limit ends the connection before it is read.
+ */
+import {Buffer} from 'node:buffer';
+import {Encoder} from 'cbor-x';
+import {
+	type Result, bytesPerMebibyte, fail, getErrorMessage, succeed,
+} from '@catkindale/common';
+
+const lengthBytes = 4;
+const maximumFrameBytes = bytesPerMebibyte;
+const encoder = new Encoder({mapsAsObjects: true, useRecords: false});
+
+export type FrameReader = {
+	/** Takes the bytes that came in and returns the frames that are whole. */
+	push: (chunk: Uint8Array) => Result<readonly unknown[], string>;
+};
+
+export function encodeFrame(message: unknown): Buffer {
+	const body = encoder.encode(message);
+	const frame = Buffer.allocUnsafe(lengthBytes + body.length);
+	frame.writeUInt32BE(body.length, 0);
+	frame.set(body, lengthBytes);
+	return frame;
+}
+
+export function createFrameReader(): FrameReader {
+	let pending: Buffer = Buffer.alloc(0);
+	return {
+		push(chunk) {
+			pending = pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([pending, chunk]);
+			const frames: unknown[] = [];
+			while (pending.length >= lengthBytes) {
+				const length = pending.readUInt32BE(0);
+				if (length > maximumFrameBytes) {
+					return fail(`a frame of ${length} bytes is above the limit of ${maximumFrameBytes}`);
+				}
+
+				if (pending.length < lengthBytes + length) {
+					break;
+				}
+
+				const decoded = decodeBody(pending.subarray(lengthBytes, lengthBytes + length));
+				if (!decoded.ok) {
+					return decoded;
+				}
+
+				frames.push(decoded.value);
+				pending = pending.subarray(lengthBytes + length);
+			}
+
+			return succeed(frames);
+		},
+	};
+}
+
+function decodeBody(body: Buffer): Result<unknown, string> {
+	try {
+		return succeed(encoder.decode(body) as unknown);
+	} catch (error) {
+		return fail(`a frame is no CBOR item: ${getErrorMessage(error)}`);
+	}
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,6 @@
+/** Frames and messages between nodes. */
+export * from './configuration-messages.js';
+export * from './frame.js';
+export * from './link-messages.js';
+export * from './membership-proof.js';
+export * from './messages.js';
--- /dev/null
+++ b/packages/protocol/src/messages.ts
@@ -0,0 +1,20 @@
+/** All messages that nodes exchange, as one discriminated union. */
+import {z} from 'zod';
+import {type Result, fail, succeed} from '@catkindale/common';
+import {configurationMessageSchema} from './configuration-messages.js';
+import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
+
+export const peerMessageSchema = z.discriminatedUnion('type', [
+	helloMessageSchema,
+	proofMessageSchema,
+	heartbeatMessageSchema,
+	configurationMessageSchema,
+]);
+
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+
+/** Parses what came in a frame; anything else than a known message is refused. */
+export function parsePeerMessage(data: unknown): Result<PeerMessage, string> {
+	const parsed = peerMessageSchema.safeParse(data);
+	return parsed.success ? succeed(parsed.data) : fail(z.prettifyError(parsed.error));
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,6 @@
+/** Small stand-ins of the platform and of targets, for development and tests. */
+export * from './machine-list-standin.js';
+export * from './object-store-standin.js';
+export type {Standin} from './standin.js';
+export * from './table-standin.js';
+export * from './target-standin.js';
