--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -2,6 +2,7 @@
 import type {
 	Member, Route, Target, VersionedConfiguration,
 } from '@catkindale/policy';
+import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
 import type {AttemptResult} from './target-selector.js';
 import type {VersionShare} from './version-chooser.js';
@@ -22,6 +23,8 @@
 		| {readonly type: 'peer-received'; readonly from: string; readonly message: PeerMessage}
 		| {readonly type: 'peer-connected'; readonly id: string}
 		| {readonly type: 'peer-disconnected'; readonly id: string}
+	/** What the platform's list of VMs said just now; it lags behind the truth. */
+		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
 	/** One attempt at a target has ended. */
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -28,6 +28,7 @@
 
 const timingSchema = z.strictObject({
 	tablePollMilliseconds: z.int().positive().default(500),
+	machineListPollMilliseconds: z.int().positive().default(1000),
 	heartbeatMilliseconds: z.int().positive().default(500),
 	freshnessLimitMilliseconds: z.int().positive().default(5000),
 	pauseLimitMilliseconds: z.int().positive().default(2000),
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -17,6 +17,7 @@
 import './configuration-plugin.js';
 import './directory-plugin.js';
 import './entry-plugin.js';
+import './machine-list-plugin.js';
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
