Keep each customer's rate and each target's slots over the whole fleet

The floors were a static share of the member list that each node happened to read, so two nodes that read the row at different times could together hold more than the limit, as could a paused node that came back. Floors now follow a ledger row: a node lowers on sight of a new epoch or configuration, and raises only when every live member acts on the same pair of epoch and version. A node uses its floors only under a lease that a read of the row or a majority of members renews. Nodes lend tokens and slots to each other until a time that the lender counts for longer.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -14,4 +14,5 @@
 export const rowKeys = {
 	configuration: 'configuration',
 	membershipPrefix: 'membership/',
+	ledger: 'membership/fleet',
 } as const;
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -9,11 +9,11 @@
 	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
 } from './exchange.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
+import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
-import {type RequestQuotas, createRequestQuotas} from './request-quotas.js';
+import type {RequestQuotas} from './request-quotas.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
-import {createSlotQuota} from './slot-quota.js';
 import {createTargetPools} from './target-pools.js';
 import {createTargetSelector} from './target-selector.js';
 import {createVersionChooser} from './version-chooser.js';
@@ -33,11 +33,11 @@
 	order: startOrder,
 	async start(context) {
 		const {bus, settings} = context;
-		const slots = createSlotQuota(settings.node.name);
+		const {requests, slots} = getNodeQuotas(context);
 		const state: EntryState = {
 			context,
 			routing: undefined,
-			quotas: createRequestQuotas(settings.node.name, context.clock),
+			quotas: requests,
 			selector: createTargetSelector(slots),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
@@ -46,15 +46,9 @@
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				state.routing = createRoutingTable(configuration);
-				state.quotas.setCustomers(configuration.customers);
 				state.versions.setConfiguration(configuration);
-				slots.setTargets(configuration.targets);
 				state.pools.setTargets(configuration.targets);
 			}),
-			bus.subscribe('membership-changed', ({members}) => {
-				state.quotas.setMembers(members);
-				slots.setMembers(members);
-			}),
 			bus.subscribe('version-share-changed', ({share}) => {
 				state.versions.setShare(share);
 			}),
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,3 +4,5 @@
 export * from './errors.js';
 export * from './settings.js';
 export * from './start-node.js';
+export {createMembership} from './membership.js';
+export {createNodeQuotas} from './node-quotas.js';
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -1,70 +1,73 @@
-/**
- * Keeps this node in its availability zone's membership row and publishes the
- * members of the fleet when they change.
- */
-import {isDeepStrictEqual} from 'node:util';
-import {createIdentifier} from '@catkindale/common';
-import type {Row} from '@catkindale/platform';
-import {type Member, type ZoneMembership, zoneMembershipSchema} from '@catkindale/policy';
-import {rowKeys, roles} from './constants.js';
-import {type NodeContext, getOwnMember, nodePlugins} from './node-context.js';
+/** Keeps this node a member of the fleet and its quotas in step with the ledger. */
+import {slotLoanMarginMilliseconds, slotLoanMilliseconds} from '@catkindale/policy';
+import {roles} from './constants.js';
+import {createMembership} from './membership.js';
+import {getOwnMember, nodePlugins} from './node-context.js';
+import {getNodeQuotas} from './node-quotas.js';
 import {startPeriodicWork} from './periodic-work.js';
 
 const startOrder = 50;
+/** Added to every wait that covers the use of another node, for clock rates and scheduling. */
+const safetyMarginMilliseconds = 1000;
 
 nodePlugins.register({
 	name: 'membership',
 	roles,
 	order: startOrder,
 	async start(context) {
-		let members: readonly Member[] = [];
+		const {bus, clock, logger, settings} = context;
+		const quotas = getNodeQuotas(context);
+		let longestDeadlineMilliseconds = slotLoanMilliseconds + slotLoanMarginMilliseconds;
+		const membership = createMembership({
+			table: context.platform.table,
+			ledger: quotas.ledger,
+			getOwnMember: () => getOwnMember(context),
+			monotonic: clock.monotonic,
+			limits: {
+				silenceMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
+				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
+				requestMilliseconds: () => longestDeadlineMilliseconds + safetyMarginMilliseconds,
+			},
+			onWrite(epoch, outcome) {
+				logger.info('ledger_write', {epoch, outcome});
+			},
+		});
+		const endings = [
+			bus.subscribe('machines-listed', ({machines}) => {
+				membership.setListed(new Set(machines.map(machine => machine.id)));
+			}),
+			bus.subscribe('configuration-changed', ({configuration}) => {
+				const deadlines = configuration.routes.map(route => route.deadlineMilliseconds);
+				longestDeadlineMilliseconds = Math.max(longestDeadlineMilliseconds, ...deadlines);
+			}),
+		];
 		const poll = async (): Promise<void> => {
-			const rows = await context.platform.table.list(rowKeys.membershipPrefix);
-			if (rows.kind !== 'done') {
-				return;
-			}
-
-			const own = getOwnMember(context);
-			const listed = getMembers(rows.value);
-			if (!listed.some(member => isDeepStrictEqual(member, own))) {
-				await writeOwnRow(context, rows.value, own);
+			const isRead = await membership.poll();
+			if (!isRead) {
+				logger.warn('table_read_failed', {row: 'membership'});
 			}
+		};
 
-			if (!isDeepStrictEqual(listed, members)) {
-				members = listed;
-				context.bus.publish({type: 'membership-changed', members});
-			}
+		const tick = async (): Promise<void> => {
+			quotas.ledger.tick();
 		};
 
 		await poll();
 		await poll();
-		const work = startPeriodicWork(poll, context.settings.timing.tablePollMilliseconds);
+		const works = [
+			startPeriodicWork(poll, settings.timing.tablePollMilliseconds),
+			startPeriodicWork(tick, settings.timing.heartbeatMilliseconds / 2),
+		];
 		return {
 			async stop() {
-				await work.stop();
-				await writeOwnRow(context, await readRows(context), undefined);
+				await Promise.all(works.map(async work => work.stop()));
+				for (const end of endings) {
+					end();
+				}
+
+				await membership.leave();
+				quotas.end();
 			},
 		};
 	},
 });
-
-function getMembers(rows: readonly Row[]): Member[] {
-	return rows.flatMap(row => zoneMembershipSchema.parse(row.value).members);
-}
-
-async function readRows(context: NodeContext): Promise<readonly Row[]> {
-	const rows = await context.platform.table.list(rowKeys.membershipPrefix);
-	return rows.kind === 'done' ? rows.value : [];
-}
-
-/** Writes this node into its zone's row, or takes it out. A conflict is tried again at the next poll. */
-async function writeOwnRow(context: NodeContext, rows: readonly Row[], own: Member | undefined): Promise<void> {
-	const {name, region, zone} = context.settings.node;
-	const key = `${rowKeys.membershipPrefix}${region}/${zone}`;
-	const row = rows.find(candidate => candidate.key === key);
-	const known: ZoneMembership = row ? zoneMembershipSchema.parse(row.value) : {epoch: 0, members: []};
-	const others = known.members.filter(member => member.id !== name);
-	const value: ZoneMembership = {epoch: known.epoch + 1, members: own ? [...others, own] : others};
-	const outcome = await context.platform.table.transact(createIdentifier(), [{key, expectedVersion: row?.version ?? 0, value}]);
-	context.logger.info('membership_write', {zone, epoch: value.epoch, outcome: outcome.kind});
-}
--- /dev/null
+++ b/packages/node/src/membership.ts
@@ -0,0 +1,130 @@
+/**
+ * Keeps this node in the ledger's row: joins, fences members that have
+ * vanished, and takes out those whose lease and requests have ended. All
+ * changes are compare-and-set writes that are decided anew from each read, so
+ * that a conflict or a lost answer needs no further care.
+ */
+import {createIdentifier} from '@catkindale/common';
+import type {TableService} from '@catkindale/platform';
+import {
+	type Ledger, type LedgerView, type Member, emptyLedger, expireMembers, fenceMembers, getExpiredFences, getFinishedMembers,
+	getVanishedMembers, isLive, joinLedger, ledgerSchema, removeMembers,
+} from '@catkindale/policy';
+import {rowKeys} from './constants.js';
+import type {QuotaLedger} from './quota-ledger.js';
+
+export type MembershipLimits = {
+	/** How long a member must have been silent before it is fenced. */
+	readonly silenceMilliseconds: number;
+	/** After this time a fenced member's lease and loans of tokens have ended. */
+	readonly expiryMilliseconds: number;
+	/** After this further time its requests and loans of slots have ended. */
+	readonly requestMilliseconds: () => number;
+};
+
+export type MembershipOptions = {
+	readonly table: TableService;
+	readonly ledger: QuotaLedger;
+	readonly getOwnMember: () => Member;
+	readonly monotonic: () => number;
+	readonly limits: MembershipLimits;
+	readonly onWrite?: (epoch: number, outcome: string) => void;
+};
+
+export type Membership = {
+	/** Reads the row and writes what should change; whether the row could be read. */
+	poll: () => Promise<boolean>;
+	setListed: (ids: ReadonlySet<string>) => void;
+	/** Takes this node out of the row, or fences it if something of its share is still out. */
+	leave: () => Promise<void>;
+};
+
+type ReadLedger = {readonly ledger: Ledger; readonly rowVersion: number};
+
+export function createMembership(options: MembershipOptions): Membership {
+	const {table, ledger, monotonic} = options;
+	let listed: ReadonlySet<string> | undefined;
+
+	const read = async (): Promise<ReadLedger | undefined> => {
+		const readAt = monotonic();
+		const outcome = await table.get(rowKeys.ledger);
+		if (outcome.kind !== 'done') {
+			return undefined;
+		}
+
+		const row = outcome.value;
+		const known = row ? ledgerSchema.parse(row.value) : emptyLedger;
+		ledger.setLedger(known, readAt);
+		return {ledger: known, rowVersion: row?.version ?? 0};
+	};
+
+	const write = async (known: ReadLedger, next: Ledger): Promise<void> => {
+		const outcome = await table.transact(createIdentifier(), [{key: rowKeys.ledger, expectedVersion: known.rowVersion, value: next}]);
+		options.onWrite?.(next.epoch, outcome.kind);
+		if (outcome.kind === 'done') {
+			ledger.setLedger(next, undefined);
+		}
+	};
+
+	return {
+		async poll() {
+			const known = await read();
+			if (!known) {
+				return false;
+			}
+
+			const next = getNextLedger(known.ledger, listed, options);
+			if (next !== known.ledger) {
+				await write(known, next);
+			}
+
+			return true;
+		},
+		setListed(ids) {
+			listed = ids;
+		},
+		async leave() {
+			const isClear = ledger.stop();
+			const known = await read();
+			const own = new Set([ledger.view().incarnation]);
+			if (known) {
+				await write(known, isClear ? removeMembers(known.ledger, own) : fenceMembers(known.ledger, own));
+			}
+		},
+	};
+}
+
+/** The row as it should be next; the same object if nothing should change. */
+function getNextLedger(known: Ledger, listed: ReadonlySet<string> | undefined, options: MembershipOptions): Ledger {
+	const {limits, ledger} = options;
+	const now = options.monotonic();
+	const view = ledger.view();
+	let next = known;
+	const vanished = listed ? getVanishedMembers(view, listed, limits.silenceMilliseconds, now) : new Set<string>();
+	if (vanished.size > 0) {
+		next = fenceMembers(next, vanished);
+	}
+
+	const expired = getExpiredFences(view, limits.expiryMilliseconds, now);
+	if (expired.size > 0) {
+		next = expireMembers(next, expired);
+	}
+
+	const finished = getFinishedMembers(view, limits.requestMilliseconds(), now);
+	if (finished.size > 0) {
+		next = removeMembers(next, finished);
+	}
+
+	return joinIfMissing(next, view, options);
+}
+
+/** Joins unless this incarnation is live in the row; one that was fenced comes back as a new one. */
+function joinIfMissing(ledger: Ledger, view: LedgerView, options: MembershipOptions): Ledger {
+	const own = ledger.members.find(member => member.incarnation === view.incarnation);
+	if (own && isLive(own)) {
+		return ledger;
+	}
+
+	const incarnation = own ? options.ledger.renew() : view.incarnation;
+	return joinLedger(ledger, {...options.getOwnMember(), incarnation});
+}
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -29,5 +29,7 @@
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
+	/** Slots at the target were borrowed just now. */
+		| {readonly type: 'slots-gained'; readonly target: string}
 	/** The node takes no new work from now on. */
 		| {readonly type: 'drain-started'};
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -1,52 +1,286 @@
-/** The request tokens that this node holds for each customer. */
+/**
+ * The request tokens that this node may give out for each customer. It asks
+ * the customer's other members for a loan when it runs short, and lends to
+ * them what its own callers don't need.
+ */
 import type {Clock} from '@catkindale/common';
 import {
-	type Customer, type Member, type TokenBucket, createTokenBucket, fillTokenBucket, getTokenDelay, takeToken,
+	type Customer, type CustomerQuota, type Holder, createCustomerQuota, fillCustomerQuota, getRequestFloor, getRequestTokenDelay,
+	hasLentBeyondFloor, lowerFloor, setFloor, takeRequestToken,
 } from '@catkindale/policy';
+import type {PeerMessage} from '@catkindale/protocol';
+import type {QuotaLease} from './quota-lease.js';
+import {createRequestLoans} from './request-loans.js';
 
 export type Admission
 	= | {readonly kind: 'admitted'}
 		| {readonly kind: 'refused'; readonly retryAfterMilliseconds: number};
 
+/** The shares of a ledger epoch from the point of view of one incarnation. */
+export type LedgerShares = {
+	readonly incarnation: string;
+	readonly holders: readonly Holder[];
+};
+
 export type RequestQuotas = {
+	/** Takes the limits of a configuration; the floors follow by `lower` and `raise`. */
 	setCustomers: (customers: readonly Customer[]) => void;
-	setMembers: (members: readonly Member[]) => void;
+	/** Lowers all floors to at most these shares. */
+	lower: (shares: LedgerShares) => void;
+	/** Raises all floors to the shares of the last call of `lower`. */
+	raise: () => void;
+	/** Whether more is lent than the floors cover. */
+	hasOverhang: () => boolean;
 	admit: (customer: string) => Admission;
+	/** Admits within the patience if tokens come by then: by time or from another member. */
+	admitSoon: (customer: string, patienceMilliseconds: number) => Promise<Admission>;
+	receive: (from: string, message: PeerMessage) => void;
+	tick: () => void;
+};
+
+export type RequestQuotasOptions = {
+	readonly ownId: string;
+	readonly zone: string;
+	readonly region: string;
+	readonly clock: Clock;
+	readonly lease: QuotaLease;
+	readonly send: (to: string, message: PeerMessage) => void;
+	/** Runs the function after so many milliseconds; returns how to call it off. */
+	readonly schedule?: (run: () => void, milliseconds: number) => () => void;
+	/** Off in trials that show what borrowing is worth. */
+	readonly isBorrowing?: boolean;
+};
+
+/** What a node knows of one customer's quota. */
+export type CustomerEntry = {
+	customer: Customer;
+	quota: CustomerQuota;
+	shares: LedgerShares | undefined;
+	/** Nobody has held any of it since this time, if that is known. */
+	unheldSince: number | undefined;
+	/** Requests since the last tick, and their rate per second. */
+	arrivals: number;
+	demand: number;
+	shortAt: number;
+	readonly waiters: Waiter[];
+};
+
+export type Waiter = {
+	readonly endsAt: number;
+	readonly resolve: (admission: Admission) => void;
+	readonly callOff: () => void;
 };
 
-export function createRequestQuotas(ownId: string, clock: Clock): RequestQuotas {
-	let customers: readonly Customer[] = [];
-	let members: readonly Member[] = [];
-	const buckets = new Map<string, TokenBucket>();
-
-	const rebuild = (): void => {
-		const isMember = members.some(member => member.id === ownId);
-		const part = isMember ? 1 / members.length : 0;
-		for (const {name, rate, burst} of customers) {
-			const tokens = buckets.get(name)?.tokens ?? 0;
-			buckets.set(name, createTokenBucket(rate * part, burst * part, tokens, clock.monotonic()));
+const leastWaiters = 4;
+const demandSmoothing = 0.3;
+const forgottenDemand = 0.01;
+const millisecondsPerSecond = 1000;
+
+export function createRequestQuotas(options: RequestQuotasOptions): RequestQuotas {
+	const {clock, lease} = options;
+	const schedule = options.schedule ?? scheduleTimer;
+	const entries = new Map<string, CustomerEntry>();
+	const active = new Set<CustomerEntry>();
+	let customers = new Map<string, Customer>();
+	let raisedAt: number | undefined;
+	let isRaised = false;
+	let tickedAt = clock.monotonic();
+	const loans = createRequestLoans(options, entries);
+
+	const findEntry = (name: string): CustomerEntry | undefined => {
+		const entry = entries.get(name);
+		if (entry) {
+			entry.quota = fillCustomerQuota(entry.quota, clock.monotonic());
+		}
+
+		return entry;
+	};
+
+	const take = (entry: CustomerEntry): boolean => {
+		// A node without a floor lives on loans, which end by themselves.
+		if (entry.quota.floor.burst > 0 && !lease.isValid()) {
+			return false;
 		}
+
+		const taken = takeRequestToken(entry.quota);
+		entry.quota = taken ?? entry.quota;
+		return taken !== undefined;
+	};
+
+	const serveWaiters = (entry: CustomerEntry): void => {
+		entry.quota = fillCustomerQuota(entry.quota, clock.monotonic());
+		while (entry.waiters.length > 0 && take(entry)) {
+			const waiter = entry.waiters.shift();
+			waiter?.callOff();
+			waiter?.resolve({kind: 'admitted'});
+		}
+	};
+
+	const refuse = (entry: CustomerEntry): Admission => {
+		entry.shortAt = clock.monotonic();
+		if (lease.isValid() || entry.quota.floor.burst === 0) {
+			loans.askFor(entry);
+		}
+
+		const delay = getRequestTokenDelay(entry.quota);
+		return {kind: 'refused', retryAfterMilliseconds: Number.isFinite(delay) ? delay : millisecondsPerSecond};
+	};
+
+	const admit = (name: string): Admission => {
+		const entry = findEntry(name);
+		if (!entry) {
+			return {kind: 'refused', retryAfterMilliseconds: 0};
+		}
+
+		entry.arrivals += 1;
+		active.add(entry);
+		return entry.waiters.length === 0 && take(entry) ? {kind: 'admitted'} : refuse(entry);
+	};
+
+	/** Wakes the first waiter when time will have made its token. */
+	const wakeLater = (entry: CustomerEntry, endsAt: number): (() => void) => {
+		const now = clock.monotonic();
+		const delay = getRequestTokenDelay(entry.quota) * (entry.waiters.length + 1);
+		const wakes = now + delay < endsAt ? [delay] : [];
+		const callOffs = [...wakes, endsAt - now].map(milliseconds => schedule(() => {
+			serveWaiters(entry);
+			endWaiters(entry, clock.monotonic());
+		}, milliseconds));
+		return () => {
+			for (const callOff of callOffs) {
+				callOff();
+			}
+		};
 	};
 
 	return {
 		setCustomers(next) {
-			customers = next;
-			rebuild();
+			customers = new Map(next.map(customer => [customer.name, customer]));
+			for (const customer of next) {
+				const entry = entries.get(customer.name);
+				if (entry) {
+					entry.customer = customer;
+					continue;
+				}
+
+				entries.set(customer.name, createEntry(customer, raisedAt, clock.monotonic()));
+			}
+		},
+		lower(shares) {
+			const now = clock.monotonic();
+			isRaised = false;
+			for (const entry of entries.values()) {
+				// Only the first mark that has the customer may count the time before it.
+				entry.unheldSince = entry.shares ? undefined : entry.unheldSince;
+				entry.shares = shares;
+				const isKnown = customers.has(entry.customer.name);
+				const floor = isKnown ? getRequestFloor(entry.customer, shares.incarnation, shares.holders) : {rate: 0, burst: 0};
+				entry.quota = lowerFloor(entry.quota, floor, now);
+			}
+		},
+		raise() {
+			if (isRaised) {
+				return;
+			}
+
+			const now = clock.monotonic();
+			isRaised = true;
+			raisedAt = now;
+			for (const [name, entry] of entries) {
+				if (!customers.has(name)) {
+					entries.delete(name);
+					active.delete(entry);
+					continue;
+				}
+
+				raiseEntry(entry, now);
+			}
 		},
-		setMembers(next) {
-			members = next;
-			rebuild();
+		hasOverhang() {
+			const now = clock.monotonic();
+			return loans.getLenders().some(entry => {
+				entry.quota = fillCustomerQuota(entry.quota, now);
+				return hasLentBeyondFloor(entry.quota);
+			});
 		},
-		admit(customer) {
-			const bucket = buckets.get(customer);
-			if (!bucket) {
-				return {kind: 'refused', retryAfterMilliseconds: 0};
+		admit,
+		async admitSoon(name, patienceMilliseconds) {
+			const admission = admit(name);
+			const entry = entries.get(name);
+			if (admission.kind === 'admitted' || !entry || !isWorthWaiting(entry, patienceMilliseconds)) {
+				return admission;
 			}
 
-			const filled = fillTokenBucket(bucket, clock.monotonic());
-			const taken = takeToken(filled);
-			buckets.set(customer, taken ?? filled);
-			return taken ? {kind: 'admitted'} : {kind: 'refused', retryAfterMilliseconds: getTokenDelay(filled)};
+			const endsAt = clock.monotonic() + patienceMilliseconds;
+			return new Promise(resolve => {
+				entry.waiters.push({endsAt, resolve, callOff: wakeLater(entry, endsAt)});
+			});
+		},
+		receive(from, message) {
+			const entry = 'customer' in message ? findEntry(message.customer) : undefined;
+			if (entry) {
+				loans.receive(from, message, entry);
+				serveWaiters(entry);
+			}
+		},
+		tick() {
+			const now = clock.monotonic();
+			const seconds = Math.max(1, now - tickedAt) / millisecondsPerSecond;
+			tickedAt = now;
+			loans.forgetEnded();
+			for (const entry of active) {
+				entry.quota = fillCustomerQuota(entry.quota, now);
+				entry.demand += demandSmoothing * ((entry.arrivals / seconds) - entry.demand);
+				entry.arrivals = 0;
+				serveWaiters(entry);
+				endWaiters(entry, now);
+				loans.renew(entry);
+				if (entry.demand < forgottenDemand && entry.waiters.length === 0) {
+					active.delete(entry);
+				}
+			}
 		},
 	};
 }
+
+function createEntry(customer: Customer, unheldSince: number | undefined, now: number): CustomerEntry {
+	return {
+		customer, unheldSince, quota: createCustomerQuota(now), shares: undefined, arrivals: 0, demand: 0, shortAt: Number.NEGATIVE_INFINITY, waiters: [],
+	};
+}
+
+function raiseEntry(entry: CustomerEntry, now: number): void {
+	const {shares, unheldSince} = entry;
+	if (!shares) {
+		return;
+	}
+
+	entry.quota = setFloor(entry.quota, getRequestFloor(entry.customer, shares.incarnation, shares.holders), now);
+	if (unheldSince !== undefined) {
+		const {rate, burst} = entry.quota.floor;
+		const grown = rate * (now - unheldSince) / millisecondsPerSecond;
+		entry.quota = {...entry.quota, tokens: Math.min(burst, grown)};
+		entry.unheldSince = undefined;
+	}
+}
+
+/** Requests beyond what the customer's rate can bring within the patience are refused at once. */
+function isWorthWaiting(entry: CustomerEntry, patienceMilliseconds: number): boolean {
+	const most = Math.max(leastWaiters, entry.customer.rate * patienceMilliseconds / millisecondsPerSecond);
+	return entry.waiters.length < most;
+}
+
+function endWaiters(entry: CustomerEntry, now: number): void {
+	while (entry.waiters[0] && entry.waiters[0].endsAt <= now) {
+		const waiter = entry.waiters.shift();
+		waiter?.callOff();
+		waiter?.resolve({kind: 'refused', retryAfterMilliseconds: getRequestTokenDelay(entry.quota)});
+	}
+}
+
+function scheduleTimer(run: () => void, milliseconds: number): () => void {
+	const timer = setTimeout(run, milliseconds);
+	return () => {
+		clearTimeout(timer);
+	};
+}
--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -1,56 +1,271 @@
-/** The slots that this node may use at each target, and those in use. */
-import {assertInvariant} from '@catkindale/common';
-import {type Member, type Target, getSlotFloor} from '@catkindale/policy';
+/**
+ * The slots that this node may use at each target, and those in use. It
+ * borrows free slots from the target's other holders and lends its own.
+ */
+import {type Clock, assertInvariant, createIdentifier} from '@catkindale/common';
+import {
+	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getHeldSlots, getSlotFloor,
+	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, releaseSlot, returnSlots, takeBackSlots, takeSlot,
+} from '@catkindale/policy';
+import type {
+	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotReturnMessage,
+} from '@catkindale/protocol';
+import type {QuotaLease} from './quota-lease.js';
+import type {LedgerShares} from './request-quotas.js';
 
 export type SlotQuota = {
+	/** Takes the targets of a configuration; the floors follow by `lower` and `raise`. */
 	setTargets: (targets: readonly Target[]) => void;
-	setMembers: (members: readonly Member[]) => void;
+	/** Lowers all floors to at most these shares. */
+	lower: (shares: LedgerShares) => void;
+	/** Raises the floors to the shares of the last call of `lower`, but for targets with an overhang elsewhere. */
+	raise: (overhang: ReadonlySet<string>) => void;
+	/** Targets at which more is in use or lent than the floor. */
+	getOverhang: () => Set<string>;
 	/** Slots this node holds at the target now. */
 	getHeld: (target: string) => number;
 	getInUse: (target: string) => number;
-	/** Takes a slot; false if none of those held is free. */
-	take: (target: string) => boolean;
+	/**
+	 * Takes a slot; false if none of those held is free. A borrowed slot is
+	 * given only to a request whose deadline, a monotonic time, is within the loan.
+	 */
+	take: (target: string, deadlineAt?: number) => boolean;
 	release: (target: string) => void;
+	receive: (from: string, message: PeerMessage) => void;
+	tick: () => void;
 };
 
-type Slots = {held: number; inUse: number};
+export type SlotQuotaOptions = {
+	readonly ownId: string;
+	readonly clock: Clock;
+	readonly lease: QuotaLease;
+	readonly send: (to: string, message: PeerMessage) => void;
+	/** Called when a loan has come in. */
+	readonly onGained?: (target: string) => void;
+	/** Off in trials that show what borrowing is worth. */
+	readonly isBorrowing?: boolean;
+};
+
+type SlotMessage = SlotLoanWishMessage | SlotLoanMessage | SlotReturnMessage;
+
+type SlotEntry = {
+	target: Target;
+	holding: SlotHolding;
+	shares: LedgerShares | undefined;
+	isRaised: boolean;
+	usedAt: number;
+	wish: {readonly id: string; readonly askedAt: number} | undefined;
+	/** The lender of each borrowed loan. */
+	readonly lenders: Map<string, string>;
+	nextLender: number;
+};
+
+const wishTimeoutMilliseconds = 200;
+const idleMilliseconds = 1000;
+const slotsPerWish = 2;
+
+export function createSlotQuota(options: SlotQuotaOptions): SlotQuota {
+	const {clock, lease, send} = options;
+	const entries = new Map<string, SlotEntry>();
+	let known = new Set<string>();
+
+	const getSlots = (entry: SlotEntry): SlotHolding => {
+		const {lent, borrowed} = entry.holding;
+		if (lent.length > 0 || borrowed.length > 0) {
+			entry.holding = endSlotLoans(entry.holding, clock.monotonic());
+		}
+
+		return entry.holding;
+	};
+
+	const askFor = (entry: SlotEntry): void => {
+		const now = clock.monotonic();
+		if (options.isBorrowing === false || (entry.wish && now - entry.wish.askedAt < wishTimeoutMilliseconds)) {
+			return;
+		}
+
+		const holders = getSlotHolders(entry.target, entry.shares?.holders ?? []).filter(holder => holder.id !== options.ownId);
+		const lender = holders[entry.nextLender % Math.max(1, holders.length)];
+		if (lender) {
+			entry.nextLender += 1;
+			entry.wish = {id: createIdentifier(), askedAt: now};
+			send(lender.id, {
+				type: 'slot-loan-wish', id: entry.wish.id, target: entry.target.name, slots: slotsPerWish,
+			});
+		}
+	};
 
-export function createSlotQuota(ownId: string): SlotQuota {
-	let targets: readonly Target[] = [];
-	let members: readonly Member[] = [];
-	const slotsByTarget = new Map<string, Slots>();
+	const lend = (from: string, message: SlotLoanWishMessage, entry: SlotEntry): void => {
+		const now = clock.monotonic();
+		const reserve = now - entry.usedAt < idleMilliseconds ? 1 : 0;
+		const result = lease.isValid() ? lendSlots(getSlots(entry), {id: message.id, wanted: message.slots, reserve}, now) : {holding: entry.holding, slots: 0};
+		entry.holding = result.holding;
+		send(from, {
+			type: 'slot-loan', id: message.id, target: message.target, slots: result.slots,
+		});
+	};
+
+	const borrow = (from: string, message: SlotLoanMessage, entry: SlotEntry): void => {
+		const {wish} = entry;
+		if (wish?.id !== message.id) {
+			return;
+		}
+
+		entry.wish = undefined;
+		entry.holding = borrowSlots(getSlots(entry), {id: message.id, slots: message.slots, askedAt: wish.askedAt}, clock.monotonic());
+		if (message.slots > 0) {
+			entry.lenders.set(message.id, from);
+			options.onGained?.(message.target);
+		}
+	};
+
+	const takeFrom = (entry: SlotEntry, deadlineAt: number): boolean => {
+		const holding = getSlots(entry);
+		const isOwnUsable = lease.isValid();
+		// Without a lease only borrowed slots may be used.
+		const usable = isOwnUsable ? holding : {...holding, floor: 0};
+		const taken = takeSlot(usable, deadlineAt);
+		if (taken) {
+			entry.holding = {...taken.holding, floor: holding.floor};
+			entry.usedAt = clock.monotonic();
+		}
+
+		if (getFreeOwnSlots(entry.holding) === 0) {
+			askFor(entry);
+		}
+
+		return taken !== undefined;
+	};
+
+	const giveBackIdle = (entry: SlotEntry): void => {
+		if (clock.monotonic() - entry.usedAt < idleMilliseconds) {
+			return;
+		}
 
-	const rebuild = (): void => {
-		for (const target of targets) {
-			const held = getSlotFloor(target, ownId, members);
-			slotsByTarget.set(target.name, {held, inUse: slotsByTarget.get(target.name)?.inUse ?? 0});
+		for (const {id} of getSlots(entry).borrowed) {
+			const returned = returnSlots(entry.holding, id);
+			const lender = entry.lenders.get(id);
+			if (returned && lender !== undefined) {
+				entry.holding = returned;
+				entry.lenders.delete(id);
+				send(lender, {type: 'slot-return', id, target: entry.target.name});
+			}
 		}
 	};
 
 	return {
-		setTargets(next) {
-			targets = next;
-			rebuild();
-		},
-		setMembers(next) {
-			members = next;
-			rebuild();
+		setTargets(targets) {
+			known = new Set(targets.map(target => target.name));
+			for (const target of targets) {
+				const entry = entries.get(target.name);
+				if (entry) {
+					entry.target = target;
+					continue;
+				}
+
+				entries.set(target.name, createEntry(target));
+			}
 		},
-		getHeld: target => slotsByTarget.get(target)?.held ?? 0,
-		getInUse: target => slotsByTarget.get(target)?.inUse ?? 0,
-		take(target) {
-			const slots = slotsByTarget.get(target);
-			if (!slots || slots.inUse >= slots.held) {
-				return false;
+		lower(shares) {
+			for (const entry of entries.values()) {
+				entry.shares = shares;
+				entry.isRaised = false;
+				const floor = known.has(entry.target.name) ? getSlotFloor(entry.target, shares.incarnation, shares.holders) : 0;
+				entry.holding = {...entry.holding, floor: Math.min(entry.holding.floor, floor)};
 			}
+		},
+		raise(overhang) {
+			for (const [name, entry] of entries) {
+				if (entry.isRaised || overhang.has(name) || !entry.shares) {
+					continue;
+				}
 
-			slots.inUse += 1;
-			return true;
+				entry.isRaised = true;
+				const floor = known.has(name) ? getSlotFloor(entry.target, entry.shares.incarnation, entry.shares.holders) : 0;
+				entry.holding = {...entry.holding, floor};
+				removeUnknown(entries, known, entry);
+			}
+		},
+		getOverhang() {
+			const beyond = [...entries].filter(([, entry]) => isBeyondFloor(getSlots(entry)));
+			return new Set(beyond.map(([name]) => name));
+		},
+		getHeld(target) {
+			const entry = entries.get(target);
+			return entry ? getHeldSlots(getSlots(entry), clock.monotonic()) : 0;
+		},
+		getInUse(target) {
+			const entry = entries.get(target);
+			return entry ? getSlotsInUse(entry.holding) : 0;
+		},
+		take(target, deadlineAt = Number.POSITIVE_INFINITY) {
+			const entry = entries.get(target);
+			return entry !== undefined && takeFrom(entry, deadlineAt);
 		},
 		release(target) {
-			const slots = slotsByTarget.get(target);
-			assertInvariant(slots !== undefined && slots.inUse > 0, 'a slot is released once', {target});
-			slots.inUse -= 1;
+			const entry = entries.get(target);
+			assertInvariant(entry !== undefined, 'a slot is released at a target that is known', {target});
+			entry.holding = releaseSlot(entry.holding, getUseToRelease(entry.holding));
+			if (!known.has(target) && entry.isRaised) {
+				removeUnknown(entries, known, entry);
+			}
 		},
+		receive(from, message) {
+			const entry = isSlotMessage(message) ? entries.get(message.target) : undefined;
+			if (!entry || !isSlotMessage(message)) {
+				return;
+			}
+
+			switch (message.type) {
+				case 'slot-loan-wish': {
+					lend(from, message, entry);
+					break;
+				}
+
+				case 'slot-loan': {
+					borrow(from, message, entry);
+					break;
+				}
+
+				case 'slot-return': {
+					entry.holding = takeBackSlots(getSlots(entry), message.id);
+					break;
+				}
+			}
+		},
+		tick() {
+			for (const entry of entries.values()) {
+				if (entry.holding.borrowed.length > 0) {
+					giveBackIdle(entry);
+				}
+			}
+		},
+	};
+}
+
+function isSlotMessage(message: PeerMessage): message is SlotMessage {
+	return message.type === 'slot-loan-wish' || message.type === 'slot-loan' || message.type === 'slot-return';
+}
+
+function createEntry(target: Target): SlotEntry {
+	return {
+		target, holding: emptyHolding, shares: undefined, isRaised: false, usedAt: Number.NEGATIVE_INFINITY, wish: undefined, lenders: new Map(), nextLender: 0,
 	};
 }
+
+/**
+ * A borrowed slot is given back first: a request that runs on an own slot may
+ * then count as the borrowed one that ended, which only shortens the loan's use.
+ */
+function getUseToRelease(holding: SlotHolding): SlotUse {
+	const loan = holding.borrowed.find(candidate => candidate.inUse > 0);
+	return loan ? {kind: 'borrowed', id: loan.id} : {kind: 'own'};
+}
+
+/** Forgets a target that left the configuration once nothing runs there. */
+function removeUnknown(entries: Map<string, SlotEntry>, known: ReadonlySet<string>, entry: SlotEntry): void {
+	const {holding, target} = entry;
+	if (!known.has(target.name) && getSlotsInUse(holding) === 0 && holding.lent.length === 0) {
+		entries.delete(target.name);
+	}
+}
--- /dev/null
+++ b/packages/policy/src/customer-floors.ts
@@ -0,0 +1,51 @@
+/**
+ * The floor shares of a customer's rate and burst. Bursts are whole numbers,
+ * so that a small burst sits on few members: the best-ranked ones, in at
+ * least two regions where there are two.
+ */
+import type {Customer} from './configuration.js';
+import type {Holder} from './ledger.js';
+import {rankByName} from './name-rank.js';
+
+/** What a node may give out without asking: requests per second, and at once. */
+export type RequestFloor = {readonly rate: number; readonly burst: number};
+
+type Place = {readonly id: string; readonly region: string};
+
+const leastBurstPerMember = 8;
+const leastRatePerMember = 4;
+const leastMembers = 2;
+
+export const emptyFloor: RequestFloor = {rate: 0, burst: 0};
+
+/** The members that hold the customer's floors, best first; look-ups send its callers to these. */
+export function getCustomerMembers<Member extends Place>(customer: Customer, members: readonly Member[]): Member[] {
+	const ranked = rankByName(customer.name, members);
+	const wanted = Math.min(customer.burst / leastBurstPerMember, customer.rate / leastRatePerMember);
+	const count = Math.min(ranked.length, Math.max(leastMembers, Math.floor(wanted)));
+	const chosen = ranked.slice(0, count);
+	const first = chosen[0];
+	const other = ranked.find(member => member.region !== first?.region);
+	if (other && chosen.every(member => member.region === first?.region)) {
+		chosen[chosen.length - 1] = other;
+	}
+
+	return chosen;
+}
+
+/** The floor of one incarnation; empty for one that holds no share. */
+export function getRequestFloor(customer: Customer, incarnation: string, holders: readonly Holder[]): RequestFloor {
+	const chosen = getCustomerMembers(customer, holders);
+	const rank = chosen.findIndex(holder => holder.incarnation === incarnation);
+	if (rank === -1) {
+		return emptyFloor;
+	}
+
+	const burst = getWholeShare(customer.burst, chosen.length, rank);
+	return {rate: customer.rate * burst / customer.burst, burst};
+}
+
+/** The whole-number share of a rank; the first ranks take what is left over. */
+export function getWholeShare(total: number, count: number, rank: number): number {
+	return Math.floor(total / count) + (rank < total % count ? 1 : 0);
+}
--- a/packages/policy/src/member.ts
+++ b/packages/policy/src/member.ts
@@ -12,11 +12,4 @@
 	state: z.enum(['live', 'draining']),
 });
 
-/** One row per availability zone; the epoch rises with each change of its members. */
-export const zoneMembershipSchema = z.object({
-	epoch: z.int(),
-	members: z.array(memberSchema),
-});
-
 export type Member = z.infer<typeof memberSchema>;
-export type ZoneMembership = z.infer<typeof zoneMembershipSchema>;
--- /dev/null
+++ b/packages/policy/src/name-rank.ts
@@ -0,0 +1,51 @@
+/**
+ * Cheap rendezvous ranking for decisions that are taken for every customer
+ * and target at each epoch. The names are hashed once; a pair costs a few
+ * integer operations.
+ *
+ * Sources: Thaler and Ravishankar (see `rankMembers`); Fowler, Noll and Vo,
+ * FNV-1a; Appleby, the finalizer of MurmurHash3.
+ */
+
+const fnvOffset = 0x81_1C_9D_C5;
+const fnvPrime = 0x01_00_01_93;
+const goldenRatio = 0x9E_37_79_B1;
+
+/** A hash of 32 bits. */
+export function hashName(name: string): number {
+	let hash = fnvOffset;
+	for (let index = 0; index < name.length; index++) {
+		// Names are compared within one program version only; UTF-16 units will do.
+		// eslint-disable-next-line unicorn/prefer-code-point, no-bitwise
+		hash = Math.imul(hash ^ name.charCodeAt(index), fnvPrime);
+	}
+
+	return hash;
+}
+
+const hashesOfMembers = new WeakMap<ReadonlyArray<{readonly id: string}>, readonly number[]>();
+
+/** The members in the order in which they are preferred for the name. The same array should be passed for an epoch. */
+export function rankByName<Member extends {readonly id: string}>(name: string, members: readonly Member[]): Member[] {
+	const hashes = getMemberHashes(members);
+	const nameHash = hashName(name);
+	const scores = hashes.map(hash => combine(nameHash, hash));
+	const order = members.map((_, index) => index);
+	order.sort((left, right) => (scores[right]! - scores[left]!) || (members[left]!.id < members[right]!.id ? -1 : 1));
+	return order.map(index => members[index]!);
+}
+
+function getMemberHashes(members: ReadonlyArray<{readonly id: string}>): readonly number[] {
+	const known = hashesOfMembers.get(members) ?? members.map(member => hashName(member.id));
+	hashesOfMembers.set(members, known);
+	return known;
+}
+
+/* eslint-disable no-bitwise */
+function combine(nameHash: number, memberHash: number): number {
+	let mixed = nameHash ^ Math.imul(memberHash, goldenRatio);
+	mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85_EB_CA_6B);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2_B2_AE_35);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+/* eslint-enable no-bitwise */
--- a/packages/policy/src/slot-floors.ts
+++ b/packages/policy/src/slot-floors.ts
@@ -1,21 +1,35 @@
 /**
- * The floor shares of a target's slots: whole slots go to the ranked members
+ * The floor shares of a target's slots: whole slots go to the ranked holders
  * of the target's own region, or of the fleet when that region has none.
  */
-import {rankMembers} from '@catkindale/common';
 import type {Target} from './configuration.js';
-import type {Member} from './member.js';
+import {getWholeShare} from './customer-floors.js';
+import type {Holder} from './ledger.js';
+import {rankByName} from './name-rank.js';
 
-/** How many of the target's slots the member may use without asking. */
-export function getSlotFloor(target: Target, memberId: string, members: readonly Member[]): number {
-	const local = members.filter(member => member.region === target.region);
-	const ranked = rankMembers(target.name, local.length > 0 ? local : members);
-	const rank = ranked.findIndex(member => member.id === memberId);
-	if (rank === -1) {
-		return 0;
+const holdersByRegion = new WeakMap<readonly Holder[], Map<string, readonly Holder[]>>();
+
+/** How many of the target's slots the incarnation may use without asking. */
+export function getSlotFloor(target: Target, incarnation: string, holders: readonly Holder[]): number {
+	const ranked = getSlotHolders(target, holders);
+	const rank = ranked.findIndex(holder => holder.incarnation === incarnation);
+	return rank === -1 ? 0 : getWholeShare(target.slots, ranked.length, rank);
+}
+
+/** The holders of the target's slots, the largest shares first. */
+export function getSlotHolders(target: Target, holders: readonly Holder[]): Holder[] {
+	const local = getRegionHolders(target.region, holders);
+	return rankByName(target.name, local.length > 0 ? local : holders);
+}
+
+function getRegionHolders(region: string, holders: readonly Holder[]): readonly Holder[] {
+	let regions = holdersByRegion.get(holders);
+	if (!regions) {
+		regions = new Map();
+		holdersByRegion.set(holders, regions);
 	}
 
-	const base = Math.floor(target.slots / ranked.length);
-	const remainder = target.slots % ranked.length;
-	return base + (rank < remainder ? 1 : 0);
+	const known = regions.get(region) ?? holders.filter(holder => holder.region === region);
+	regions.set(region, known);
+	return known;
 }
--- /dev/null
+++ b/packages/policy/src/slot-holding.ts
@@ -0,0 +1,144 @@
+/**
+ * The slots of one target that a node may use: its floor, less those lent,
+ * plus those borrowed. A slot in use stays counted until its request ends,
+ * also when the floor falls below it.
+ */
+import {assertInvariant} from '@catkindale/common';
+
+/** Slots lent until a monotonic time; the lender counts them for longer than the borrower. */
+export type SlotLoan = {readonly id: string; readonly slots: number; readonly until: number};
+
+export type SlotHolding = {
+	readonly floor: number;
+	readonly lent: readonly SlotLoan[];
+	readonly borrowed: readonly BorrowedSlots[];
+	/** Requests on the node's own slots. */
+	readonly inUse: number;
+};
+
+export type BorrowedSlots = SlotLoan & {readonly inUse: number};
+
+/** On which slot a request runs: an own one or one of a loan. */
+export type SlotUse = {readonly kind: 'own'} | {readonly kind: 'borrowed'; readonly id: string};
+
+export const emptyHolding: SlotHolding = {
+	floor: 0, lent: [], borrowed: [], inUse: 0,
+};
+
+/** How long a loan lasts for the borrower, from its request. */
+export const slotLoanMilliseconds = 15_000;
+/** How much longer the lender counts it, for clocks that run at different rates. */
+export const slotLoanMarginMilliseconds = 500;
+/** A borrower uses a loan for new requests only while this much time is left. */
+const leastUsefulMilliseconds = 100;
+
+const ownUse: SlotUse = {kind: 'own'};
+
+export function getFreeOwnSlots(holding: SlotHolding): number {
+	return Math.max(0, holding.floor - getLentSlots(holding) - holding.inUse);
+}
+
+/** Slots that the node may use now, borrowed ones included. */
+export function getHeldSlots(holding: SlotHolding, now: number): number {
+	const borrowed = holding.borrowed.filter(loan => loan.until > now + leastUsefulMilliseconds);
+	return Math.max(0, holding.floor - getLentSlots(holding)) + borrowed.reduce((total, loan) => total + loan.slots, 0);
+}
+
+export function getSlotsInUse(holding: SlotHolding): number {
+	return holding.inUse + holding.borrowed.reduce((total, loan) => total + loan.inUse, 0);
+}
+
+/** Whether the node uses or has lent more own slots than its floor. */
+export function isBeyondFloor(holding: SlotHolding): boolean {
+	return holding.inUse + getLentSlots(holding) > holding.floor;
+}
+
+/** Takes a slot for a request that ends by its deadline; undefined if none is free for so long. */
+export function takeSlot(holding: SlotHolding, deadlineAt: number): {readonly holding: SlotHolding; readonly use: SlotUse} | undefined {
+	if (getFreeOwnSlots(holding) > 0) {
+		return {holding: {...holding, inUse: holding.inUse + 1}, use: ownUse};
+	}
+
+	const loan = holding.borrowed.find(candidate => candidate.inUse < candidate.slots && candidate.until >= deadlineAt);
+	return loan && {holding: changeBorrowed(holding, loan.id, 1), use: {kind: 'borrowed', id: loan.id}};
+}
+
+export function releaseSlot(holding: SlotHolding, use: SlotUse): SlotHolding {
+	switch (use.kind) {
+		case 'own': {
+			assertInvariant(holding.inUse > 0, 'a slot is released once');
+			return {...holding, inUse: holding.inUse - 1};
+		}
+
+		case 'borrowed': {
+			return changeBorrowed(holding, use.id, -1);
+		}
+	}
+}
+
+/** What a borrower asks for, and what the lender keeps for itself. */
+export type SlotWish = {readonly id: string; readonly wanted: number; readonly reserve: number};
+
+/** Lends free own slots above the reserve; a known loan is answered again as it is. */
+export function lendSlots(holding: SlotHolding, wish: SlotWish, now: number): {readonly holding: SlotHolding; readonly slots: number} {
+	const {id, wanted, reserve} = wish;
+	if (holding.lent.some(loan => loan.id === id)) {
+		return {holding, slots: 0};
+	}
+
+	const slots = Math.max(0, Math.min(wanted, getFreeOwnSlots(holding) - reserve));
+	if (slots === 0) {
+		return {holding, slots};
+	}
+
+	const until = now + slotLoanMilliseconds + slotLoanMarginMilliseconds;
+	return {holding: {...holding, lent: [...holding.lent, {id, slots, until}]}, slots};
+}
+
+/** A loan as it came in; `askedAt` is when its request was sent. */
+export type ReceivedSlots = {readonly id: string; readonly slots: number; readonly askedAt: number};
+
+/** Takes a loan in. A late one is discarded. */
+export function borrowSlots(holding: SlotHolding, {id, slots, askedAt}: ReceivedSlots, now: number): SlotHolding {
+	const until = askedAt + slotLoanMilliseconds;
+	if (slots === 0 || until <= now) {
+		return holding;
+	}
+
+	return {
+		...holding, borrowed: [...holding.borrowed, {
+			id, slots, until, inUse: 0,
+		}],
+	};
+}
+
+/** Ends loans whose time is over; the loans of a borrower end when nothing runs on them. */
+export function endSlotLoans(holding: SlotHolding, now: number): SlotHolding {
+	return {
+		...holding,
+		lent: holding.lent.filter(loan => loan.until > now),
+		borrowed: holding.borrowed.filter(loan => loan.until > now || loan.inUse > 0),
+	};
+}
+
+/** The lender takes back what the borrower returns early. */
+export function takeBackSlots(holding: SlotHolding, id: string): SlotHolding {
+	return {...holding, lent: holding.lent.filter(loan => loan.id !== id)};
+}
+
+/** The borrower gives up an idle loan for good; undefined while a request runs on it. */
+export function returnSlots(holding: SlotHolding, id: string): SlotHolding | undefined {
+	const loan = holding.borrowed.find(candidate => candidate.id === id);
+	return loan?.inUse === 0 ? {...holding, borrowed: holding.borrowed.filter(candidate => candidate.id !== id)} : undefined;
+}
+
+function changeBorrowed(holding: SlotHolding, id: string, change: 1 | -1): SlotHolding {
+	const borrowed = holding.borrowed.map(loan => loan.id === id ? {...loan, inUse: loan.inUse + change} : loan);
+	const changed = borrowed.find(loan => loan.id === id);
+	assertInvariant(changed !== undefined && changed.inUse >= 0, 'a borrowed slot is released once', {id});
+	return {...holding, borrowed};
+}
+
+function getLentSlots(holding: SlotHolding): number {
+	return holding.lent.reduce((total, loan) => total + loan.slots, 0);
+}
