Let a request wait shortly for its token instead of refusing it

A request now waits up to 300 ms for a token by time or loan, and up to 2 s while the members have not yet agreed on shares; requests beyond what the rate can bring by then are refused at once.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -72,7 +72,7 @@
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
 	const requestId = createIdentifier();
-	const checked = checkRequest(request, state.routing, state.quotas);
+	const checked = await checkRequest(request, state.routing, state.quotas);
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -39,6 +39,9 @@
 	leave: () => Promise<void>;
 };
 
+/** Writes that lose against others are decided anew this often in one poll. */
+const mostTries = 5;
+
 type ReadLedger = {readonly ledger: Ledger; readonly rowVersion: number};
 
 export function createMembership(options: MembershipOptions): Membership {
@@ -58,27 +61,36 @@
 		return {ledger: known, rowVersion: row?.version ?? 0};
 	};
 
-	const write = async (known: ReadLedger, next: Ledger): Promise<void> => {
+	/** Whether another write came first. */
+	const write = async (known: ReadLedger, next: Ledger): Promise<boolean> => {
 		const outcome = await table.transact(createIdentifier(), [{key: rowKeys.ledger, expectedVersion: known.rowVersion, value: next}]);
 		options.onWrite?.(next.epoch, outcome.kind);
 		if (outcome.kind === 'done') {
 			ledger.setLedger(next, undefined);
 		}
+
+		return outcome.kind === 'conflict';
+	};
+
+	/** Reads, and writes what should change; whether to try again at once. */
+	const step = async (): Promise<'unread' | 'conflict' | 'done'> => {
+		const known = await read();
+		if (!known) {
+			return 'unread';
+		}
+
+		const next = getNextLedger(known.ledger, listed, options);
+		return next !== known.ledger && await write(known, next) ? 'conflict' : 'done';
 	};
 
 	return {
 		async poll() {
-			const known = await read();
-			if (!known) {
-				return false;
-			}
-
-			const next = getNextLedger(known.ledger, listed, options);
-			if (next !== known.ledger) {
-				await write(known, next);
+			let result = await step();
+			for (let tries = 1; tries < mostTries && result === 'conflict'; tries++) {
+				result = await step();
 			}
 
-			return true;
+			return result !== 'unread';
 		},
 		setListed(ids) {
 			listed = ids;
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -11,7 +11,7 @@
 	= | {readonly kind: 'admitted'; readonly route: Route; readonly customer: Customer | undefined}
 		| {readonly kind: 'refused'; readonly problem: Problem};
 
-export function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas): CheckedRequest {
+export async function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas): Promise<CheckedRequest> {
 	if (!routing) {
 		return refuse(503, 'not-configured', 'this VM has no configuration yet');
 	}
@@ -32,7 +32,7 @@
 		return refuse(401, 'unknown-key', 'the route needs the key of a customer');
 	}
 
-	const admission = quotas.admit(customer.name);
+	const admission = await quotas.admitSoon(customer.name);
 	if (admission.kind === 'refused') {
 		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
 	}
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -32,8 +32,8 @@
 	/** Whether more is lent than the floors cover. */
 	hasOverhang: () => boolean;
 	admit: (customer: string) => Admission;
-	/** Admits within the patience if tokens come by then: by time or from another member. */
-	admitSoon: (customer: string, patienceMilliseconds: number) => Promise<Admission>;
+	/** Admits within a short time if tokens come by then: by time, from another member, or with the first shares. */
+	admitSoon: (customer: string) => Promise<Admission>;
 	receive: (from: string, message: PeerMessage) => void;
 	tick: () => void;
 };
@@ -71,6 +71,10 @@
 	readonly callOff: () => void;
 };
 
+/** How long a request may wait for a token: longer than an exchange with the farthest region. */
+const patienceMilliseconds = 300;
+/** How long it may wait while the members haven't agreed on the shares. */
+const agreementPatienceMilliseconds = 2000;
 const leastWaiters = 4;
 const demandSmoothing = 0.3;
 const forgottenDemand = 0.01;
@@ -194,6 +198,7 @@
 				}
 
 				raiseEntry(entry, now);
+				serveWaiters(entry);
 			}
 		},
 		hasOverhang() {
@@ -204,14 +209,14 @@
 			});
 		},
 		admit,
-		async admitSoon(name, patienceMilliseconds) {
+		async admitSoon(name) {
 			const admission = admit(name);
 			const entry = entries.get(name);
-			if (admission.kind === 'admitted' || !entry || !isWorthWaiting(entry, patienceMilliseconds)) {
+			if (admission.kind === 'admitted' || !entry || !isWorthWaiting(entry)) {
 				return admission;
 			}
 
-			const endsAt = clock.monotonic() + patienceMilliseconds;
+			const endsAt = clock.monotonic() + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
 			return new Promise(resolve => {
 				entry.waiters.push({endsAt, resolve, callOff: wakeLater(entry, endsAt)});
 			});
@@ -265,7 +270,7 @@
 }
 
 /** Requests beyond what the customer's rate can bring within the patience are refused at once. */
-function isWorthWaiting(entry: CustomerEntry, patienceMilliseconds: number): boolean {
+function isWorthWaiting(entry: CustomerEntry): boolean {
 	const most = Math.max(leastWaiters, entry.customer.rate * patienceMilliseconds / millisecondsPerSecond);
 	return entry.waiters.length < most;
 }
