Prove quotas over all nodes by a randomised run with faults

catkindale verify quotas runs 2 to 5 nodes' own quota code on simulated time with a lossy channel, a table with outages and lost answers, pauses, frozen VMs, cuts, crashes and replacements, and asserts at each step that what all nodes may give out adds up to no more than rate, burst and slots.

--- /dev/null
+++ b/packages/cli/src/verification-quotas.ts
@@ -0,0 +1,11 @@
+/** Randomised run: the fleet keeps within every customer's rate and burst and every target's slots. */
+import {runQuotaFleet} from './verification-quota-fleet.js';
+import {registerVerification} from './verification-registry.js';
+
+registerVerification({
+	name: 'quotas',
+	describe: 'rates, bursts and slots over all nodes under crashes, pauses, cuts, lost messages and table outages',
+	async run(seed) {
+		await runQuotaFleet(seed);
+	},
+});
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,4 +5,5 @@
 export * from './settings.js';
 export * from './start-node.js';
 export {createMembership} from './membership.js';
-export {createNodeQuotas} from './node-quotas.js';
+export {type NodeQuotas, createNodeQuotas} from './node-quotas.js';
+export type {NodeMessage} from './node-messages.js';
--- /dev/null
+++ b/packages/node/src/lease-clock.ts
@@ -0,0 +1,41 @@
+/**
+ * Two ways to tell the time of one node. What this node may still do by a
+ * lease or a loan is counted by `own`, which also counts time that the VM was
+ * frozen. How long this node waits for others to have stopped is counted by
+ * `monotonic`, which may only be too slow.
+ */
+import type {Clock} from '@catkindale/common';
+import {getFrozenMilliseconds, updateReference} from '@catkindale/policy';
+
+export type LeaseClock = {
+	monotonic: () => number;
+	/** The monotonic time plus all time found frozen. */
+	own: () => number;
+	/** Called with the milliseconds whenever frozen time is found, before `own` returns. */
+	onFrozen: (listener: (milliseconds: number) => void) => void;
+};
+
+export function createLeaseClock(clock: Clock): LeaseClock {
+	const listeners: Array<(milliseconds: number) => void> = [];
+	let reference = {monotonic: clock.monotonic(), wall: clock.wall()};
+	let frozenTotal = 0;
+	return {
+		monotonic: clock.monotonic,
+		own() {
+			const reading = {monotonic: clock.monotonic(), wall: clock.wall()};
+			const frozen = getFrozenMilliseconds(reference, reading);
+			reference = updateReference(reference, reading);
+			if (frozen > 0) {
+				frozenTotal += frozen;
+				for (const listener of listeners) {
+					listener(frozen);
+				}
+			}
+
+			return reading.monotonic + frozenTotal;
+		},
+		onFrozen(listener) {
+			listeners.push(listener);
+		},
+	};
+}
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -15,14 +15,14 @@
 	roles,
 	order: startOrder,
 	async start(context) {
-		const {bus, clock, logger, settings} = context;
+		const {bus, logger, settings} = context;
 		const quotas = getNodeQuotas(context);
 		let longestDeadlineMilliseconds = slotLoanMilliseconds + slotLoanMarginMilliseconds;
 		const membership = createMembership({
 			table: context.platform.table,
 			ledger: quotas.ledger,
 			getOwnMember: () => getOwnMember(context),
-			monotonic: clock.monotonic,
+			clock: quotas.clock,
 			limits: {
 				silenceMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -11,6 +11,7 @@
 	getVanishedMembers, isLive, joinLedger, ledgerSchema, removeMembers,
 } from '@catkindale/policy';
 import {rowKeys} from './constants.js';
+import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLedger} from './quota-ledger.js';
 
 export type MembershipLimits = {
@@ -26,7 +27,7 @@
 	readonly table: TableService;
 	readonly ledger: QuotaLedger;
 	readonly getOwnMember: () => Member;
-	readonly monotonic: () => number;
+	readonly clock: LeaseClock;
 	readonly limits: MembershipLimits;
 	readonly onWrite?: (epoch: number, outcome: string) => void;
 };
@@ -45,11 +46,11 @@
 type ReadLedger = {readonly ledger: Ledger; readonly rowVersion: number};
 
 export function createMembership(options: MembershipOptions): Membership {
-	const {table, ledger, monotonic} = options;
+	const {table, ledger, clock} = options;
 	let listed: ReadonlySet<string> | undefined;
 
 	const read = async (): Promise<ReadLedger | undefined> => {
-		const readAt = monotonic();
+		const readAt = clock.own();
 		const outcome = await table.get(rowKeys.ledger);
 		if (outcome.kind !== 'done') {
 			return undefined;
@@ -109,7 +110,7 @@
 /** The row as it should be next; the same object if nothing should change. */
 function getNextLedger(known: Ledger, listed: ReadonlySet<string> | undefined, options: MembershipOptions): Ledger {
 	const {limits, ledger} = options;
-	const now = options.monotonic();
+	const now = options.clock.monotonic();
 	const view = ledger.view();
 	let next = known;
 	const vanished = listed ? getVanishedMembers(view, listed, limits.silenceMilliseconds, now) : new Set<string>();
--- a/packages/node/src/node-quotas.ts
+++ b/packages/node/src/node-quotas.ts
@@ -2,10 +2,11 @@
 import type {Clock} from '@catkindale/common';
 import type {MessageBus} from '@catkindale/kernel';
 import type {PeerMessage} from '@catkindale/protocol';
+import {type LeaseClock, createLeaseClock} from './lease-clock.js';
 import type {NodeContext} from './node-context.js';
 import type {NodeMessage} from './node-messages.js';
 import {type QuotaLedger, createQuotaLedger} from './quota-ledger.js';
-import {type LeaseLimits, type QuotaLease, createQuotaLease} from './quota-lease.js';
+import {type QuotaLease, createQuotaLease} from './quota-lease.js';
 import {type RequestQuotas, type RequestQuotasOptions, createRequestQuotas} from './request-quotas.js';
 import {type SlotQuota, createSlotQuota} from './slot-quota.js';
 
@@ -14,14 +15,18 @@
 	readonly ledger: QuotaLedger;
 	readonly requests: RequestQuotas;
 	readonly slots: SlotQuota;
+	readonly clock: LeaseClock;
 	/** Ends the subscriptions. */
 	end: () => void;
 };
 
-export type NodeQuotasOptions = LeaseLimits & Pick<RequestQuotasOptions, 'ownId' | 'zone' | 'region' | 'schedule' | 'isBorrowing'> & {
+export type NodeQuotasOptions = Pick<RequestQuotasOptions, 'ownId' | 'zone' | 'region' | 'schedule' | 'isBorrowing'> & {
 	readonly incarnation: string;
 	readonly clock: Clock;
 	readonly bus: MessageBus<NodeMessage>;
+	readonly leaseMilliseconds: number;
+	/** A node that has not ticked for so long takes itself for paused. */
+	readonly pauseLimitMilliseconds: number;
 };
 
 const quotasOfContexts = new WeakMap<NodeContext, NodeQuotas>();
@@ -49,15 +54,19 @@
 }
 
 export function createNodeQuotas(options: NodeQuotasOptions): NodeQuotas {
-	const {bus, clock} = options;
+	const {bus} = options;
+	const clock = createLeaseClock(options.clock);
 	const send = (to: string, message: PeerMessage): void => {
 		bus.publish({type: 'peer-send', to, message});
 	};
 
-	const lease = createQuotaLease(clock, options);
-	const requests = createRequestQuotas({...options, lease, send});
+	const lease = createQuotaLease(clock, options.leaseMilliseconds);
+	const requests = createRequestQuotas({
+		...options, clock, lease, send,
+	});
 	const slots = createSlotQuota({
 		...options,
+		clock,
 		lease,
 		send,
 		onGained(target) {
@@ -65,7 +74,7 @@
 		},
 	});
 	const ledger = createQuotaLedger({
-		...options, lease, requests, slots,
+		...options, clock, lease, requests, slots,
 	});
 	const ending = bus.subscribe('peer-received', ({from, message}) => {
 		requests.receive(from, message);
@@ -76,6 +85,7 @@
 		ledger,
 		requests,
 		slots,
+		clock,
 		end() {
 			ending();
 			ledger.end();
--- a/packages/node/src/quota-ledger.ts
+++ b/packages/node/src/quota-ledger.ts
@@ -3,14 +3,14 @@
  * the floors, then reports the mark to the members; once all of them report
  * the same mark it raises the floors. It performs no calls of the table.
  */
-import type {Clock} from '@catkindale/common';
 import type {MessageBus} from '@catkindale/kernel';
 import {
 	type Holder, type Ledger, type LedgerMark, type LedgerView, type VersionedConfiguration,
-	confirmView, createLedgerView, getConfirmedAt, getEcho, getHolders, getMark, getOverhang, isLive, isLiveMember, isPaused,
+	confirmView, createLedgerView, getConfirmedAt, getEcho, getHolders, getMark, getOverhang, isLive, isLiveMember,
 	isSlotRaiseAllowed, isTokenRaiseAllowed, renewIncarnation, resumeView, updateLedger, updatePeer, updateVersion,
 } from '@catkindale/policy';
 import type {LedgerReportMessage} from '@catkindale/protocol';
+import type {LeaseClock} from './lease-clock.js';
 import type {NodeMessage} from './node-messages.js';
 import type {QuotaLease} from './quota-lease.js';
 import type {RequestQuotas} from './request-quotas.js';
@@ -19,7 +19,7 @@
 export type QuotaLedgerOptions = {
 	readonly ownId: string;
 	readonly incarnation: string;
-	readonly clock: Clock;
+	readonly clock: LeaseClock;
 	readonly bus: MessageBus<NodeMessage>;
 	readonly lease: QuotaLease;
 	readonly requests: RequestQuotas;
@@ -29,7 +29,7 @@
 
 export type QuotaLedger = {
 	readonly view: () => LedgerView;
-	/** Takes a committed row; `readAt` is when its read began, undefined if a peer sent it. */
+	/** Takes a committed row; `readAt` is the own time when its read began, undefined if a peer sent it. */
 	setLedger: (ledger: Ledger, readAt: number | undefined) => void;
 	/** Called at least once per heartbeat: finds pauses, renews the lease, reports to the members. */
 	tick: () => void;
@@ -45,23 +45,23 @@
 	let view = createLedgerView(options.incarnation);
 	let holders: readonly Holder[] = [];
 	let reported: LedgerMark = {epoch: 0, version: 0};
-	let ticked = {monotonic: clock.monotonic(), wall: clock.wall()};
+	let tickedAt = clock.own();
 	let terms = 1;
 	let isStopped = false;
 
 	/** Finds a pause since the last tick before anything else is done. */
 	const checkPause = (): void => {
-		const reading = {monotonic: clock.monotonic(), wall: clock.wall()};
-		if (isPaused(ticked, reading, options.pauseLimitMilliseconds)) {
+		const now = clock.own();
+		if (now - tickedAt > options.pauseLimitMilliseconds) {
 			lease.end();
-			view = resumeView(view, reading.monotonic);
+			view = resumeView(view, now, clock.monotonic());
 		}
 
-		ticked = reading;
+		tickedAt = now;
 	};
 
 	const renewLease = (): void => {
-		const now = clock.monotonic();
+		const now = clock.own();
 		view = confirmView(view, now);
 		if (view.resumedAt === undefined && isLiveMember(view) && !isStopped) {
 			lease.confirm(getConfirmedAt(view, now));
@@ -106,7 +106,7 @@
 				incarnation: view.incarnation,
 				...reported,
 				overhang,
-				sentAt: clock.monotonic(),
+				sentAt: clock.own(),
 				...(echoedAt !== undefined && {echo: {incarnation: member.incarnation, sentAt: echoedAt}}),
 			};
 			bus.publish({type: 'peer-send', to: member.id, message});
--- a/packages/node/src/request-loans.ts
+++ b/packages/node/src/request-loans.ts
@@ -45,7 +45,7 @@
 	const lending = new Set<string>();
 
 	const sendWish = (entry: CustomerEntry, wish: Omit<Wish, 'askedAt'>, amount: LoanAmount): void => {
-		wishes.set(entry.customer.name, {...wish, askedAt: clock.monotonic()});
+		wishes.set(entry.customer.name, {...wish, askedAt: clock.own()});
 		send(wish.to, {
 			type: 'request-loan-wish', id: wish.id, attempt: wish.attempt, customer: entry.customer.name, ...amount,
 		});
@@ -53,7 +53,7 @@
 
 	const isWishing = (entry: CustomerEntry): boolean => {
 		const wish = wishes.get(entry.customer.name);
-		return wish !== undefined && clock.monotonic() - wish.askedAt < wishTimeoutMilliseconds;
+		return wish !== undefined && clock.own() - wish.askedAt < wishTimeoutMilliseconds;
 	};
 
 	const findLender = (entry: CustomerEntry): Lender | undefined => {
@@ -87,13 +87,16 @@
 			return;
 		}
 
+		// Time that was frozen since the wish was sent shortens the loan.
+		const frozen = clock.own() - clock.monotonic();
+		const askedAt = wish.askedAt - frozen;
 		const now = clock.monotonic();
 		wishes.delete(entry.customer.name);
 		if (message.burst === 0) {
 			dryUntil.set(`${from} ${entry.customer.name}`, now + dryMilliseconds);
 		}
 
-		entry.quota = borrowTokens(entry.quota, {id: message.id, grant: message, askedAt: wish.askedAt}, now);
+		entry.quota = borrowTokens(entry.quota, {id: message.id, grant: message, askedAt}, now);
 		if (message.burst > 0) {
 			loanLenders.set(message.id, {to: from, attempt: wish.attempt, endsAt: now + requestLoanMilliseconds});
 		}
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -3,12 +3,12 @@
  * the customer's other members for a loan when it runs short, and lends to
  * them what its own callers don't need.
  */
-import type {Clock} from '@catkindale/common';
 import {
-	type Customer, type CustomerQuota, type Holder, createCustomerQuota, fillCustomerQuota, getRequestFloor, getRequestTokenDelay,
-	hasLentBeyondFloor, lowerFloor, setFloor, takeRequestToken,
+	type Customer, type CustomerQuota, type Holder, type RequestFloor, createCustomerQuota, emptyFloor, fillCustomerQuota, getCapacity, getFillRate, getRequestFloor, getRequestTokenDelay,
+	hasLentBeyondFloor, lowerFloor, setFloor, shortenBorrowed, takeRequestToken,
 } from '@catkindale/policy';
 import type {PeerMessage} from '@catkindale/protocol';
+import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLease} from './quota-lease.js';
 import {createRequestLoans} from './request-loans.js';
 
@@ -34,6 +34,8 @@
 	admit: (customer: string) => Admission;
 	/** Admits within a short time if tokens come by then: by time, from another member, or with the first shares. */
 	admitSoon: (customer: string) => Promise<Admission>;
+	/** What this node may give out now, by its floor and by loans. */
+	getUsable: (customer: string) => RequestFloor;
 	receive: (from: string, message: PeerMessage) => void;
 	tick: () => void;
 };
@@ -42,7 +44,7 @@
 	readonly ownId: string;
 	readonly zone: string;
 	readonly region: string;
-	readonly clock: Clock;
+	readonly clock: LeaseClock;
 	readonly lease: QuotaLease;
 	readonly send: (to: string, message: PeerMessage) => void;
 	/** Runs the function after so many milliseconds; returns how to call it off. */
@@ -91,9 +93,17 @@
 	let tickedAt = clock.monotonic();
 	const loans = createRequestLoans(options, entries);
 
+	// A loan ends for its borrower by the time that was frozen earlier.
+	clock.onFrozen(milliseconds => {
+		for (const entry of entries.values()) {
+			entry.quota = shortenBorrowed(entry.quota, milliseconds);
+		}
+	});
+
 	const findEntry = (name: string): CustomerEntry | undefined => {
 		const entry = entries.get(name);
 		if (entry) {
+			clock.own();
 			entry.quota = fillCustomerQuota(entry.quota, clock.monotonic());
 		}
 
@@ -112,6 +122,7 @@
 	};
 
 	const serveWaiters = (entry: CustomerEntry): void => {
+		clock.own();
 		entry.quota = fillCustomerQuota(entry.quota, clock.monotonic());
 		while (entry.waiters.length > 0 && take(entry)) {
 			const waiter = entry.waiters.shift();
@@ -178,7 +189,7 @@
 				entry.unheldSince = entry.shares ? undefined : entry.unheldSince;
 				entry.shares = shares;
 				const isKnown = customers.has(entry.customer.name);
-				const floor = isKnown ? getRequestFloor(entry.customer, shares.incarnation, shares.holders) : {rate: 0, burst: 0};
+				const floor = isKnown ? getRequestFloor(entry.customer, shares.incarnation, shares.holders) : emptyFloor;
 				entry.quota = lowerFloor(entry.quota, floor, now);
 			}
 		},
@@ -221,6 +232,11 @@
 				entry.waiters.push({endsAt, resolve, callOff: wakeLater(entry, endsAt)});
 			});
 		},
+		getUsable(name) {
+			const entry = findEntry(name);
+			const isUsable = entry && (entry.quota.floor.burst === 0 || lease.isValid());
+			return isUsable ? {rate: getFillRate(entry.quota), burst: getCapacity(entry.quota)} : emptyFloor;
+		},
 		receive(from, message) {
 			const entry = 'customer' in message ? findEntry(message.customer) : undefined;
 			if (entry) {
--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -2,14 +2,15 @@
  * The slots that this node may use at each target, and those in use. It
  * borrows free slots from the target's other holders and lends its own.
  */
-import {type Clock, assertInvariant, createIdentifier} from '@catkindale/common';
+import {assertInvariant, createIdentifier} from '@catkindale/common';
 import {
-	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getHeldSlots, getSlotFloor,
-	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, releaseSlot, returnSlots, takeBackSlots, takeSlot,
+	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getSlotFloor,
+	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
 } from '@catkindale/policy';
 import type {
 	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotReturnMessage,
 } from '@catkindale/protocol';
+import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLease} from './quota-lease.js';
 import type {LedgerShares} from './request-quotas.js';
 
@@ -25,6 +26,8 @@
 	/** Slots this node holds at the target now. */
 	getHeld: (target: string) => number;
 	getInUse: (target: string) => number;
+	/** Slots that a request could take now, own and borrowed. */
+	getFree: (target: string) => number;
 	/**
 	 * Takes a slot; false if none of those held is free. A borrowed slot is
 	 * given only to a request whose deadline, a monotonic time, is within the loan.
@@ -37,7 +40,7 @@
 
 export type SlotQuotaOptions = {
 	readonly ownId: string;
-	readonly clock: Clock;
+	readonly clock: LeaseClock;
 	readonly lease: QuotaLease;
 	readonly send: (to: string, message: PeerMessage) => void;
 	/** Called when a loan has come in. */
@@ -69,6 +72,13 @@
 	const entries = new Map<string, SlotEntry>();
 	let known = new Set<string>();
 
+	// A loan ends for its borrower by the time that was frozen earlier.
+	clock.onFrozen(milliseconds => {
+		for (const entry of entries.values()) {
+			entry.holding = shortenBorrowedSlots(entry.holding, milliseconds);
+		}
+	});
+
 	const getSlots = (entry: SlotEntry): SlotHolding => {
 		const {lent, borrowed} = entry.holding;
 		if (lent.length > 0 || borrowed.length > 0) {
@@ -79,7 +89,7 @@
 	};
 
 	const askFor = (entry: SlotEntry): void => {
-		const now = clock.monotonic();
+		const now = clock.own();
 		if (options.isBorrowing === false || (entry.wish && now - entry.wish.askedAt < wishTimeoutMilliseconds)) {
 			return;
 		}
@@ -111,22 +121,28 @@
 			return;
 		}
 
+		// Time that was frozen since the wish was sent shortens the loan.
+		const frozen = clock.own() - clock.monotonic();
+		const askedAt = wish.askedAt - frozen;
 		entry.wish = undefined;
-		entry.holding = borrowSlots(getSlots(entry), {id: message.id, slots: message.slots, askedAt: wish.askedAt}, clock.monotonic());
+		entry.holding = borrowSlots(getSlots(entry), {id: message.id, slots: message.slots, askedAt}, clock.monotonic());
 		if (message.slots > 0) {
 			entry.lenders.set(message.id, from);
 			options.onGained?.(message.target);
 		}
 	};
 
-	const takeFrom = (entry: SlotEntry, deadlineAt: number): boolean => {
+	/** Without a lease only borrowed slots may be used. */
+	const getUsable = (entry: SlotEntry): SlotHolding => {
+		const isValid = lease.isValid();
 		const holding = getSlots(entry);
-		const isOwnUsable = lease.isValid();
-		// Without a lease only borrowed slots may be used.
-		const usable = isOwnUsable ? holding : {...holding, floor: 0};
-		const taken = takeSlot(usable, deadlineAt);
+		return isValid ? holding : {...holding, floor: 0};
+	};
+
+	const takeFrom = (entry: SlotEntry, deadlineAt: number): boolean => {
+		const taken = takeSlot(getUsable(entry), deadlineAt);
 		if (taken) {
-			entry.holding = {...taken.holding, floor: holding.floor};
+			entry.holding = {...taken.holding, floor: entry.holding.floor};
 			entry.usedAt = clock.monotonic();
 		}
 
@@ -198,6 +214,10 @@
 			const entry = entries.get(target);
 			return entry ? getSlotsInUse(entry.holding) : 0;
 		},
+		getFree(target) {
+			const entry = entries.get(target);
+			return entry ? getFreeSlots(getUsable(entry), clock.monotonic()) : 0;
+		},
 		take(target, deadlineAt = Number.POSITIVE_INFINITY) {
 			const entry = entries.get(target);
 			return entry !== undefined && takeFrom(entry, deadlineAt);
--- a/packages/policy/src/customer-quota.ts
+++ b/packages/policy/src/customer-quota.ts
@@ -82,6 +82,15 @@
 	return getCapacity(quota) < 1 || rate === 0 ? Number.POSITIVE_INFINITY : Math.max(0, (1 - quota.tokens) / rate * millisecondsPerSecond);
 }
 
+/** Ends what is borrowed earlier by the time that this node was frozen. */
+export function shortenBorrowed(quota: CustomerQuota, milliseconds: number): CustomerQuota {
+	if (quota.borrowed.length === 0) {
+		return quota;
+	}
+
+	return {...quota, borrowed: quota.borrowed.map(loan => ({...loan, until: loan.until - milliseconds}))};
+}
+
 /** Whether more is lent than the floor still covers. */
 export function hasLentBeyondFloor(quota: CustomerQuota): boolean {
 	return quota.lent.length > 0
--- a/packages/policy/src/ledger-view.ts
+++ b/packages/policy/src/ledger-view.ts
@@ -9,8 +9,8 @@
  * has a fenced incarnation, nor slots while it has an expired one.
  *
  * A node uses what it holds only while its lease lasts. The lease is renewed
- * by reading the row, or by a majority of the members that echo a message of
- * this node; its time is counted from when the read or message was sent. A
+ * by reading the row, or by a majority of at least two members that echo a
+ * message of this node; its time is counted from when the read or message was sent. A
  * fenced incarnation is renewed by neither, so that its lease has ended for
  * sure a lease time after every live member knows of the fence.
  *
@@ -23,7 +23,11 @@
 
 export type LedgerMark = {readonly epoch: number; readonly version: number};
 
-/** What a peer has told of itself, and when; own monotonic times in milliseconds. */
+/**
+ * What a peer has told of itself, and when. Times are in milliseconds:
+ * `heardAt` monotonic, `echoedAt` and all other times of leases by a clock
+ * that also counts time that the node was frozen.
+ */
 export type PeerView = {
 	readonly mark: LedgerMark;
 	/** Targets at which the peer still uses more than its share of the mark. */
@@ -130,7 +134,8 @@
 	}
 
 	const peers = getLivePeers(view);
-	if (peers.length === 0 && view.resumedAt !== undefined) {
+	if (peers.length === 0) {
+		// Alone, a node can't know without the table whether it was replaced.
 		return view.readAt;
 	}
 
@@ -170,8 +175,8 @@
 }
 
 /** The view after a pause of this node: silence of others during it says nothing. */
-export function resumeView(view: LedgerView, now: number): LedgerView {
-	return {...view, resumedAt: now, seenAt: new Map(view.ledger.members.map(({incarnation}) => [incarnation, now]))};
+export function resumeView(view: LedgerView, resumedAt: number, now: number): LedgerView {
+	return {...view, resumedAt, seenAt: new Map(view.ledger.members.map(({incarnation}) => [incarnation, now]))};
 }
 
 /** Ends the doubt after a pause once the membership has been confirmed since. */
@@ -234,6 +239,10 @@
 
 /** Notes since when every live member has known of each fence, and this node of each expiry. */
 function updateFences(view: LedgerView, now: number): LedgerView {
+	if (view.ledger.members.every(member => isLive(member))) {
+		return view.fencesKnownAt.size === 0 ? view : {...view, fencesKnownAt: new Map()};
+	}
+
 	const fencesKnownAt = new Map<string, number>();
 	const lowestEpoch = Math.min(view.ledger.epoch, ...getLivePeers(view).map(member => view.peers.get(member.incarnation)?.mark.epoch ?? 0));
 	for (const {incarnation, standing} of view.ledger.members) {
--- a/packages/policy/src/pause-guard.ts
+++ b/packages/policy/src/pause-guard.ts
@@ -1,24 +1,25 @@
 /**
- * Detects that the process was paused: by a gap between two ticks, or by wall
- * and monotonic clock drifting apart, since a monotonic clock may stand still
- * while a VM is frozen.
+ * Finds time that a process or its VM spent frozen. While a VM is frozen its
+ * monotonic clock may stand still; the wall clock shows the time that passed.
  */
 
-export type PauseGuard = {
-	readonly monotonic: number;
-	readonly wall: number;
-};
-
 /** Both times in milliseconds, read together. */
 export type ClockReading = {readonly monotonic: number; readonly wall: number};
 
-export function updatePauseGuard(reading: ClockReading): PauseGuard {
-	return reading;
+/** Smaller differences are the resolution and the slewing of the wall clock. */
+export const clockToleranceMilliseconds = 50;
+
+/** Milliseconds by which the wall clock ran ahead since the reference; 0 within the tolerance. */
+export function getFrozenMilliseconds(reference: ClockReading, reading: ClockReading): number {
+	const ahead = getDrift(reference, reading);
+	return ahead > clockToleranceMilliseconds ? ahead : 0;
+}
+
+/** The reference for later readings: a new one once the clocks have drifted apart. */
+export function updateReference(reference: ClockReading, reading: ClockReading): ClockReading {
+	return Math.abs(getDrift(reference, reading)) > clockToleranceMilliseconds ? reading : reference;
 }
 
-/** Whether more than the limit has passed since the last tick by either clock, or they disagree by more. */
-export function isPaused(guard: PauseGuard, reading: ClockReading, limitMilliseconds: number): boolean {
-	const monotonic = reading.monotonic - guard.monotonic;
-	const wall = reading.wall - guard.wall;
-	return monotonic > limitMilliseconds || Math.abs(wall - monotonic) > limitMilliseconds;
+function getDrift(reference: ClockReading, reading: ClockReading): number {
+	return (reading.wall - reference.wall) - (reading.monotonic - reference.monotonic);
 }
--- a/packages/policy/src/slot-holding.ts
+++ b/packages/policy/src/slot-holding.ts
@@ -38,6 +38,12 @@
 	return Math.max(0, holding.floor - getLentSlots(holding) - holding.inUse);
 }
 
+/** Slots that a request could take now, if its deadline allows. */
+export function getFreeSlots(holding: SlotHolding, now: number): number {
+	const borrowed = holding.borrowed.filter(loan => loan.until > now);
+	return getFreeOwnSlots(holding) + borrowed.reduce((total, loan) => total + loan.slots - loan.inUse, 0);
+}
+
 /** Slots that the node may use now, borrowed ones included. */
 export function getHeldSlots(holding: SlotHolding, now: number): number {
 	const borrowed = holding.borrowed.filter(loan => loan.until > now + leastUsefulMilliseconds);
@@ -121,6 +127,11 @@
 	};
 }
 
+/** Ends what is borrowed earlier by the time that this node was frozen. */
+export function shortenBorrowedSlots(holding: SlotHolding, milliseconds: number): SlotHolding {
+	return {...holding, borrowed: holding.borrowed.map(loan => ({...loan, until: loan.until - milliseconds}))};
+}
+
 /** The lender takes back what the borrower returns early. */
 export function takeBackSlots(holding: SlotHolding, id: string): SlotHolding {
 	return {...holding, lent: holding.lent.filter(loan => loan.id !== id)};
