Look up the site of a client among 590,000 blocks

Client blocks (IPv4 and IPv6, longest prefix) are kept in sorted columns and flattened into disjoint ranges; a look-up is a binary search narrowed by the leading 16 bits. A change builds the next table in short steps while look-ups use the old one.

Found by the property test: the index took the first range that starts at a leading value, which skipped an IPv6 range that starts at its first address ('::/33' did not hold '::'); the test failed with that counterexample before the index was made strict.

--- /dev/null
+++ b/packages/cli/src/bench-client-blocks.ts
@@ -0,0 +1,183 @@
+/** Look-up of client blocks at the size of the users' target, beside two other ways. */
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {
+	type Random, bytesPerMebibyte, createRandom, nanosecondsPerMillisecond,
+} from '@catkindale/common';
+import {
+	type ClientBlockTable,
+	type SiteChange,
+	type SiteWeight,
+	changeClientBlocks,
+	createClientBlockSnapshot,
+	createClientBlockTable,
+	findIpv4Assignment,
+	findSites,
+	finishWork,
+	getClientBlockBytes,
+	parseClientBlockSnapshot,
+} from '@catkindale/policy';
+import {type BenchOptions, registerBench} from './bench-registry.js';
+
+const blockCount = 590_000;
+const ipv6Share = 0.3;
+const siteCount = 410;
+const assignmentCount = 2000;
+const changeCount = 1000;
+const lookUps = 1_000_000;
+const targetNanoseconds = 1000;
+const targetBytes = 64 * bytesPerMebibyte;
+const targetChangeMilliseconds = 1000;
+const wordRange = 2 ** 32;
+const mapLengths = Array.from({length: 25}, (_, index) => 32 - index);
+
+registerBench({
+	name: 'client-blocks',
+	describe: '590,000 client blocks: time of a look-up, memory, time to apply a change',
+	async run(options) {
+		const random = createRandom(options.seed);
+		const before = getMemoryInUse();
+		const table = reportBuild(random, options);
+		options.print(`heap and buffers in use: ${toMebibytes(getMemoryInUse() - before)} MiB`);
+		const isFast = reportLookUps(table, random, options);
+		const isSmall = reportMemory(table, options);
+		const isPrompt = await reportChange(table, random, options);
+		reportSnapshot(table, options);
+		return isFast && isSmall && isPrompt;
+	},
+});
+
+function getMemoryInUse(): number {
+	setFlagsFromString('--expose-gc');
+	const collect = runInNewContext('gc') as () => void;
+	collect();
+	const {heapUsed, arrayBuffers} = process.memoryUsage();
+	return heapUsed + arrayBuffers;
+}
+
+function reportBuild(random: Random, {print}: BenchOptions): ClientBlockTable {
+	const changes = Array.from({length: blockCount}, () => createChange(random));
+	const startedAt = performance.now();
+	const table = finishWork(changeClientBlocks(createClientBlockTable(), changes));
+	print(`built from ${blockCount} blocks in ${(performance.now() - startedAt).toFixed(0)} ms`);
+	return table;
+}
+
+function reportLookUps(table: ClientBlockTable, random: Random, {print}: BenchOptions): boolean {
+	const words = Uint32Array.from({length: lookUps}, () => random.integer(0, wordRange - 1));
+	const texts = Array.from({length: lookUps / 10}, () => createAddress(random));
+	const ranges = timeEach(words, word => findIpv4Assignment(table.families.ipv4.ranges, word));
+	const parsed = timeEach(texts, text => findSites(table, text).length);
+	const maps = createLengthMaps(table);
+	const mapped = timeEach(words, word => findInMaps(maps, word));
+	print(`look-up of an IPv4 address as a number: ${ranges.toFixed(0)} ns`);
+	print(`look-up of an address as text, IPv4 and IPv6: ${parsed.toFixed(0)} ns`);
+	print(`baseline, a map for each prefix length, IPv4 as a number: ${mapped.toFixed(0)} ns`);
+	return ranges <= targetNanoseconds && parsed <= targetNanoseconds;
+}
+
+function reportMemory(table: ClientBlockTable, {print}: BenchOptions): boolean {
+	const bytes = getClientBlockBytes(table);
+	print(`columns: ${toMebibytes(bytes)} MiB, ${(bytes / blockCount).toFixed(1)} bytes a block`);
+	return bytes <= targetBytes;
+}
+
+async function reportChange(table: ClientBlockTable, random: Random, {print}: BenchOptions): Promise<boolean> {
+	const changes = Array.from({length: changeCount}, () => createChange(random));
+	const work = changeClientBlocks(table, changes);
+	const startedAt = performance.now();
+	let longest = 0;
+	for (;;) {
+		const stepAt = performance.now();
+		const step = work.next();
+		longest = Math.max(longest, performance.now() - stepAt);
+		if (step.done) {
+			break;
+		}
+
+		await nextTurn();
+	}
+
+	const total = performance.now() - startedAt;
+	print(`change of ${changeCount} blocks: ${total.toFixed(0)} ms, longest step without look-ups ${longest.toFixed(1)} ms`);
+	return total <= targetChangeMilliseconds;
+}
+
+function reportSnapshot(table: ClientBlockTable, {print}: BenchOptions): void {
+	const snapshot = createClientBlockSnapshot(table, 1);
+	const startedAt = performance.now();
+	const restored = parseClientBlockSnapshot(snapshot);
+	const state = restored.ok ? 'restored' : `refused: ${restored.error}`;
+	print(`snapshot ${state} in ${(performance.now() - startedAt).toFixed(0)} ms, without decoding`);
+}
+
+/** Nanoseconds of one call. */
+function timeEach<Value>(values: Iterable<Value>, lookUp: (value: Value) => number): number {
+	let sum = 0;
+	let count = 0;
+	const startedAt = performance.now();
+	for (const value of values) {
+		sum += lookUp(value);
+		count += 1;
+	}
+
+	const elapsed = (performance.now() - startedAt) * nanosecondsPerMillisecond;
+	return sum >= 0 ? elapsed / count : Number.NaN;
+}
+
+function createChange(random: Random): SiteChange {
+	const sites = createSites(random.integer(1, assignmentCount));
+	if (random.fraction() < ipv6Share) {
+		const words = [createIpv6Word(random), random.integer(0, wordRange - 1), 0, 0];
+		return {prefix: {family: 'ipv6', words: [words[0]!, (words[1]! & 0xFF_FF_00_00) >>> 0, 0, 0], length: 48}, sites};
+	}
+
+	const length = random.integer(12, 24);
+	const word = (random.integer(0, wordRange - 1) & (wordRange - (2 ** (32 - length)))) >>> 0;
+	return {prefix: {family: 'ipv4', words: [word], length}, sites};
+}
+
+/** One of a bounded number of lists, as blocks of one network share theirs. */
+function createSites(assignment: number): SiteWeight[] {
+	return [{site: `site-${assignment % siteCount}`, weight: 3}, {site: `site-${(assignment * 7) % siteCount}`, weight: 1}];
+}
+
+function createIpv6Word(random: Random): number {
+	return (0x20_01_00_00 + random.integer(0, 0x0F_FF_FF_FF)) >>> 0;
+}
+
+function createAddress(random: Random): string {
+	if (random.fraction() < ipv6Share) {
+		const groups = [0, 0, 0, 0, 0, 0].map(() => random.integer(0, 0xFF_FF).toString(16));
+		return `2${random.integer(0x0_00, 0xF_FF).toString(16).padStart(3, '0')}:${groups.join(':')}:1`;
+	}
+
+	return [0, 0, 0, 0].map(() => random.integer(0, 255)).join('.');
+}
+
+function createLengthMaps(table: ClientBlockTable): Array<Map<number, number>> {
+	const {set} = table.families.ipv4;
+	const maps = mapLengths.map(() => new Map<number, number>());
+	for (let position = 0; position < set.count; position++) {
+		maps[32 - set.lengths[position]!]?.set(set.addresses[0]![position]!, set.assignments[position]!);
+	}
+
+	return maps;
+}
+
+function findInMaps(maps: ReadonlyArray<ReadonlyMap<number, number>>, word: number): number {
+	for (const [hostBits, map] of maps.entries()) {
+		const found = map.get((word & (wordRange - (2 ** hostBits))) >>> 0);
+		if (found !== undefined) {
+			return found;
+		}
+	}
+
+	return 0;
+}
+
+function toMebibytes(bytes: number): string {
+	return (bytes / bytesPerMebibyte).toFixed(1);
+}
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -1,2 +1,3 @@
 /** Loads every bench, so that it registers itself. */
+import './bench-client-blocks.js';
 import './bench-rendezvous.js';
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,6 +1,6 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	Member, Route, Target, VersionedConfiguration,
+	ClientBlockTable, Member, Route, Target, VersionedConfiguration,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
@@ -27,6 +27,8 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
+	/** The sites of client blocks, for the directory. */
+		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
 	/** The node takes no new work from now on. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -14,6 +14,7 @@
 import type {Settings} from './settings.js';
 import './admin-plugin.js';
 import './caller-server-plugin.js';
+import './client-blocks-plugin.js';
 import './configuration-plugin.js';
 import './directory-plugin.js';
 import './entry-plugin.js';
--- /dev/null
+++ b/packages/policy/src/client-block-snapshot.ts
@@ -0,0 +1,69 @@
+/** Snapshots of the client blocks: the sorted prefixes in columns, without the ranges. */
+import {z} from 'zod';
+import {type Result, fail, succeed} from '@catkindale/common';
+import {buildClientBlockRanges} from './client-block-ranges.js';
+import type {ClientBlockSet} from './client-block-set.js';
+import {type ClientBlockTable, finishWork} from './client-block-table.js';
+
+const blockSetSchema = z.object({
+	count: z.int().min(0),
+	addresses: z.array(z.instanceof(Uint32Array)),
+	lengths: z.instanceof(Uint8Array),
+	assignments: z.instanceof(Uint32Array),
+});
+
+const snapshotSchema = z.object({
+	version: z.int().min(0),
+	ipv4: blockSetSchema,
+	ipv6: blockSetSchema,
+	assignments: z.array(z.array(z.object({site: z.string(), weight: z.number().positive()}))),
+});
+
+export type ClientBlockSnapshot = z.infer<typeof snapshotSchema>;
+
+export function createClientBlockSnapshot(table: ClientBlockTable, version: number): ClientBlockSnapshot {
+	return {
+		version,
+		ipv4: copySet(table.families.ipv4.set),
+		ipv6: copySet(table.families.ipv6.set),
+		assignments: table.assignments.map(sites => sites.map(site => ({...site}))),
+	};
+}
+
+/** Checks the shape of untrusted data and builds the table. */
+export function parseClientBlockSnapshot(data: unknown): Result<ClientBlockTable, string> {
+	const parsed = snapshotSchema.safeParse(data);
+	if (!parsed.success) {
+		return fail(z.prettifyError(parsed.error));
+	}
+
+	const {ipv4, ipv6, assignments} = parsed.data;
+	if (!isWhole(ipv4, 1, assignments.length) || !isWhole(ipv6, 4, assignments.length)) {
+		return fail('the columns of the snapshot don\'t fit together');
+	}
+
+	return succeed({
+		families: {
+			ipv4: {set: ipv4, ranges: finishWork(buildClientBlockRanges(ipv4))},
+			ipv6: {set: ipv6, ranges: finishWork(buildClientBlockRanges(ipv6))},
+		},
+		assignments,
+		assignmentIndexes: new Map(assignments.map((sites, index) => [JSON.stringify(sites), index])),
+	});
+}
+
+function copySet(set: ClientBlockSet): ClientBlockSnapshot['ipv4'] {
+	return {
+		count: set.count,
+		addresses: set.addresses.map(column => column.slice(0, set.count)),
+		lengths: set.lengths.slice(0, set.count),
+		assignments: set.assignments.slice(0, set.count),
+	};
+}
+
+function isWhole(set: ClientBlockSet, wordCount: number, assignmentCount: number): boolean {
+	const columns = [...set.addresses, set.lengths, set.assignments];
+	return set.addresses.length === wordCount
+		&& columns.every(column => column.length === set.count)
+		&& set.assignments.every(assignment => assignment < assignmentCount);
+}
--- /dev/null
+++ b/packages/policy/src/client-block-table.ts
@@ -0,0 +1,146 @@
+/**
+ * Client blocks to sites with weights: what the directory asks for each
+ * look-up. A change gives a new table; the old one stays valid meanwhile.
+ */
+import type {Result} from '@catkindale/common';
+import type {AddressColumns} from './address-columns.js';
+import {parseIpv4Word} from './address-text.js';
+import {
+	type AddressFamily, type ClientPrefix, parseClientAddress, parseClientPrefix,
+} from './client-address.js';
+import {
+	type ClientBlockRanges, buildClientBlockRanges, findAssignment, findIpv4Assignment,
+} from './client-block-ranges.js';
+import {
+	type ClientBlockChange, type ClientBlockSet, createClientBlockSet, mergeClientBlocks,
+} from './client-block-set.js';
+
+export type SiteWeight = {readonly site: string; readonly weight: number};
+
+/** A block to set or, without sites, to take out. */
+export type SiteChange = {readonly prefix: ClientPrefix; readonly sites: readonly SiteWeight[] | undefined};
+
+type FamilyBlocks = {readonly set: ClientBlockSet; readonly ranges: ClientBlockRanges};
+
+export type ClientBlockTable = {
+	readonly families: Readonly<Record<AddressFamily, FamilyBlocks>>;
+	/** The distinct lists of sites; the first is empty, for addresses in no block. */
+	readonly assignments: ReadonlyArray<readonly SiteWeight[]>;
+	readonly assignmentIndexes: ReadonlyMap<string, number>;
+};
+
+const wordCounts: Readonly<Record<AddressFamily, number>> = {ipv4: 1, ipv6: 4};
+const multiplier = 2_654_435_761;
+const wordRange = 2 ** 32;
+
+export function createClientBlockTable(): ClientBlockTable {
+	return {
+		families: {ipv4: createFamily(wordCounts.ipv4), ipv6: createFamily(wordCounts.ipv6)},
+		assignments: [[]],
+		assignmentIndexes: new Map([[JSON.stringify([]), 0]]),
+	};
+}
+
+/** Parses one block of a configuration or of a change. */
+export function parseSiteChange(prefix: string, sites: readonly SiteWeight[] | undefined): Result<SiteChange, string> {
+	const parsed = parseClientPrefix(prefix);
+	return parsed.ok ? {ok: true, value: {prefix: parsed.value, sites}} : parsed;
+}
+
+/** Applies changes; a generator that pauses often enough for look-ups to go on. */
+export function * changeClientBlocks(table: ClientBlockTable, changes: readonly SiteChange[]): Generator<void, ClientBlockTable> {
+	const assignments = [...table.assignments];
+	const assignmentIndexes = new Map(table.assignmentIndexes);
+	const byFamily: Record<AddressFamily, ClientBlockChange[]> = {ipv4: [], ipv6: []};
+	for (const {prefix, sites} of changes) {
+		const assignment = sites && internAssignment(assignments, assignmentIndexes, sites);
+		byFamily[prefix.family].push({prefix, assignment});
+	}
+
+	const ipv4 = yield * changeFamily(table.families.ipv4, byFamily.ipv4);
+	const ipv6 = yield * changeFamily(table.families.ipv6, byFamily.ipv6);
+	return {families: {ipv4, ipv6}, assignments, assignmentIndexes};
+}
+
+/** Runs a change to its end at once, for start-up and tests. */
+export function finishWork<Value>(work: Generator<void, Value>): Value {
+	for (;;) {
+		const step = work.next();
+		if (step.done) {
+			return step.value;
+		}
+	}
+}
+
+/** The sites of an address; empty for an address in no block or no address at all. */
+export function findSites(table: ClientBlockTable, address: string): readonly SiteWeight[] {
+	const word = parseIpv4Word(address);
+	if (word !== undefined) {
+		return table.assignments[findIpv4Assignment(table.families.ipv4.ranges, word)] ?? [];
+	}
+
+	const parsed = parseClientAddress(address);
+	if (!parsed) {
+		return [];
+	}
+
+	const assignment = findAssignment(table.families[parsed.family].ranges, parsed.words);
+	return table.assignments[assignment] ?? [];
+}
+
+/**
+ * Chooses a site by weight, always the same one for a client.
+ *
+ * Source of the multiplicative hash: Knuth, "The Art of Computer
+ * Programming", volume 3, section 6.4.
+ */
+export function chooseSite(sites: readonly SiteWeight[], clientWord: number): string | undefined {
+	const total = sites.reduce((sum, {weight}) => sum + weight, 0);
+	let point = (Math.imul(clientWord, multiplier) >>> 0) / wordRange * total;
+	for (const {site, weight} of sites) {
+		point -= weight;
+		if (point < 0) {
+			return site;
+		}
+	}
+
+	return sites.at(-1)?.site;
+}
+
+/** Bytes that the table's columns take. */
+export function getClientBlockBytes(table: ClientBlockTable): number {
+	return Object.values(table.families).reduce((sum, {set, ranges}) => sum
+		+ getColumnBytes(set.addresses) + set.lengths.byteLength + set.assignments.byteLength
+		+ getColumnBytes(ranges.starts) + ranges.assignments.byteLength + ranges.index.byteLength, 0);
+}
+
+function getColumnBytes(columns: AddressColumns): number {
+	return columns.reduce((sum, column) => sum + column.byteLength, 0);
+}
+
+function createFamily(wordCount: number): FamilyBlocks {
+	const set = createClientBlockSet(wordCount);
+	return {set, ranges: finishWork(buildClientBlockRanges(set))};
+}
+
+function * changeFamily(family: FamilyBlocks, changes: readonly ClientBlockChange[]): Generator<void, FamilyBlocks> {
+	if (changes.length === 0) {
+		return family;
+	}
+
+	const set = yield * mergeClientBlocks(family.set, changes);
+	const ranges = yield * buildClientBlockRanges(set);
+	return {set, ranges};
+}
+
+function internAssignment(assignments: Array<readonly SiteWeight[]>, indexes: Map<string, number>, sites: readonly SiteWeight[]): number {
+	const key = JSON.stringify(sites);
+	const known = indexes.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
+	assignments.push(sites);
+	indexes.set(key, assignments.length - 1);
+	return assignments.length - 1;
+}
--- a/packages/policy/src/configuration.ts
+++ b/packages/policy/src/configuration.ts
@@ -110,6 +110,9 @@
 	rollouts: z.array(rolloutSchema).default([]),
 	shifts: z.array(shiftSchema).default([]),
 	drains: z.array(drainSchema).default([]),
+	/** An object of the object store with blocks too many for the manifest. */
+	clientBlockSnapshot: z.string().min(1).optional(),
+	/** Blocks that go before those of the snapshot. */
 	clientBlocks: z.array(clientBlockSchema).default([]),
 });
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,8 @@
 /** The pure decisions: no input or output, no timers, time passed in. */
+export * from './client-address.js';
+export {findIpv4Assignment} from './client-block-ranges.js';
+export * from './client-block-snapshot.js';
+export * from './client-block-table.js';
 export * from './configuration.js';
 export * from './configuration-check.js';
 export * from './member.js';
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -27,6 +27,15 @@
 			'unicorn/no-process-exit': 'off',
 		},
 	},
+	{
+		// Addresses are words of bits, and their columns are walked without iterators.
+		files: ['packages/policy/src/{address,client}-*.ts', 'packages/cli/src/bench-client-blocks.ts'],
+		rules: {
+			'no-bitwise': 'off',
+			'unicorn/no-for-loop': 'off',
+			'@typescript-eslint/prefer-for-of': 'off',
+		},
+	},
 	{
 		// The workspace root brings what all tests share.
 		files: ['packages/*/tests/**/*.ts'],
