Keep the share of a new version across its changes

The counter began anew with each change of the share, so that every change could let one more request through. The chooser now earns credit per request and keeps it: in any window the new version gets at most the sum of the shares plus one. A share lapses unless renewed, and at the deadline, by the chooser's own clock, so that a node that was paused starts with a share of 0. A retry never goes to a version on trial.

--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -48,7 +48,7 @@
 		customer: customer?.name ?? openCustomer,
 		class: route.class,
 		deadlineAt: exchange.startedAt + getDeadline(request, route),
-		candidates: parts.routing.getTargets(route.service, version),
+		candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 		excluded: new Set(),
 		signal: caller.signal,
 	});
--- a/packages/node/src/version-chooser.ts
+++ b/packages/node/src/version-chooser.ts
@@ -1,24 +1,49 @@
 /**
  * Chooses the version of a service that takes a request. The share of a new
- * version is kept by counting: never above share x requests + 1 on this node.
+ * version is kept by counting: each request earns the share as credit, and a
+ * whole credit pays for one request of the new version. In any window the new
+ * version thus gets at most the sum of the shares plus one on this node, also
+ * across changes of the share, because the credit is kept.
  */
-import type {Configuration} from '@catkindale/policy';
+import {type Clock, systemClock} from '@catkindale/common';
+import type {Configuration, Target} from '@catkindale/policy';
 
 /** The share of a service's requests that may go to a new version. */
-export type VersionShare = {readonly service: string; readonly version: string; readonly share: number};
+export type VersionShare = {
+	readonly service: string;
+	readonly version: string;
+	readonly share: number;
+	/** The targets of the new version that take the share; all of them if undefined. */
+	readonly targets?: readonly string[] | undefined;
+	/** Monotonic time in milliseconds after which the share is 0 unless renewed. */
+	readonly validUntil?: number | undefined;
+	/** Wall time in milliseconds from which the share is 0: the deadline of a rollout that isn't done. */
+	readonly deadlineAt?: number | undefined;
+};
 
 export type VersionChooser = {
 	setConfiguration: (configuration: Configuration) => void;
 	setShare: (share: VersionShare) => void;
 	/** Undefined for a service that isn't configured. */
 	choose: (service: string) => string | undefined;
+	/** The version for a further attempt after a failed one: never the version that is on trial. */
+	chooseForRetry: (service: string) => string | undefined;
+	/** Leaves out the targets of the version on trial that take no part yet. */
+	filterTargets: (service: string, targets: readonly Target[]) => readonly Target[];
 };
 
-type Counter = {readonly share: VersionShare; requests: number; sent: number};
+type Counter = {share: VersionShare; credit: number};
+
+const wholeShare = 1;
+/** Keeps sums of shares such as ten times 0.1 from missing the whole. */
+const roundingTolerance = 1e-9;
 
-export function createVersionChooser(): VersionChooser {
+export function createVersionChooser(clock: Clock = systemClock): VersionChooser {
 	const versions = new Map<string, string>();
 	const counters = new Map<string, Counter>();
+
+	const isWhole = (counter: Counter): boolean => getShareInForce(counter.share, clock) >= wholeShare;
+
 	return {
 		setConfiguration(configuration) {
 			versions.clear();
@@ -27,7 +52,9 @@
 			}
 		},
 		setShare(share) {
-			counters.set(share.service, {share, requests: 0, sent: 0});
+			const counter = counters.get(share.service);
+			const isSameVersion = counter?.share.version === share.version;
+			counters.set(share.service, {share, credit: isSameVersion ? counter.credit : 0});
 		},
 		choose(service) {
 			const counter = counters.get(service);
@@ -35,13 +62,30 @@
 				return versions.get(service);
 			}
 
-			counter.requests += 1;
-			if (counter.sent + 1 > counter.share.share * counter.requests) {
+			counter.credit += getShareInForce(counter.share, clock);
+			if (counter.credit + roundingTolerance < 1) {
 				return versions.get(service);
 			}
 
-			counter.sent += 1;
+			counter.credit -= 1;
 			return counter.share.version;
 		},
+		chooseForRetry(service) {
+			const counter = counters.get(service);
+			const isFinished = counter?.share.deadlineAt === undefined;
+			return counter && isFinished && isWhole(counter) ? counter.share.version : versions.get(service);
+		},
+		filterTargets(service, targets) {
+			const share = counters.get(service)?.share;
+			const names = share?.targets;
+			return names ? targets.filter(target => target.version !== share.version || names.includes(target.name)) : targets;
+		},
 	};
 }
+
+/** The share that counts now: 0 once it wasn't renewed in time or the deadline came. */
+function getShareInForce(share: VersionShare, clock: Clock): number {
+	const isLapsed = clock.monotonic() > (share.validUntil ?? Infinity);
+	const isOverdue = clock.wall() >= (share.deadlineAt ?? Infinity);
+	return isLapsed || isOverdue ? 0 : share.share;
+}
