--- /dev/null
+++ b/packages/policy/src/rollout-decision.ts
@@ -0,0 +1,77 @@
+/**
+ * Decides what becomes of a rollout next. A step follows only once the last
+ * one is in force everywhere and judged; what can no longer be completed a
+ * margin before the deadline is taken back.
+ */
+import {getCommitTime, getShortestDwell, getStepEnd} from './rollout-plan.js';
+import type {RolloutHalt} from './rollout-report.js';
+import type {RolloutChange, RolloutRow} from './rollout-row.js';
+
+/** What the fleet knows of the step that is in force. */
+export type RolloutEvidence = {
+	/** The halt of this attempt; undefined while nothing speaks against the new version. */
+	readonly halt: RolloutHalt | undefined;
+	/** Whether every member that can hold a share has the step in force. */
+	readonly isInForceEverywhere: boolean;
+	/** Requests of the new version that were counted in this step. */
+	readonly samples: number;
+};
+
+export type RolloutDecision = RolloutChange | {readonly kind: 'hold'; readonly reason: string};
+
+/** Requests of the new version without which a step isn't judged. */
+export const smallestSample = 10;
+
+/** @param now wall time in milliseconds */
+export function decideRollout(row: RolloutRow, evidence: RolloutEvidence, now: number): RolloutDecision {
+	switch (row.phase) {
+		case 'done':
+		case 'reverted': {
+			return {kind: 'hold', reason: `the rollout is ${row.phase}`};
+		}
+
+		case 'halted': {
+			return now >= getCommitTime(row)
+				? {kind: 'revert', reason: `halted until the deadline: ${row.reason}`}
+				: {kind: 'hold', reason: 'halted'};
+		}
+
+		case 'running': {
+			return decideRunning(row, evidence, now);
+		}
+	}
+}
+
+function decideRunning(row: RolloutRow, evidence: RolloutEvidence, now: number): RolloutDecision {
+	if (evidence.halt) {
+		return {kind: evidence.halt.by === 'evidence' ? 'revert' : 'halt', reason: evidence.halt.reason};
+	}
+
+	const timeLeft = getCommitTime(row) - now;
+	const dwell = getShortestDwell(row, row.shares.length);
+	const stepsLeft = row.shares.length - row.step - 1;
+	if (timeLeft <= 0 || timeLeft < stepsLeft * dwell) {
+		return {kind: 'revert', reason: `can't be completed before the deadline; ${getHindrance(evidence)}`};
+	}
+
+	if (now < getStepEnd(row, row.step, row.shares.length) || now < row.steppedAt + dwell) {
+		return {kind: 'hold', reason: 'the step is being watched'};
+	}
+
+	if (!evidence.isInForceEverywhere || evidence.samples < smallestSample) {
+		return {kind: 'hold', reason: getHindrance(evidence)};
+	}
+
+	const reason = `judged good on ${evidence.samples} requests`;
+	return {kind: stepsLeft === 0 ? 'complete' : 'advance', reason};
+}
+
+function getHindrance(evidence: RolloutEvidence): string {
+	if (!evidence.isInForceEverywhere) {
+		return 'the step isn\'t in force everywhere';
+	}
+
+	return evidence.samples < smallestSample
+		? `only ${evidence.samples} requests of the new version were counted`
+		: 'the steps took too long';
+}
--- /dev/null
+++ b/packages/policy/src/rollout-follower.ts
@@ -0,0 +1,210 @@
+/**
+ * One node's part in one rollout: it follows the row, gathers evidence, halts
+ * on sight, and says what to write to the table. The row alone decides between
+ * `done` and `reverted`; a node that can't tell whether its row is current
+ * only withholds its share, and from the deadline on it needs to know `done`.
+ */
+import {assertInvariant, millisecondsPerSecond} from '@catkindale/common';
+import type {RouteEvidence} from './evidence.js';
+import {
+	type EvidenceTest, createEvidenceTest, getBadness, getSuspicion, updateEvidenceTest,
+} from './evidence-test.js';
+import {type RolloutDecision, decideRollout} from './rollout-decision.js';
+import {
+	type ReceivedReport, type RolloutHalt, type RolloutReport, getEvidenceDifference, isNewerReport, mergeEvidence, sumEvidence,
+} from './rollout-report.js';
+import {
+	type RolloutChange, type RolloutRow, changeRollout, getRowShare, isFinal,
+} from './rollout-row.js';
+
+/** How long a share holds after the node last heard that its row is current. */
+export const shareLeaseMilliseconds = 2 * millisecondsPerSecond;
+/** How long a node of the next rank waits before it writes in place of the one before it. */
+const rankDelayMilliseconds = 700;
+const allRoutes = 'all routes';
+
+export type RolloutFollower = {
+	readonly member: string;
+	readonly row: RolloutRow | undefined;
+	readonly rowVersion: number;
+	/** Monotonic time at which the row was last read from the table. */
+	readonly readAt: number;
+	readonly halt: RolloutHalt | undefined;
+	readonly reports: ReadonlyMap<string, ReceivedReport>;
+	/** Evidence that came in since the last tick. */
+	readonly pending: readonly RouteEvidence[];
+	readonly tests: ReadonlyMap<string, EvidenceTest>;
+	/** Requests of the new version counted in the present step. */
+	readonly samples: number;
+	/** Since when the node has wanted to change this version of the row, in monotonic milliseconds. */
+	readonly wantedSince: number | undefined;
+};
+
+/** Time by both clocks, in milliseconds. */
+export type Moment = {readonly monotonic: number; readonly wall: number};
+
+/** The share that this node may hand to the new version, for how long. */
+export type HeldShare = {
+	readonly share: number;
+	/** Monotonic milliseconds. */
+	readonly validUntil: number;
+	/** Wall milliseconds; undefined once the rollout is done. */
+	readonly deadlineAt: number | undefined;
+};
+
+/** A change to write with the row's version as the expected one. */
+export type RolloutWrite = {readonly expectedVersion: number; readonly row: RolloutRow};
+
+export function createRolloutFollower(member: string): RolloutFollower {
+	return {
+		member, row: undefined, rowVersion: 0, readAt: -Infinity, halt: undefined, reports: new Map(), pending: [], tests: new Map(), samples: 0, wantedSince: undefined,
+	};
+}
+
+/** Takes in the row as the table gave it just now. */
+export function updateFromTable(follower: RolloutFollower, row: RolloutRow, version: number, now: Moment): RolloutFollower {
+	return {...adoptRow(follower, row, version), readAt: now.monotonic};
+}
+
+/** Takes in a report of a member; its own reports come in this way as well. */
+export function updateFromReport(follower: RolloutFollower, from: string, report: RolloutReport, now: Moment): RolloutFollower {
+	const last = follower.reports.get(from)?.report;
+	if (!isNewerReport(report, last)) {
+		return follower;
+	}
+
+	const isSame = last?.incarnation === report.incarnation;
+	// What was counted before this node began to listen belongs to earlier steps.
+	const added = last !== undefined || report.sequence <= 1 ? getEvidenceDifference(report.evidence, isSame ? last.evidence : []) : [];
+	const next = {
+		...follower,
+		reports: new Map(follower.reports).set(from, {report, receivedAt: now.monotonic}),
+		pending: mergeEvidence(follower.pending, added),
+	};
+	return adoptHalt(report.row ? adoptRow(next, report.row, report.rowVersion) : next, report.halt);
+}
+
+function adoptRow(follower: RolloutFollower, row: RolloutRow, version: number): RolloutFollower {
+	if (version <= follower.rowVersion) {
+		return follower;
+	}
+
+	const known = follower.row;
+	const isSameAttempt = known?.attempt === row.attempt;
+	assertInvariant(!known || !isSameAttempt || !isFinal(known) || known.phase === row.phase, 'a rollout ends once', {name: row.name, known: known?.phase, phase: row.phase});
+	const isSameStep = isSameAttempt && known?.step === row.step;
+	return {
+		...follower,
+		row,
+		rowVersion: version,
+		samples: isSameStep ? follower.samples : 0,
+		tests: isSameAttempt ? follower.tests : new Map(),
+		wantedSince: undefined,
+	};
+}
+
+/** Takes in a halt; one that is known already or belongs to an earlier attempt changes nothing. */
+export function adoptHalt(follower: RolloutFollower, halt: RolloutHalt | undefined): RolloutFollower {
+	return halt && halt.attempt > (follower.halt?.attempt ?? 0) ? {...follower, halt} : follower;
+}
+
+/** Judges the evidence that came in since the last call. */
+export function updateEvidence(follower: RolloutFollower): RolloutFollower {
+	const tests = new Map(follower.tests);
+	const slices = follower.pending.length > 1 ? [...follower.pending, sumEvidence(allRoutes, follower.pending)] : follower.pending;
+	for (const slice of slices) {
+		tests.set(slice.route, updateEvidenceTest(tests.get(slice.route) ?? createEvidenceTest(), slice));
+	}
+
+	const added = sumEvidence(allRoutes, follower.pending).to.requests;
+	const next = {
+		...follower, tests, pending: [], samples: follower.samples + added,
+	};
+	const badness = findBadness(tests);
+	return badness !== undefined && next.row?.phase === 'running'
+		? adoptHalt(next, {attempt: next.row.attempt, by: 'evidence', reason: badness})
+		: next;
+}
+
+function findBadness(tests: ReadonlyMap<string, EvidenceTest>): string | undefined {
+	for (const [route, test] of tests) {
+		const badness = getBadness(test);
+		if (badness !== undefined) {
+			return `${badness} on ${route}`;
+		}
+	}
+
+	return undefined;
+}
+
+/** The highest suspicion against the new version, from 0 to 1. */
+export function getHighestSuspicion(follower: RolloutFollower): number {
+	return Math.max(0, ...[...follower.tests.values()].map(test => getSuspicion(test)));
+}
+
+/** Whether the node knows a halt of the row's present attempt. */
+export function isHalted(follower: RolloutFollower): boolean {
+	return follower.row !== undefined && (follower.halt?.attempt ?? 0) >= follower.row.attempt;
+}
+
+export function getHeldShare(follower: RolloutFollower, members: readonly string[]): HeldShare {
+	const {row} = follower;
+	if (row?.phase === 'done') {
+		return {share: 1, validUntil: Infinity, deadlineAt: undefined};
+	}
+
+	if (!row || isHalted(follower)) {
+		return {share: 0, validUntil: Infinity, deadlineAt: row?.deadlineAt};
+	}
+
+	const confirmedAt = Math.max(follower.readAt, getMajorityTime(follower, members));
+	return {share: getRowShare(row), validUntil: confirmedAt + shareLeaseMilliseconds, deadlineAt: row.deadlineAt};
+}
+
+/** The latest time since when a majority of the members, this one included, has been heard. */
+function getMajorityTime(follower: RolloutFollower, members: readonly string[]): number {
+	const times = members
+		.filter(member => member !== follower.member)
+		.map(member => follower.reports.get(member)?.receivedAt ?? -Infinity)
+		.toSorted((left, right) => right - left);
+	const needed = Math.floor(members.length / 2);
+	return needed === 0 ? -Infinity : times[needed - 1] ?? -Infinity;
+}
+
+/** What this node thinks should happen to the rollout now. */
+export function decideNext(follower: RolloutFollower, members: readonly string[], now: Moment): RolloutDecision {
+	const {row} = follower;
+	if (!row) {
+		return {kind: 'hold', reason: 'no row is known'};
+	}
+
+	return decideRollout(row, {
+		halt: isHalted(follower) ? follower.halt : undefined,
+		isInForceEverywhere: members.every(member => isInForceAt(follower, member, now)),
+		samples: follower.samples,
+	}, now.wall);
+}
+
+/** A member that was silent past its lease holds no share. */
+function isInForceAt(follower: RolloutFollower, member: string, now: Moment): boolean {
+	const received = follower.reports.get(member);
+	const isSilent = !received || received.receivedAt + (2 * shareLeaseMilliseconds) < now.monotonic;
+	return member === follower.member || isSilent || received.report.rowVersion >= follower.rowVersion;
+}
+
+/**
+ * The write that this node should try now; undefined while there is nothing to
+ * change or members of a better rank may still do it.
+ * @param rank the node's place in the rendezvous ranking for the rollout
+ */
+export function planWrite(follower: RolloutFollower, decision: RolloutDecision, rank: number, now: Moment): {readonly follower: RolloutFollower; readonly write: RolloutWrite | undefined} {
+	const {row} = follower;
+	if (decision.kind === 'hold' || !row) {
+		return {follower: {...follower, wantedSince: undefined}, write: undefined};
+	}
+
+	const wantedSince = follower.wantedSince ?? now.monotonic;
+	const isOwnTurn = now.monotonic - wantedSince >= rank * rankDelayMilliseconds;
+	const write = isOwnTurn ? {expectedVersion: follower.rowVersion, row: changeRollout(row, decision, now.wall)} : undefined;
+	return {follower: {...follower, wantedSince}, write};
+}
--- /dev/null
+++ b/packages/policy/src/rollout-plan.ts
@@ -0,0 +1,71 @@
+/**
+ * The plan of a rollout: which shares the new version takes and when. A first
+ * small share finds what fails at once; then a share that loads one instance
+ * as it will be loaded after the rollout is watched for most of the time; then
+ * the share rises in steps within the cap.
+ */
+import {millisecondsPerSecond} from '@catkindale/common';
+
+const firstShare = 0.01;
+const growthFactor = 2.5;
+const wholeShare = 1;
+const roundingTolerance = 1e-9;
+
+/** Parts of the time from the start to the deadline. */
+const watchStartsAt = 0.08;
+const riseStartsAt = 0.6;
+const completionAt = 0.85;
+const marginPart = 0.05;
+const shortestMarginMilliseconds = 1500;
+const longestMarginMilliseconds = 30 * millisecondsPerSecond;
+const shortestDwellMilliseconds = 300;
+const longestShortenedDwellMilliseconds = 10 * millisecondsPerSecond;
+const shortenedDwellPart = 0.5;
+
+/** Wall times in milliseconds. */
+export type RolloutTimes = {readonly startedAt: number; readonly deadlineAt: number};
+
+/**
+ * The shares of all steps, the last one being the whole.
+ * @param cap the most by which the share may rise in one step
+ * @param instances how many instances run the new version
+ */
+export function getPlannedShares(cap: number, instances: number): number[] {
+	const watched = Math.min(cap, wholeShare / Math.max(1, instances));
+	const shares = watched > firstShare ? [firstShare, Math.min(watched, firstShare + cap)] : [watched, watched];
+	let share = watched;
+	while (share < wholeShare - roundingTolerance) {
+		share = Math.min(share * growthFactor, share + cap, wholeShare);
+		shares.push(share > wholeShare - roundingTolerance ? wholeShare : share);
+	}
+
+	return shares;
+}
+
+/** How many instances take a share, so that each bears what it will bear after the rollout. */
+export function getInstanceCount(share: number, instances: number): number {
+	return Math.min(instances, Math.max(1, Math.ceil((share * instances) - roundingTolerance)));
+}
+
+/** The wall time up to which completion may still be sent to the table. */
+export function getCommitTime({startedAt, deadlineAt}: RolloutTimes): number {
+	const margin = (deadlineAt - startedAt) * marginPart;
+	return deadlineAt - Math.min(Math.max(margin, shortestMarginMilliseconds), longestMarginMilliseconds);
+}
+
+/** The wall time at which a step ends by the plan. */
+export function getStepEnd({startedAt, deadlineAt}: RolloutTimes, step: number, steps: number): number {
+	const duration = deadlineAt - startedAt;
+	const risingSteps = Math.max(1, steps - 2);
+	const part = step === 0
+		? watchStartsAt
+		: riseStartsAt + ((completionAt - riseStartsAt) * (step - 1) / risingSteps);
+	return startedAt + (duration * part);
+}
+
+/** The shortest time in milliseconds for which a step is watched when the plan is late. */
+export function getShortestDwell(times: RolloutTimes, steps: number): number {
+	const risingSteps = Math.max(1, steps - 2);
+	const planned = (times.deadlineAt - times.startedAt) * (completionAt - riseStartsAt) / risingSteps;
+	return Math.min(Math.max(planned * shortenedDwellPart, shortestDwellMilliseconds), longestShortenedDwellMilliseconds);
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,4 @@
 export * from './link-messages.js';
 export * from './membership-proof.js';
 export * from './messages.js';
+export * from './rollout-messages.js';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -3,12 +3,14 @@
 import {type Result, fail, succeed} from '@catkindale/common';
 import {configurationMessageSchema} from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
+import {rolloutReportMessageSchema} from './rollout-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
 	proofMessageSchema,
 	heartbeatMessageSchema,
 	configurationMessageSchema,
+	rolloutReportMessageSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
