Queue requests fairly over customers

Cause: the selector refuses at once when no slot is free, and whoever sends most gets most slots. The pure start-time fair queue (Goyal, Vin, Cheng 1996) serves customers by weight, interactive before bulk with a minimum for bulk, bounded per customer and in all; when it is full the newest request of the longest customer gives way. The choice of targets that comes with it isn't wired into the nodes yet.

Ruled out: tags per request as in the paper; a request that is aborted would then still be charged to its customer.

--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,2 +1,3 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-token-bucket.js';
+import './verification-fairness.js';
--- /dev/null
+++ b/packages/policy/src/fair-queue.ts
@@ -0,0 +1,132 @@
+/**
+ * The bounded queue of requests that wait for a slot of one pool of targets.
+ * Each class is served fairly over its customers; interactive requests go
+ * first, but bulk requests keep a minimum share of the dispatches. When the
+ * queue is full, the customer with most waiting requests gives way, so that a
+ * flood never keeps a small customer out. The state is changed in place: each
+ * operation is logarithmic in the number of customers.
+ */
+import {assertInvariant} from '@catkindale/common';
+import type {RequestClass} from './configuration.js';
+import {type WaitingRequest, createCustomerFlows} from './customer-flows.js';
+import {createLongestCustomers} from './longest-customers.js';
+
+export type QueuedRequest = WaitingRequest & {
+	readonly class: RequestClass;
+	/** Monotonic time in milliseconds. */
+	readonly queuedAt: number;
+	/** Monotonic time in milliseconds after which the request is useless. */
+	readonly deadlineAt: number;
+};
+
+export type FairQueueLimits = {
+	readonly requestsPerCustomer: number;
+	readonly requests: number;
+	/** The share of dispatches that bulk requests keep while both classes wait. */
+	readonly bulkShare: number;
+};
+
+export type QueueAnswer<Request>
+	/** `displaced` had to give way and won't be served. */
+	= | {readonly kind: 'queued'; readonly displaced: Request | undefined}
+		| {readonly kind: 'full'};
+
+export type FairQueue<Request extends QueuedRequest> = {
+	readonly getLength: () => number;
+	readonly add: (request: Request) => QueueAnswer<Request>;
+	/** The request that is due next. */
+	readonly peek: () => Request | undefined;
+	/** Removes the request that is due next because it is served now. */
+	readonly take: () => Request | undefined;
+	/** Removes a request that won't be served; false if it doesn't wait. */
+	readonly remove: (request: Request) => boolean;
+	/** An estimate of how many waiting requests are served before a new one. */
+	readonly countAhead: (request: QueuedRequest) => number;
+	/** Customers that the queue remembers. */
+	readonly countCustomers: () => number;
+};
+
+export const defaultFairQueueLimits: FairQueueLimits = {requestsPerCustomer: 64, requests: 1024, bulkShare: 0.1};
+
+export function createFairQueue<Request extends QueuedRequest>(limits: FairQueueLimits = defaultFairQueueLimits): FairQueue<Request> {
+	const flows = {interactive: createCustomerFlows<Request>(), bulk: createCustomerFlows<Request>()};
+	const longest = createLongestCustomers();
+	const mostInSuccession = Math.ceil(1 / limits.bulkShare) - 1;
+	/** Interactive requests served in succession while a bulk request waited. */
+	let interactiveInSuccession = 0;
+
+	const getLength = (): number => flows.interactive.getLength() + flows.bulk.getLength();
+	const getLengthOf = (customer: string): number => flows.interactive.getLengthOf(customer) + flows.bulk.getLengthOf(customer);
+
+	const getNextClass = (): RequestClass => {
+		if (flows.interactive.getLength() === 0) {
+			return 'bulk';
+		}
+
+		return flows.bulk.getLength() > 0 && interactiveInSuccession >= mostInSuccession ? 'bulk' : 'interactive';
+	};
+
+	const remove = (request: Request): boolean => {
+		const isRemoved = flows[request.class].remove(request);
+		if (isRemoved) {
+			longest.decrease(request.customer);
+		}
+
+		return isRemoved;
+	};
+
+	const displace = (newcomer: Request): Request | undefined => {
+		const customer = longest.getLongest();
+		if (customer === undefined || getLengthOf(customer) <= getLengthOf(newcomer.customer) + 1) {
+			return undefined;
+		}
+
+		const request = flows.bulk.getNewest(customer) ?? flows.interactive.getNewest(customer);
+		assertInvariant(request !== undefined, 'the customer with most waiting requests has one', {customer});
+		remove(request);
+		return request;
+	};
+
+	return {
+		getLength,
+		add(request) {
+			if (getLengthOf(request.customer) >= limits.requestsPerCustomer) {
+				return {kind: 'full'};
+			}
+
+			const isFull = getLength() >= limits.requests;
+			const displaced = isFull ? displace(request) : undefined;
+			if (isFull && !displaced) {
+				return {kind: 'full'};
+			}
+
+			flows[request.class].add(request);
+			longest.increase(request.customer);
+			return {kind: 'queued', displaced};
+		},
+		peek: () => flows[getNextClass()].peek(),
+		take() {
+			const nextClass = getNextClass();
+			const request = flows[nextClass].take();
+			if (!request) {
+				return undefined;
+			}
+
+			longest.decrease(request.customer);
+			interactiveInSuccession = nextClass === 'interactive' && flows.bulk.getLength() > 0 ? interactiveInSuccession + 1 : 0;
+			return request;
+		},
+		remove,
+		countAhead(request) {
+			const own = flows[request.class].countAhead(request.customer, request.weight);
+			if (request.class === 'interactive') {
+				const bulk = flows.bulk.getLength();
+				return own + Math.min(bulk, Math.floor(own * limits.bulkShare));
+			}
+
+			const interactive = flows.interactive.getLength();
+			return own + Math.min(interactive, Math.ceil((own + 1) / limits.bulkShare));
+		},
+		countCustomers: () => flows.interactive.countCustomers() + flows.bulk.countCustomers(),
+	};
+}
--- /dev/null
+++ b/packages/policy/src/region-spill.ts
@@ -0,0 +1,51 @@
+/**
+ * How much of another region's slots the requests of this region may use. The
+ * part starts small and doubles while the other region stays well, so that a
+ * failing region is a shift within a limit and never an avalanche.
+ */
+
+export type RegionSpill = {
+	/** The part of the slots held in the other region, above 0 up to 1. */
+	readonly part: number;
+	readonly changedAt: number;
+	/** Whether the limit was reached since the last change. */
+	readonly wasReached: boolean;
+};
+
+const firstPart = 0.1;
+const windowMilliseconds = 2000;
+const idleMilliseconds = 30_000;
+const wellFailureShare = 0.1;
+const illFailureShare = 0.3;
+
+export function createRegionSpill(now: number): RegionSpill {
+	return {part: firstPart, changedAt: now, wasReached: false};
+}
+
+/** Requests that may be in flight to the other region; at least one if a slot is held there. */
+export function getSpillLimit(spill: RegionSpill, heldSlots: number): number {
+	return Math.min(heldSlots, Math.max(1, Math.floor(heldSlots * spill.part)));
+}
+
+/** Notes that a request was held back by the limit. */
+export function markSpillLimit(spill: RegionSpill): RegionSpill {
+	return spill.wasReached ? spill : {...spill, wasReached: true};
+}
+
+/** Moves the limit once per window by the failures seen in the other region. */
+export function updateRegionSpill(spill: RegionSpill, failureShare: number, now: number): RegionSpill {
+	const elapsed = now - spill.changedAt;
+	if (elapsed < windowMilliseconds) {
+		return spill;
+	}
+
+	if (failureShare > illFailureShare) {
+		return {part: Math.max(firstPart, spill.part / 2), changedAt: now, wasReached: false};
+	}
+
+	if (spill.wasReached && failureShare < wellFailureShare) {
+		return {part: Math.min(1, spill.part * 2), changedAt: now, wasReached: false};
+	}
+
+	return elapsed > idleMilliseconds ? createRegionSpill(now) : spill;
+}
--- /dev/null
+++ b/packages/policy/src/region-targets.ts
@@ -0,0 +1,86 @@
+/**
+ * The targets of one pool in one region: which of them have a free slot, in an
+ * array from which a random one is drawn in constant time, and sums over all.
+ */
+import type {RegionSpill} from './region-spill.js';
+import type {Attempt, TargetHealth} from './target-health.js';
+
+export type Candidate = {
+	readonly name: string;
+	readonly region: RegionTargets;
+	health: TargetHealth;
+	/** Slots that this node holds. */
+	held: number;
+	inUse: number;
+	/** Slots that may be in use at once; at most those held. */
+	usable: number;
+	/** Between two requests, a target that should get less than one slot rests. */
+	restUntil: number;
+	/** When it comes back from a pause; 0 if it isn't in one. */
+	wakeAt: number;
+	/** Place in the array of the region's free targets; -1 if it isn't there. */
+	freePosition: number;
+};
+
+export type RegionTargets = {
+	readonly name: string;
+	readonly free: Candidate[];
+	size: number;
+	held: number;
+	inUse: number;
+	usable: number;
+	/** Targets whose circuit isn't closed. */
+	cutOff: number;
+	/** Moving average over the answers of all targets. */
+	usualLatency: number | undefined;
+	/** Moving average over the attempts at all targets. */
+	failureShare: number;
+	spill: RegionSpill;
+};
+
+const observationWeight = 0.02;
+
+export function createRegionTargets(name: string, spill: RegionSpill): RegionTargets {
+	return {
+		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, failureShare: 0, spill,
+	};
+}
+
+export function createCandidate(name: string, region: RegionTargets, health: TargetHealth): Candidate {
+	return {
+		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1,
+	};
+}
+
+export function addFree(candidate: Candidate): void {
+	if (candidate.freePosition === -1) {
+		candidate.freePosition = candidate.region.free.push(candidate) - 1;
+	}
+}
+
+export function removeFree(candidate: Candidate): void {
+	const {free} = candidate.region;
+	const last = free.at(-1);
+	if (candidate.freePosition === -1 || !last) {
+		return;
+	}
+
+	free[candidate.freePosition] = last;
+	last.freePosition = candidate.freePosition;
+	free.pop();
+	candidate.freePosition = -1;
+}
+
+/** Takes in how an attempt at one of the targets ended. */
+export function observeRegion(region: RegionTargets, attempt: Attempt): void {
+	if (attempt.kind === 'shed' || attempt.kind === 'cancelled') {
+		return;
+	}
+
+	const failed = attempt.kind === 'answered' ? 0 : 1;
+	region.failureShare += observationWeight * (failed - region.failureShare);
+	if (attempt.kind === 'answered') {
+		const usual = region.usualLatency ?? attempt.milliseconds;
+		region.usualLatency = usual + (observationWeight * (attempt.milliseconds - usual));
+	}
+}
--- /dev/null
+++ b/packages/policy/src/target-admission.ts
@@ -0,0 +1,135 @@
+/**
+ * Brings the requests for one pool of targets and the free slots together: a
+ * request waits in the fair queue until a target is chosen for it, and is
+ * refused early when its deadline can't be met. The state is changed in place.
+ */
+import type {Random} from '@catkindale/common';
+import {
+	type FairQueue, type FairQueueLimits, type QueuedRequest, createFairQueue, defaultFairQueueLimits,
+} from './fair-queue.js';
+import {type ChoiceTarget, type TargetChoice, createTargetChoice} from './target-choice.js';
+import type {Attempt} from './target-health.js';
+
+export type AdmissionRequest = QueuedRequest & {
+	/** Names of targets that were tried already. */
+	readonly excluded: ReadonlySet<string>;
+};
+
+export type AdmissionRefusal = 'no-target' | 'no-slot' | 'queue-full' | 'deadline';
+
+/** What is due next for the requests that wait. */
+export type AdmissionStep<Request>
+	= | {readonly kind: 'start'; readonly request: Request; readonly target: string}
+		| {readonly kind: 'refuse'; readonly request: Request; readonly reason: AdmissionRefusal};
+
+export type AdmissionAnswer<Request>
+	/** `displaced` had to give way and is refused. */
+	= | {readonly kind: 'waiting'; readonly displaced: Request | undefined}
+		| {readonly kind: 'refused'; readonly reason: AdmissionRefusal};
+
+export type TargetAdmission<Request extends AdmissionRequest> = {
+	readonly choice: TargetChoice;
+	readonly getLength: () => number;
+	readonly setTargets: (targets: readonly ChoiceTarget[], now: number) => void;
+	/** Lets a request wait or refuses it; call `next` afterwards. */
+	readonly offer: (request: Request, now: number) => AdmissionAnswer<Request>;
+	/** The next request to start or refuse; undefined while all have to wait. A started one has its slot taken. */
+	readonly next: (now: number) => AdmissionStep<Request> | undefined;
+	/** Removes a request that waits; false if it doesn't. */
+	readonly cancel: (request: Request) => boolean;
+	readonly finish: (target: string, attempt: Attempt, now: number) => void;
+	/** Estimated milliseconds until a request that comes now is started. */
+	readonly estimateWait: (request: QueuedRequest, now: number) => number;
+};
+
+export type TargetAdmissionOptions = {
+	readonly region: string;
+	readonly random: Random;
+	readonly limits?: FairQueueLimits;
+	readonly isRegionOpen?: (region: string) => boolean;
+};
+
+export function createTargetAdmission<Request extends AdmissionRequest>(options: TargetAdmissionOptions): TargetAdmission<Request> {
+	const choice = createTargetChoice(options);
+	const queue: FairQueue<Request> = createFairQueue(options.limits ?? defaultFairQueueLimits);
+	let targets: readonly ChoiceTarget[] = [];
+
+	const hasTargetFor = (request: Request): boolean => request.excluded.size === 0
+		? targets.length > 0
+		: targets.some(target => !request.excluded.has(target.name));
+
+	const estimateWait = (request: QueuedRequest, now: number): number => {
+		const ahead = queue.countAhead(request);
+		if (ahead === 0 && choice.hasFree(now)) {
+			return 0;
+		}
+
+		const slots = choice.getUsableSlots();
+		const untilUsable = slots > 0 ? 0 : Math.max(0, (choice.getNextWake() ?? now) - now);
+		return untilUsable + ((ahead + 1) * (choice.getUsualLatency() ?? 0) / Math.max(1, slots));
+	};
+
+	/** Whether the request can still be answered before its deadline, if it starts at the given time. */
+	const isInTime = (request: Request, startAt: number): boolean => startAt + (choice.getUsualLatency() ?? 0) <= request.deadlineAt;
+
+	/** Milliseconds until all requests that wait now are started. */
+	const getDrainTime = (): number => queue.getLength() * (choice.getUsualLatency() ?? 0) / Math.max(1, choice.getUsableSlots());
+
+	return {
+		choice,
+		estimateWait,
+		getLength: queue.getLength,
+		setTargets(next, now) {
+			targets = next;
+			choice.setTargets(next, now);
+		},
+		offer(request, now) {
+			if (!hasTargetFor(request)) {
+				return {kind: 'refused', reason: 'no-target'};
+			}
+
+			const wait = estimateWait(request, now);
+			if (wait > 0 && !isInTime(request, now + wait)) {
+				return {kind: 'refused', reason: 'deadline'};
+			}
+
+			const answer = queue.add(request);
+			return answer.kind === 'full'
+				? {kind: 'refused', reason: 'queue-full'}
+				: {kind: 'waiting', displaced: answer.displaced};
+		},
+		next(now) {
+			const request = queue.peek();
+			if (!request) {
+				return undefined;
+			}
+
+			if (now >= request.deadlineAt || (now > request.queuedAt && !isInTime(request, now))) {
+				queue.remove(request);
+				return {kind: 'refuse', request, reason: 'deadline'};
+			}
+
+			if (!hasTargetFor(request)) {
+				queue.remove(request);
+				return {kind: 'refuse', request, reason: 'no-target'};
+			}
+
+			const target = choice.choose({excluded: request.excluded, waitMilliseconds: getDrainTime()}, now);
+			if (target === undefined) {
+				if (request.excluded.size > 0 && choice.hasFree(now)) {
+					// It mustn't hold up those behind it, which could use the free target.
+					queue.remove(request);
+					return {kind: 'refuse', request, reason: 'no-slot'};
+				}
+
+				return undefined;
+			}
+
+			queue.take();
+			choice.start(target, now);
+			return {kind: 'start', request, target};
+		},
+		cancel: queue.remove,
+		finish: choice.finish,
+	};
+}
--- /dev/null
+++ b/packages/policy/src/target-choice.ts
@@ -0,0 +1,300 @@
+/**
+ * Chooses the target of a request among those of one pool. Of two targets
+ * drawn at random among those with a free slot, the one with less expected
+ * work is taken. Targets of the own region go first; those of another region
+ * serve only while the own ones are used up or fail, within a limit that grows
+ * slowly. The state is changed in place: a choice doesn't look at all targets.
+ *
+ * Source: Mitzenmacher, "The power of two choices in randomized load
+ * balancing", IEEE Transactions on Parallel and Distributed Systems 12(10), 2001.
+ */
+import {type Random, assertInvariant} from '@catkindale/common';
+import {createPriorityQueue} from './priority-queue.js';
+import {
+	createRegionSpill, getSpillLimit, markSpillLimit, updateRegionSpill,
+} from './region-spill.js';
+import {
+	type Attempt, type TargetReport, createTargetHealth, getExpectedLatency, getSlotFactor, isCallable, startAttempt, updateByReport, updateTargetHealth,
+} from './target-health.js';
+import {
+	type Candidate, type RegionTargets, addFree, createCandidate, createRegionTargets, observeRegion, removeFree,
+} from './region-targets.js';
+
+export type ChoiceTarget = {readonly name: string; readonly region: string};
+
+export type ChoiceRequest = {
+	/** Names of targets that must not be chosen. */
+	readonly excluded: ReadonlySet<string>;
+	/** Milliseconds that the request would still wait for a target of the own region. */
+	readonly waitMilliseconds: number;
+};
+
+export type TargetChoice = {
+	/** Replaces the targets; what is known of those that stay is kept. */
+	readonly setTargets: (targets: readonly ChoiceTarget[], now: number) => void;
+	readonly setHeld: (target: string, held: number, now: number) => void;
+	/** The target to use, or undefined if none may be used now. */
+	readonly choose: (request: ChoiceRequest, now: number) => string | undefined;
+	/** Notes that a request takes a slot of the target. */
+	readonly start: (target: string, now: number) => void;
+	/** Notes that a request gives its slot back. */
+	readonly finish: (target: string, attempt: Attempt, now: number) => void;
+	readonly report: (target: string, report: TargetReport, now: number) => void;
+	/** Whether a target of the own region has a free slot. */
+	readonly hasFree: (now: number) => boolean;
+	/** Slots that may be in use at once in the own region. */
+	readonly getUsableSlots: () => number;
+	/** Usual milliseconds of a request in the own region; undefined before the first answer. */
+	readonly getUsualLatency: () => number | undefined;
+	/** When the next target comes back from a pause; undefined if none is in a pause. */
+	readonly getNextWake: () => number | undefined;
+	readonly getState: (target: string) => TargetState | undefined;
+};
+
+/** What operators see of a target. */
+export type TargetState = {
+	readonly held: number;
+	readonly inUse: number;
+	readonly usable: number;
+	readonly isCutOff: boolean;
+};
+
+export type TargetChoiceOptions = {
+	readonly region: string;
+	readonly random: Random;
+	/** Whether the quota of the link to the region allows another request. */
+	readonly isRegionOpen?: (region: string) => boolean;
+};
+
+const drawsPerChoice = 4;
+const failingShare = 0.5;
+const assumedRemoteMilliseconds = 50;
+const mostCutOffShare = 0.5;
+
+export function createTargetChoice(options: TargetChoiceOptions): TargetChoice {
+	const {random, isRegionOpen = () => true} = options;
+	const candidates = new Map<string, Candidate>();
+	const regions = new Map<string, RegionTargets>();
+	const paused = createPriorityQueue<Candidate>((left, right) => left.wakeAt < right.wakeAt);
+	let hasTargets = false;
+
+	/** The regions whose targets serve without a limit: the own one, or all when it has no target. */
+	const isHome = (region: RegionTargets): boolean => region.name === options.region || (regions.get(options.region)?.size ?? 0) === 0;
+
+	const setPause = (candidate: Candidate, wakeAt: number): void => {
+		paused.remove(candidate);
+		candidate.wakeAt = wakeAt;
+		if (wakeAt > 0) {
+			paused.add(candidate);
+		}
+	};
+
+	/** Works out again how many slots may be used and whether one is free. */
+	const refresh = (candidate: Candidate, now: number): void => {
+		const {region, health} = candidate;
+		const part = candidate.held * getSlotFactor(health, region.usualLatency ?? 0, now);
+		const callableAt = health.circuit.kind === 'open' ? health.circuit.until : 0;
+		const wakeAt = candidate.held > 0 ? Math.max(callableAt, candidate.restUntil) : 0;
+		const usable = candidate.held > 0 && isCallable(health, now) ? Math.max(1, Math.round(part)) : 0;
+		region.usable += usable - candidate.usable;
+		candidate.usable = usable;
+		const isResting = now < wakeAt;
+		setPause(candidate, isResting ? wakeAt : 0);
+		if (candidate.inUse < usable && !isResting) {
+			addFree(candidate);
+		} else {
+			removeFree(candidate);
+		}
+	};
+
+	const wake = (now: number): void => {
+		for (let candidate = paused.peek(); candidate && candidate.wakeAt <= now; candidate = paused.peek()) {
+			setPause(candidate, 0);
+			refresh(candidate, now);
+		}
+	};
+
+	const getScore = (candidate: Candidate, now: number): number =>
+		getExpectedLatency(candidate.health, candidate.region.usualLatency ?? 1, now) * (candidate.inUse + 1) / candidate.usable;
+
+	const draw = (region: RegionTargets, excluded: ReadonlySet<string>): Candidate | undefined => {
+		for (let attempt = 0; attempt < drawsPerChoice && region.free.length > 0; attempt++) {
+			const candidate = region.free[random.integer(0, region.free.length - 1)];
+			if (candidate && !excluded.has(candidate.name)) {
+				return candidate;
+			}
+		}
+
+		return excluded.size > 0 ? region.free.find(candidate => !excluded.has(candidate.name)) : undefined;
+	};
+
+	const chooseIn = (region: RegionTargets, excluded: ReadonlySet<string>, now: number): Candidate | undefined => {
+		const first = draw(region, excluded);
+		const second = draw(region, excluded);
+		if (!first || !second) {
+			return first ?? second;
+		}
+
+		return getScore(second, now) < getScore(first, now) ? second : first;
+	};
+
+	const chooseAtHome = (request: ChoiceRequest, now: number): Candidate | undefined => {
+		const chosen = [...regions.values()].filter(region => isHome(region)).map(region => chooseIn(region, request.excluded, now));
+		const found = chosen.filter(candidate => candidate !== undefined);
+		return found.toSorted((left, right) => getScore(left, now) - getScore(right, now))[0];
+	};
+
+	const getHomeRegion = (): RegionTargets | undefined => regions.get(options.region);
+
+	const isSpillUseful = (region: RegionTargets, request: ChoiceRequest): boolean => {
+		const home = getHomeRegion();
+		if (!home || home.usable === 0) {
+			return true;
+		}
+
+		const extra = (region.usualLatency ?? assumedRemoteMilliseconds) - (home.usualLatency ?? 0);
+		const isHomeFailing = home.failureShare > failingShare && region.failureShare < failingShare;
+		return isHomeFailing || request.waitMilliseconds > extra;
+	};
+
+	const chooseElsewhere = (request: ChoiceRequest, now: number): Candidate | undefined => {
+		const found: Candidate[] = [];
+		for (const region of regions.values()) {
+			if (isHome(region) || region.free.length === 0 || !isRegionOpen(region.name) || !isSpillUseful(region, request)) {
+				continue;
+			}
+
+			region.spill = updateRegionSpill(region.spill, region.failureShare, now);
+			if (region.inUse >= getSpillLimit(region.spill, region.held)) {
+				region.spill = markSpillLimit(region.spill);
+				continue;
+			}
+
+			const candidate = chooseIn(region, request.excluded, now);
+			if (candidate) {
+				found.push(candidate);
+			}
+		}
+
+		return found.toSorted((left, right) => getScore(left, now) - getScore(right, now))[0];
+	};
+
+	const getRegion = (name: string, now: number): RegionTargets => {
+		const region = regions.get(name) ?? createRegionTargets(name, createRegionSpill(now));
+		regions.set(name, region);
+		return region;
+	};
+
+	const add = (target: ChoiceTarget, now: number): void => {
+		const region = getRegion(target.region, now);
+		// The first targets that a node hears of serve already; a later one starts cold.
+		candidates.set(target.name, createCandidate(target.name, region, createTargetHealth(now, hasTargets)));
+		region.size += 1;
+	};
+
+	const drop = (candidate: Candidate): void => {
+		const {region} = candidate;
+		removeFree(candidate);
+		paused.remove(candidate);
+		region.usable -= candidate.usable;
+		region.held -= candidate.held;
+		region.inUse -= candidate.inUse;
+		region.size -= 1;
+		region.cutOff -= Number(isCutOff(candidate));
+		candidates.delete(candidate.name);
+		if (region.size === 0) {
+			regions.delete(region.name);
+		}
+	};
+
+	return {
+		setTargets(targets, now) {
+			const kept = new Set(targets.map(target => target.name));
+			for (const candidate of candidates.values()) {
+				if (!kept.has(candidate.name)) {
+					drop(candidate);
+				}
+			}
+
+			for (const target of targets) {
+				if (!candidates.has(target.name)) {
+					add(target, now);
+				}
+			}
+
+			hasTargets ||= targets.length > 0;
+		},
+		setHeld(target, held, now) {
+			const candidate = candidates.get(target);
+			if (!candidate || candidate.held === held) {
+				return;
+			}
+
+			candidate.region.held += held - candidate.held;
+			candidate.held = held;
+			refresh(candidate, now);
+		},
+		choose(request, now) {
+			wake(now);
+			const home = getHomeRegion();
+			const isHomeFailing = home !== undefined && home.failureShare > failingShare;
+			const chosen = isHomeFailing
+				? chooseElsewhere(request, now) ?? chooseAtHome(request, now)
+				: chooseAtHome(request, now) ?? chooseElsewhere(request, now);
+			return chosen?.name;
+		},
+		start(target, now) {
+			const candidate = candidates.get(target);
+			assertInvariant(candidate !== undefined, 'only a known target is started', {target});
+			assertInvariant(candidate.inUse < candidate.held, 'work in flight stays within the slots held', {target, held: candidate.held});
+			candidate.inUse += 1;
+			candidate.region.inUse += 1;
+			candidate.health = startAttempt(candidate.health);
+			refresh(candidate, now);
+		},
+		finish(target, attempt, now) {
+			const candidate = candidates.get(target);
+			// A target that left the pool while it served is forgotten already.
+			if (!candidate || candidate.inUse === 0) {
+				return;
+			}
+
+			const {region} = candidate;
+			candidate.inUse -= 1;
+			region.inUse -= 1;
+			const wasCutOff = isCutOff(candidate);
+			const mayOpen = attempt.kind !== 'failed' || region.cutOff < region.size * mostCutOffShare;
+			candidate.health = updateTargetHealth(candidate.health, attempt, now, mayOpen);
+			observeRegion(region, attempt);
+			region.cutOff += Number(isCutOff(candidate)) - Number(wasCutOff);
+			const duty = candidate.held * getSlotFactor(candidate.health, region.usualLatency ?? 0, now);
+			const rest = duty > 0 && duty < 1 ? attempt.milliseconds * ((1 / duty) - 1) : 0;
+			candidate.restUntil = rest > 0 ? now + rest : 0;
+			refresh(candidate, now);
+		},
+		report(target, report, now) {
+			const candidate = candidates.get(target);
+			if (candidate) {
+				candidate.health = updateByReport(candidate.health, report);
+				refresh(candidate, now);
+			}
+		},
+		hasFree(now) {
+			wake(now);
+			return [...regions.values()].some(region => isHome(region) && region.free.length > 0);
+		},
+		getUsableSlots: () => [...regions.values()].filter(region => isHome(region)).reduce((sum, region) => sum + region.usable, 0),
+		getUsualLatency: () => getHomeRegion()?.usualLatency ?? [...regions.values()][0]?.usualLatency,
+		getNextWake: () => paused.peek()?.wakeAt,
+		getState(target) {
+			const candidate = candidates.get(target);
+			return candidate && {
+				held: candidate.held, inUse: candidate.inUse, usable: candidate.usable, isCutOff: isCutOff(candidate),
+			};
+		},
+	};
+}
+
+function isCutOff(candidate: Candidate): boolean {
+	return candidate.health.circuit.kind !== 'closed';
+}
--- /dev/null
+++ b/packages/policy/src/target-health.ts
@@ -0,0 +1,238 @@
+/**
+ * What one node has observed of one target by its own attempts, and what
+ * follows for the target's share of the slots. A report of the target itself
+ * can only lower that share.
+ *
+ * Latency and failures are exponentially weighted moving averages. Failing
+ * targets are cut off and probed by a circuit breaker (Nygard, "Release It!",
+ * 2007).
+ */
+import type {AttemptKind} from './attempt.js';
+
+export type Circuit
+	= | {readonly kind: 'closed'}
+	/** Takes no work until the time is reached. */
+		| {readonly kind: 'open'; readonly until: number; readonly pause: number}
+	/** One probe is under way. */
+		| {readonly kind: 'half-open'; readonly pause: number};
+
+export type TargetHealth = {
+	/** Milliseconds that a request takes; undefined before the first answer. */
+	readonly latency: number | undefined;
+	readonly latencyAt: number;
+	/** Moving average over attempts, from 0 to 1. */
+	readonly failureShare: number;
+	readonly consecutiveFailures: number;
+	/** Attempts in succession that never reached the target or lost the answer. */
+	readonly consecutiveLosses: number;
+	readonly circuit: Circuit;
+	/** When the target started cold; its slots grow from then on. */
+	readonly coldSince: number | undefined;
+	/** From 0 to 1; falls when the target sheds load and grows back with time. */
+	readonly sheddingFactor: number;
+	readonly sheddingAt: number;
+	readonly report: TargetReport | undefined;
+};
+
+/** What a target's own endpoint says; it lags and may mislead. */
+export type TargetReport = {
+	readonly receivedAt: number;
+	readonly isHealthy: boolean;
+	/** 1 means that all its slots are in use. */
+	readonly load: number;
+};
+
+export type Attempt = {readonly kind: AttemptKind; readonly milliseconds: number};
+
+const failureWeight = 0.1;
+const latencyWeight = 0.2;
+const latencyMemoryMilliseconds = 5000;
+const failuresToOpen = 5;
+const lossesToOpen = 2;
+const firstPauseMilliseconds = 1000;
+const longestPauseMilliseconds = 30_000;
+const coldMilliseconds = 10_000;
+const coldFactor = 0.1;
+const lowestSuccessShare = 0.05;
+const sheddingStep = 0.7;
+const sheddingFloor = 0.05;
+const sheddingGrowthPerMillisecond = 0.0001;
+const slowRatio = 2;
+const slowFloor = 0.02;
+const reportLifeMilliseconds = 10_000;
+const fullLoad = 1;
+const fullLoadFactor = 0.5;
+const unhealthyFactor = 0.25;
+
+export function createTargetHealth(now: number, isCold: boolean): TargetHealth {
+	return {
+		latency: undefined,
+		latencyAt: now,
+		failureShare: 0,
+		consecutiveFailures: 0,
+		consecutiveLosses: 0,
+		circuit: {kind: 'closed'},
+		coldSince: isCold ? now : undefined,
+		sheddingFactor: 1,
+		sheddingAt: now,
+		report: undefined,
+	};
+}
+
+/** Marks the start of an attempt: the first one after a pause is the probe. */
+export function startAttempt(health: TargetHealth): TargetHealth {
+	return health.circuit.kind === 'open' ? {...health, circuit: {kind: 'half-open', pause: health.circuit.pause}} : health;
+}
+
+/** Takes in how an attempt ended. `mayOpen` is false while too many targets fail alike. */
+export function updateTargetHealth(health: TargetHealth, attempt: Attempt, now: number, mayOpen: boolean): TargetHealth {
+	switch (attempt.kind) {
+		case 'answered': {
+			return updateByAnswer(health, attempt.milliseconds, now);
+		}
+
+		case 'failed': {
+			return updateByFailure(health, 0, now, mayOpen);
+		}
+
+		case 'not-sent':
+		case 'lost': {
+			return updateByFailure(health, health.consecutiveLosses + 1, now, mayOpen);
+		}
+
+		case 'shed': {
+			return updateByShedding(health, now);
+		}
+
+		case 'cancelled': {
+			return updateByCancellation(health, attempt.milliseconds, now);
+		}
+	}
+}
+
+export function updateByReport(health: TargetHealth, report: TargetReport): TargetHealth {
+	return {...health, report};
+}
+
+/** Whether a request may be sent: not cut off, and at most one probe at a time. */
+export function isCallable(health: TargetHealth, now: number): boolean {
+	switch (health.circuit.kind) {
+		case 'closed': {
+			return true;
+		}
+
+		case 'open': {
+			return now >= health.circuit.until;
+		}
+
+		case 'half-open': {
+			return false;
+		}
+	}
+}
+
+/** Milliseconds that the next request will probably take, failures counted as slow. */
+export function getExpectedLatency(health: TargetHealth, usualLatency: number, now: number): number {
+	const known = health.latency ?? usualLatency;
+	const kept = Math.exp((health.latencyAt - now) / latencyMemoryMilliseconds);
+	const aged = known > usualLatency ? usualLatency + ((known - usualLatency) * kept) : known;
+	const successShare = Math.max(lowestSuccessShare, 1 - health.failureShare);
+	return aged / (successShare ** 2);
+}
+
+/**
+ * The part of its slots that the target should get now, above 0 up to 1. A
+ * slow target gets less, so that it doesn't fill up while the others are busy.
+ */
+export function getSlotFactor(health: TargetHealth, usualLatency: number, now: number): number {
+	const latency = getExpectedLatency(health, usualLatency, now);
+	const excess = usualLatency > 0 ? latency / (usualLatency * slowRatio) : 0;
+	const slowFactor = excess > 1 ? Math.max(slowFloor, 1 / excess) : 1;
+	return Math.min(slowFactor, getColdFactor(health, now), getSheddingFactor(health, now), getReportFactor(health.report, now));
+}
+
+function updateByAnswer(health: TargetHealth, milliseconds: number, now: number): TargetHealth {
+	const isProbe = health.circuit.kind === 'half-open';
+	return {
+		...updateLatency(health, milliseconds, now),
+		failureShare: health.failureShare * (1 - failureWeight),
+		consecutiveFailures: 0,
+		consecutiveLosses: 0,
+		circuit: isProbe ? {kind: 'closed'} : health.circuit,
+		coldSince: isProbe ? now : health.coldSince,
+	};
+}
+
+function updateByFailure(health: TargetHealth, consecutiveLosses: number, now: number, mayOpen: boolean): TargetHealth {
+	const consecutiveFailures = health.consecutiveFailures + 1;
+	const next: TargetHealth = {
+		...health,
+		failureShare: health.failureShare + (failureWeight * (1 - health.failureShare)),
+		consecutiveFailures,
+		consecutiveLosses,
+	};
+	switch (health.circuit.kind) {
+		case 'closed': {
+			const isOpening = consecutiveFailures >= failuresToOpen || consecutiveLosses >= lossesToOpen;
+			return isOpening && mayOpen ? openCircuit(next, firstPauseMilliseconds, now) : next;
+		}
+
+		case 'open': {
+			// The attempt began before the target was cut off.
+			return next;
+		}
+
+		case 'half-open': {
+			return openCircuit(next, Math.min(longestPauseMilliseconds, health.circuit.pause * 2), now);
+		}
+	}
+}
+
+function openCircuit(health: TargetHealth, pause: number, now: number): TargetHealth {
+	return {...health, circuit: {kind: 'open', until: now + pause, pause}};
+}
+
+function updateByShedding(health: TargetHealth, now: number): TargetHealth {
+	const next = {...health, sheddingFactor: Math.max(sheddingFloor, getSheddingFactor(health, now) * sheddingStep), sheddingAt: now};
+	// A probe that was shed says nothing; the next request is the probe.
+	return reopenProbe(next, now);
+}
+
+/** A caller that gave up shows only that the target took at least so long. */
+function updateByCancellation(health: TargetHealth, milliseconds: number, now: number): TargetHealth {
+	const next = milliseconds > (health.latency ?? Infinity) ? updateLatency(health, milliseconds, now) : health;
+	return reopenProbe(next, now);
+}
+
+function reopenProbe(health: TargetHealth, now: number): TargetHealth {
+	return health.circuit.kind === 'half-open' ? {...health, circuit: {kind: 'open', until: now, pause: health.circuit.pause}} : health;
+}
+
+function updateLatency(health: TargetHealth, milliseconds: number, now: number): TargetHealth {
+	const latency = health.latency === undefined ? milliseconds : health.latency + (latencyWeight * (milliseconds - health.latency));
+	return {...health, latency, latencyAt: now};
+}
+
+function getColdFactor(health: TargetHealth, now: number): number {
+	if (health.coldSince === undefined) {
+		return 1;
+	}
+
+	return Math.min(1, coldFactor + ((1 - coldFactor) * (now - health.coldSince) / coldMilliseconds));
+}
+
+function getSheddingFactor(health: TargetHealth, now: number): number {
+	return Math.min(1, health.sheddingFactor + ((now - health.sheddingAt) * sheddingGrowthPerMillisecond));
+}
+
+function getReportFactor(report: TargetReport | undefined, now: number): number {
+	if (!report || now - report.receivedAt > reportLifeMilliseconds) {
+		return 1;
+	}
+
+	if (!report.isHealthy) {
+		return unhealthyFactor;
+	}
+
+	return report.load >= fullLoad ? fullLoadFactor : 1;
+}
