--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,8 @@
 import {benchCommand} from './bench-command.js';
 import {checkCommand} from './check-command.js';
 import {demoCommand} from './demo-command.js';
+import {drainCommand} from './drain-command.js';
+import {keyCommand} from './key-command.js';
 import {nodeCommand} from './node-command.js';
 import {standinCommand} from './standin-command.js';
 import {statusCommand} from './status-command.js';
@@ -14,6 +16,8 @@
 	applyCommand,
 	checkCommand,
 	statusCommand,
+	keyCommand,
+	drainCommand,
 	demoCommand,
 	benchCommand,
 	verifyCommand,
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -12,6 +12,7 @@
 const operatorToken = 'demo-operator-token';
 const callerKey = 'demo-caller-key';
 const settleMilliseconds = 1500;
+const demoHoldMilliseconds = 200;
 const statusDone = 200;
 
 export async function runDemo(print: (line: string) => void): Promise<boolean> {
@@ -69,6 +70,7 @@
 			machines: {address: platform.machines.address},
 		},
 		secrets: {peer: 'demo-peer-secret-of-the-fleet', operatorToken},
+		timing: {lookupHoldMilliseconds: demoHoldMilliseconds},
 	});
 	return startNode(settings, {logger: createSilentLogger()});
 }
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -2,9 +2,14 @@
 import process from 'node:process';
 import type {CommandModule} from 'yargs';
 import {type AdminArguments, addAdminOptions, callAdmin} from './admin-client.js';
+import {describeRegion} from './change-output.js';
 import {exitCodes} from './constants.js';
 
-type ListedMember = {id: string; region: string; zone: string; state: string; configurationVersion?: number};
+type ListedMember = {id: string; region: string; zone: string; state: string; isServing?: boolean; configurationVersion?: number};
+type ListedChange = {version: number; changeId: string; author: string};
+type ListedRestriction = {id: string; kind: string; author: string};
+
+const listedChanges = 5;
 
 const statusDone = 200;
 
@@ -25,6 +30,14 @@
 	}
 
 	const members = body.members as ListedMember[];
-	const lines = members.map(member => `  ${member.id}  ${member.region}/${member.zone}  ${member.state}  version ${member.configurationVersion ?? 'unknown'}`);
-	return [`configuration version ${String(body.configurationVersion)}`, ...lines, ''].join('\n');
+	const lines = members.map(member => describeMember(member));
+	const regions = (body.regions as Array<Parameters<typeof describeRegion>[0]>).map(region => describeRegion(region).trimEnd());
+	const changes = (body.changes as ListedChange[]).slice(-listedChanges).map(change => `  version ${change.version} by ${change.author}, change ${change.changeId}`);
+	const restrictions = (body.restrictions as ListedRestriction[]).map(restriction => `  ${restriction.kind} by ${restriction.author}, ${restriction.id}: not recorded in the table yet`);
+	return [`configuration version ${String(body.configurationVersion)}`, ...regions, 'members', ...lines, 'latest changes', ...changes, ...restrictions, ''].join('\n');
+}
+
+function describeMember({id, region, zone, state, configurationVersion, isServing}: ListedMember): string {
+	const note = isServing === false ? '  out of look-ups' : '';
+	return `  ${id}  ${region}/${zone}  ${state}  version ${configurationVersion ?? 'unknown'}${note}`;
 }
--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -5,11 +5,14 @@
 import {text} from 'node:stream/consumers';
 import {hashText} from '@catkindale/common';
 import {type AdminAnswer, findAdminAction} from './admin-actions.js';
-import type {AdminState} from './admin-state.js';
+import {type AdminState, createAdminState} from './admin-state.js';
 import {closeGracefully, listenOn} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getRequestKey} from './request-headers.js';
 import './apply-action.js';
+import './cut-action.js';
+import './drain-action.js';
+import './key-action.js';
 import './status-action.js';
 
 const startOrder = 15;
@@ -19,16 +22,28 @@
 	roles: ['admin'],
 	order: startOrder,
 	async start(context) {
-		const state: AdminState = {configuration: undefined, members: [], peerVersions: new Map()};
+		const state = createAdminState();
 		const endings = [
 			context.bus.subscribe('configuration-changed', message => {
 				state.configuration = message;
 			}),
+			context.bus.subscribe('configuration-known', ({record}) => {
+				state.record = record;
+			}),
+			context.bus.subscribe('restrictions-changed', message => {
+				state.restrictions = message.restrictions;
+			}),
+			context.bus.subscribe('unavailable-members-changed', message => {
+				state.unavailable = message.ids;
+			}),
+			context.bus.subscribe('members-heard', message => {
+				state.members = message.members;
+			}),
 			context.bus.subscribe('membership-changed', message => {
 				state.members = message.members;
 			}),
 			context.bus.subscribe('peer-received', ({from, message}) => {
-				if (message.type === 'heartbeat') {
+				if (message.type === 'heartbeat' && message.isEstablished) {
 					state.peerVersions.set(from, message.configurationVersion);
 				}
 			}),
--- /dev/null
+++ b/packages/node/src/change-report.ts
@@ -0,0 +1,93 @@
+/**
+ * Tells the operator what became of a change. `accepted` is said only once
+ * the change is committed and a quorum of nodes has it, so that no node may
+ * take older knowledge for current.
+ */
+import {type RegionForce, isQuorum} from '@catkindale/policy';
+import type {AdminAnswer} from './admin-actions.js';
+import {type AdminState, getForce} from './admin-state.js';
+import type {ChangeOutcome} from './configuration-change.js';
+import type {NodeContext} from './node-context.js';
+
+const forceTimeoutMilliseconds = 3000;
+/** How long the regions beyond the quorum are waited for. */
+const allRegionsMilliseconds = 500;
+
+export async function reportChange(context: NodeContext, state: AdminState, outcome: ChangeOutcome): Promise<AdminAnswer> {
+	switch (outcome.kind) {
+		case 'committed': {
+			return reportCommitted(context, state, outcome);
+		}
+
+		case 'conflict': {
+			const {version, winner} = outcome;
+			const by = winner ? `; change ${winner.changeId} by ${winner.author} made version ${winner.version}` : '';
+			return {
+				status: 409, body: {
+					result: 'conflict', version, winner, detail: `the configuration is at version ${version}${by}`,
+				},
+			};
+		}
+
+		case 'refused': {
+			return {status: 422, body: {result: 'refused', detail: outcome.reason}};
+		}
+
+		case 'not-done': {
+			return {status: 503, body: {result: 'refused', detail: `nothing was changed: ${outcome.reason}`}};
+		}
+
+		case 'unknown': {
+			const {changeId, reason} = outcome;
+			return {
+				status: 504, body: {
+					result: 'unknown', changeId, detail: `${reason}; run "catkindale status" and look for change ${changeId} before applying again`,
+				},
+			};
+		}
+	}
+}
+
+async function reportCommitted(context: NodeContext, state: AdminState, {version, changeId}: Extract<ChangeOutcome, {kind: 'committed'}>): Promise<AdminAnswer> {
+	const regions = await waitForForce(context, state, version);
+	const report = regions.map(({region, isInForce, missing}) => ({region, state: isInForce ? 'in force' : 'not in force', missing}));
+	if (isQuorum(regions)) {
+		return {
+			status: 200, body: {
+				result: 'accepted', version, changeId, regions: report,
+			},
+		};
+	}
+
+	const late = regions.filter(region => !region.isInForce).map(region => region.region).join(', ');
+	return {
+		status: 202, body: {
+			result: 'committed', version, changeId, regions: report, detail: `committed at version ${version}, not in force in ${late}`,
+		},
+	};
+}
+
+/** Resolves once all members have the version, or a quorum has and the others are late, or at the time limit. */
+async function waitForForce(context: NodeContext, state: AdminState, version: number): Promise<RegionForce[]> {
+	return new Promise(resolve => {
+		const startedAt = context.clock.monotonic();
+		const check = (): void => {
+			const regions = getForce(state, context.settings.node.name, version);
+			const waited = context.clock.monotonic() - startedAt;
+			const isEnough = regions.every(region => region.isInForce) || (isQuorum(regions) && waited >= allRegionsMilliseconds);
+			if ((regions.length > 0 && isEnough) || waited >= forceTimeoutMilliseconds) {
+				clearInterval(timer);
+				end();
+				resolve(regions);
+			}
+		};
+
+		const timer = setInterval(check, allRegionsMilliseconds);
+		const end = context.bus.subscribe('peer-received', ({message}) => {
+			if (message.type === 'heartbeat') {
+				check();
+			}
+		});
+		check();
+	});
+}
--- a/packages/node/src/configuration-change.ts
+++ b/packages/node/src/configuration-change.ts
@@ -1,52 +1,159 @@
 /**
- * Commits a new configuration by compare-and-set. An answer that got lost is
- * resolved by reading the row and its change identifier back.
+ * Commits a new configuration by compare-and-set. A change whose answer got
+ * lost is sent again under the same identifier until the table says whether
+ * it took effect: the row's history tells whose change won.
  */
-import {createIdentifier} from '@catkindale/common';
-import type {Configuration} from '@catkindale/policy';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Result, createIdentifier} from '@catkindale/common';
+import {
+	type CommittedChange, type Configuration, type VersionedRecord, appendChange, configurationRecordSchema,
+} from '@catkindale/policy';
+import type {Row, TableOutcome} from '@catkindale/platform';
 import {rowKeys} from './constants.js';
 import type {NodeContext} from './node-context.js';
 
 export type ChangeOutcome
-	= | {readonly kind: 'committed'; readonly version: number}
-		| {readonly kind: 'conflict'; readonly version: number}
+	= | {readonly kind: 'committed'; readonly version: number; readonly changeId: string}
+	/** Another change won; `winner` is the latest change of the row. */
+		| {readonly kind: 'conflict'; readonly version: number; readonly winner: CommittedChange | undefined}
+		| {readonly kind: 'refused'; readonly reason: string}
 		| {readonly kind: 'not-done'; readonly reason: string}
-		| {readonly kind: 'unknown'; readonly reason: string};
-
-export async function commitConfiguration(context: NodeContext, expectedVersion: number, configuration: Configuration): Promise<ChangeOutcome> {
-	const changeId = createIdentifier();
-	const write = {key: rowKeys.configuration, expectedVersion, value: configuration};
-	const outcome = await context.platform.table.transact(changeId, [write]);
-	switch (outcome.kind) {
-		case 'done': {
-			return {kind: 'committed', version: expectedVersion + 1};
-		}
+		| {readonly kind: 'unknown'; readonly reason: string; readonly changeId: string};
+
+export type ChangeOptions = {
+	/** Who changes, as the operators' commands tell it. */
+	readonly author?: string;
+	/** The restriction that the change records. */
+	readonly restriction?: string;
+};
+
+/** Derives the next configuration; an error refuses the change. */
+export type ConfigurationEdit = (current: Configuration) => Result<Configuration, string>;
+
+type Change = {readonly basis: VersionedRecord; readonly configuration: Configuration; readonly change: CommittedChange};
+
+const defaultAuthor = 'operator';
+const resolveMilliseconds = 6000;
+const retryPauseMilliseconds = 200;
+const editAttempts = 5;
+
+/** The record before the first change. */
+export const emptyRecord: VersionedRecord = {
+	version: 0,
+	history: [],
+	configuration: {
+		regions: [], links: [], customers: [], keys: [], services: [], routes: [], targets: [], rollouts: [], shifts: [], drains: [], clientBlocks: [],
+	},
+};
+
+/** Replaces the configuration if the row is at the expected version. */
+export async function commitConfiguration(context: NodeContext, expectedVersion: number, configuration: Configuration, options: ChangeOptions = {}): Promise<ChangeOutcome> {
+	const read = await readRecord(context);
+	if (read.kind !== 'done') {
+		return {kind: 'not-done', reason: read.kind === 'not-done' ? read.reason : 'the table can\'t be read'};
+	}
 
-		case 'conflict': {
-			return {kind: 'conflict', version: outcome.rows[0]?.version ?? 0};
+	const basis = read.value;
+	if (basis.version !== expectedVersion) {
+		return {kind: 'conflict', version: basis.version, winner: basis.history.at(-1)};
+	}
+
+	return commitChange(context, createChange(basis, configuration, options));
+}
+
+/** Edits the configuration at its latest version; other changes in between are taken in. */
+export async function editConfiguration(context: NodeContext, edit: ConfigurationEdit, options: ChangeOptions = {}): Promise<ChangeOutcome> {
+	let outcome: ChangeOutcome = {kind: 'not-done', reason: 'other changes went first'};
+	for (let attempt = 0; attempt < editAttempts; attempt++) {
+		const read = await readRecord(context);
+		if (read.kind !== 'done') {
+			return {kind: 'not-done', reason: read.kind === 'not-done' ? read.reason : 'the table can\'t be read'};
 		}
 
-		case 'not-done': {
-			return outcome;
+		const edited = edit(read.value.configuration);
+		if (!edited.ok) {
+			return {kind: 'refused', reason: edited.error};
 		}
 
-		case 'unknown': {
-			return resolveChange(context, changeId, expectedVersion);
+		outcome = await commitChange(context, createChange(read.value, edited.value, options));
+		if (outcome.kind !== 'conflict') {
+			return outcome;
 		}
 	}
+
+	return outcome;
 }
 
-async function resolveChange(context: NodeContext, changeId: string, expectedVersion: number): Promise<ChangeOutcome> {
-	const row = await context.platform.table.get(rowKeys.configuration);
-	if (row.kind !== 'done') {
-		return {kind: 'unknown', reason: 'the table can\'t be read back'};
-	}
+/** Reads the configuration's row. */
+export async function readRecord(context: NodeContext): Promise<TableOutcome<VersionedRecord>> {
+	const outcome = await context.platform.table.get(rowKeys.configuration);
+	return outcome.kind === 'done' ? {kind: 'done', value: parseRow(outcome.value)} : outcome;
+}
 
-	if (row.value?.changeId === changeId) {
-		return {kind: 'committed', version: row.value.version};
-	}
+function parseRow(row: Row | undefined): VersionedRecord {
+	return row ? {version: row.version, ...configurationRecordSchema.parse(row.value)} : emptyRecord;
+}
+
+function createChange(basis: VersionedRecord, configuration: Configuration, options: ChangeOptions): Change {
+	const {author = defaultAuthor, restriction} = options;
+	return {
+		basis,
+		configuration,
+		change: {
+			version: basis.version + 1, changeId: createIdentifier(), author, ...(restriction !== undefined && {restriction}),
+		},
+	};
+}
+
+async function commitChange(context: NodeContext, {basis, configuration, change}: Change): Promise<ChangeOutcome> {
+	const record = {history: appendChange(basis.history, change), configuration};
+	const write = {key: rowKeys.configuration, expectedVersion: basis.version, value: record};
+	const endsAt = context.clock.monotonic() + resolveMilliseconds;
+	let lostReason: string | undefined;
+	do {
+		const outcome = await context.platform.table.transact(change.changeId, [write]);
+		switch (outcome.kind) {
+			case 'done': {
+				return announce(context, {version: change.version, ...record}, change.changeId);
+			}
+
+			case 'conflict': {
+				const current = parseRow(outcome.rows[0]);
+				const isOwn = current.history.some(({changeId}) => changeId === change.changeId);
+				return isOwn
+					? announce(context, {version: change.version, ...record}, change.changeId)
+					: judgeConflict(current, change, lostReason !== undefined);
+			}
+
+			case 'not-done': {
+				if (lostReason === undefined) {
+					return outcome;
+				}
+
+				break;
+			}
+
+			case 'unknown': {
+				lostReason = outcome.reason;
+				break;
+			}
+		}
+
+		await delay(retryPauseMilliseconds);
+	} while (context.clock.monotonic() < endsAt);
+
+	return {kind: 'unknown', reason: `the table's answer was lost: ${lostReason ?? ''}`, changeId: change.changeId};
+}
+
+function announce(context: NodeContext, record: VersionedRecord, changeId: string): ChangeOutcome {
+	context.bus.publish({type: 'configuration-learned', record, source: 'change'});
+	return {kind: 'committed', version: record.version, changeId};
+}
 
-	const version = row.value?.version ?? 0;
-	// The write may still arrive while the row is at the expected version.
-	return version > expectedVersion ? {kind: 'conflict', version} : {kind: 'unknown', reason: 'the change may still take effect'};
+/** A change that may have been sent and isn't in the history lost, unless the history no longer reaches back to it. */
+function judgeConflict(current: VersionedRecord, change: CommittedChange, wasLost: boolean): ChangeOutcome {
+	const reachesBack = current.history.some(({version}) => version === change.version);
+	return reachesBack || !wasLost
+		? {kind: 'conflict', version: current.version, winner: current.history.find(({version}) => version === change.version) ?? current.history.at(-1)}
+		: {kind: 'unknown', reason: 'the row\'s history no longer tells', changeId: change.changeId};
 }
--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -1,9 +1,14 @@
 /**
  * Keeps the configuration in force: reads it from the table, takes it from
- * peers, and never goes back to a lower version.
+ * peers and passes it on at once, and never goes back to a lower version.
  */
-import {type VersionedConfiguration, parseConfiguration} from '@catkindale/policy';
+import {isDeepStrictEqual} from 'node:util';
+import {type VersionedConfiguration, type VersionedRecord, parseConfiguration} from '@catkindale/policy';
+import type {PeerMessage} from '@catkindale/protocol';
+import {readRecord} from './configuration-change.js';
+import {createConfigurationStore} from './configuration-store.js';
 import {rowKeys, roles} from './constants.js';
+import {isKnowledgeCurrent} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
 
@@ -14,42 +19,85 @@
 	roles,
 	order: startOrder,
 	async start(context) {
-		let current: VersionedConfiguration = {
-			version: 0, configuration: {
-				regions: [], links: [], customers: [], keys: [], services: [], routes: [], targets: [], rollouts: [], shifts: [], drains: [], clientBlocks: [],
-			},
+		const {bus} = context;
+		const store = createConfigurationStore();
+		let inForce: VersionedConfiguration | undefined;
+
+		const putInForce = (): void => {
+			const effective = store.getEffective();
+			if (!effective || isDeepStrictEqual(effective, inForce)) {
+				return;
+			}
+
+			if (effective.version !== inForce?.version) {
+				context.logger.info('configuration_in_force', {version: effective.version});
+			}
+
+			inForce = effective;
+			bus.publish({type: 'configuration-changed', ...effective});
 		};
 
-		const accept = (candidate: VersionedConfiguration, source: string): void => {
-			if (candidate.version <= current.version) {
+		const learn = (record: VersionedRecord, source: string): void => {
+			if (!store.learn(record)) {
 				return;
 			}
 
-			current = candidate;
-			context.logger.info('configuration_in_force', {version: candidate.version, source});
-			context.bus.publish({type: 'configuration-changed', ...candidate});
+			context.logger.info('configuration_known', {version: record.version, source});
+			bus.publish({type: 'peer-broadcast', message: createMessage(record)});
+			putInForce();
+			bus.publish({type: 'configuration-known', record});
 		};
 
 		const poll = async (): Promise<void> => {
-			const read = await readConfiguration(context);
-			if (read) {
-				accept(read, 'table');
+			const startedAt = context.clock.monotonic();
+			const record = await readTable(context);
+			if (!record) {
+				return;
+			}
+
+			store.release();
+			learn(record, 'table');
+			putInForce();
+			if (record.version < store.getKnown().version) {
+				context.logger.warn('table_behind', {version: record.version, known: store.getKnown().version});
+				return;
 			}
+
+			bus.publish({type: 'configuration-read', startedAt});
+			bus.publish({type: 'table-read'});
 		};
 
 		const work = startPeriodicWork(poll, context.settings.timing.tablePollMilliseconds);
 		const endings = [
-			context.bus.subscribe('configuration-committed', work.runSoon),
-			context.bus.subscribe('peer-connected', ({id}) => {
-				if (current.version > 0) {
-					context.bus.publish({type: 'peer-send', to: id, message: {type: 'configuration', ...current}});
+			bus.subscribe('configuration-committed', work.runSoon),
+			bus.subscribe('configuration-learned', ({record, source}) => {
+				learn(record, source);
+			}),
+			bus.subscribe('peer-connected', ({id}) => {
+				const known = store.getKnown();
+				if (known.version > 0) {
+					bus.publish({type: 'peer-send', to: id, message: createMessage(known)});
 				}
 			}),
-			context.bus.subscribe('peer-received', ({from, message}) => {
+			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'configuration') {
-					accept({version: message.version, configuration: message.configuration}, from);
+					learn(message, from);
+				}
+			}),
+			bus.subscribe('freshness-changed', ({validity}) => {
+				if (isKnowledgeCurrent(validity, context.clock)) {
+					store.release();
+					putInForce();
 				}
 			}),
+			bus.subscribe('restrictions-changed', ({restrictions}) => {
+				store.setRestrictions(restrictions);
+				putInForce();
+			}),
+			bus.subscribe('leaving-targets-changed', ({targets}) => {
+				store.setLeavingTargets(targets);
+				putInForce();
+			}),
 		];
 		await poll();
 		return {
@@ -64,23 +112,24 @@
 	},
 });
 
-async function readConfiguration(context: NodeContext): Promise<VersionedConfiguration | undefined> {
-	const outcome = await context.platform.table.get(rowKeys.configuration);
+function createMessage({version, history, configuration}: VersionedRecord): PeerMessage {
+	return {
+		type: 'configuration', version, history, configuration,
+	};
+}
+
+async function readTable(context: NodeContext): Promise<VersionedRecord | undefined> {
+	const outcome = await readRecord(context);
 	if (outcome.kind !== 'done') {
 		context.logger.warn('table_read_failed', {row: rowKeys.configuration, outcome: outcome.kind});
 		return undefined;
 	}
 
-	context.bus.publish({type: 'table-read'});
-	if (!outcome.value) {
-		return undefined;
-	}
-
-	const parsed = parseConfiguration(outcome.value.value);
-	if (!parsed.ok) {
+	const parsed = outcome.value.version === 0 ? undefined : parseConfiguration(outcome.value.configuration);
+	if (parsed && !parsed.ok) {
 		context.logger.error('configuration_unreadable', {version: outcome.value.version, reason: parsed.error[0]?.reason});
 		return undefined;
 	}
 
-	return {version: outcome.value.version, configuration: parsed.value};
+	return outcome.value;
 }
--- /dev/null
+++ b/packages/node/src/configuration-store.ts
@@ -0,0 +1,62 @@
+/**
+ * What a node knows of the configuration and what it puts in force: the
+ * highest known version, held back until the node's knowledge has been
+ * current once, with all restrictions applied.
+ */
+import {
+	type Configuration, type Restriction, type VersionedConfiguration, type VersionedRecord, restrictConfiguration,
+} from '@catkindale/policy';
+import {emptyRecord} from './configuration-change.js';
+
+export type ConfigurationStore = {
+	getKnown: () => VersionedRecord;
+	/** Takes a record of a higher version; false for any other. */
+	learn: (record: VersionedRecord) => boolean;
+	/** Allows what is known to be in force; until then nothing is. */
+	release: () => void;
+	setRestrictions: (restrictions: readonly Restriction[]) => void;
+	setLeavingTargets: (targets: ReadonlySet<string>) => void;
+	/** What is in force; undefined before anything is. */
+	getEffective: () => VersionedConfiguration | undefined;
+};
+
+export function createConfigurationStore(): ConfigurationStore {
+	let known = emptyRecord;
+	let isReleased = false;
+	let restrictions: readonly Restriction[] = [];
+	let leavingTargets: ReadonlySet<string> = new Set();
+	return {
+		getKnown: () => known,
+		learn(record) {
+			if (record.version <= known.version) {
+				return false;
+			}
+
+			known = record;
+			return true;
+		},
+		release() {
+			isReleased = true;
+		},
+		setRestrictions(next) {
+			restrictions = next;
+		},
+		setLeavingTargets(next) {
+			leavingTargets = next;
+		},
+		getEffective() {
+			if (!isReleased || known.version === 0) {
+				return undefined;
+			}
+
+			const restricted = restrictConfiguration(known.configuration, restrictions);
+			return {version: known.version, configuration: drainTargets(restricted, leavingTargets)};
+		},
+	};
+}
+
+function drainTargets(configuration: Configuration, leaving: ReadonlySet<string>): Configuration {
+	const names = configuration.targets.map(target => target.name).filter(name => leaving.has(name));
+	const drains = names.map(name => ({kind: 'target' as const, name}));
+	return drains.length === 0 ? configuration : {...configuration, drains: [...configuration.drains, ...drains]};
+}
--- /dev/null
+++ b/packages/node/src/cut-action.ts
@@ -0,0 +1,39 @@
+/**
+ * `POST /v1/testing/cuts`: cuts this node off from named peers and from the
+ * table without a word to either side, for tests of cut regions. Refused
+ * unless the settings allow it.
+ */
+import {z} from 'zod';
+import type {TableService} from '@catkindale/platform';
+import {registerAdminAction} from './admin-actions.js';
+import type {Cuts} from './node-context.js';
+
+const cutsSchema = z.strictObject({peers: z.array(z.string()).default([]), table: z.boolean().default(false)});
+
+const cutReason = 'the connection is cut';
+
+registerAdminAction({
+	name: 'cuts',
+	method: 'POST',
+	path: '/v1/testing/cuts',
+	async run(context, _state, request) {
+		if (!context.settings.testing.allowCuts) {
+			return {status: 403, body: {result: 'refused', detail: 'the settings don\'t allow cuts'}};
+		}
+
+		const {peers, table} = cutsSchema.parse(JSON.parse(request.body));
+		context.cuts.peers = new Set(peers);
+		context.cuts.isTableCut = table;
+		return {status: 200, body: {result: 'done'}};
+	},
+});
+
+/** The table as seen over a connection that can be cut. */
+export function createCuttableTable(table: TableService, cuts: Cuts): TableService {
+	return {
+		get: async key => cuts.isTableCut ? {kind: 'not-done', reason: cutReason} : table.get(key),
+		list: async prefix => cuts.isTableCut ? {kind: 'not-done', reason: cutReason} : table.list(prefix),
+		transact: async (changeId, writes) => cuts.isTableCut ? {kind: 'not-done', reason: cutReason} : table.transact(changeId, writes),
+		close: async () => table.close(),
+	};
+}
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -14,11 +14,15 @@
 	order: startOrder,
 	async start(context) {
 		let members: readonly Member[] = [];
+		let unavailable: ReadonlySet<string> = new Set();
 		let services = new Set<string>();
 		const endings = [
 			context.bus.subscribe('membership-changed', message => {
 				members = message.members;
 			}),
+			context.bus.subscribe('unavailable-members-changed', message => {
+				unavailable = message.ids;
+			}),
 			context.bus.subscribe('configuration-changed', ({configuration}) => {
 				services = new Set(configuration.services.map(service => service.name));
 			}),
@@ -34,7 +38,7 @@
 				return;
 			}
 
-			const live = members.filter(member => member.state === 'live');
+			const live = members.filter(member => member.state === 'live' && !unavailable.has(member.id));
 			const ranked = rankMembers(request.socket.remoteAddress ?? '', live);
 			const {region} = context.settings.node;
 			const ordered = [...ranked.filter(member => member.region === region), ...ranked.filter(member => member.region !== region)];
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -8,6 +8,7 @@
 import {
 	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
 } from './exchange.js';
+import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
@@ -23,6 +24,7 @@
 
 type EntryState = Omit<EntryParts, 'routing'> & {
 	routing: RoutingTable | undefined;
+	validity: KnowledgeValidity;
 	readonly quotas: RequestQuotas;
 	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
 };
@@ -37,6 +39,7 @@
 		const state: EntryState = {
 			context,
 			routing: undefined,
+			validity: noValidity,
 			quotas: createRequestQuotas(settings.node.name, context.clock),
 			selector: createTargetSelector(slots),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
@@ -51,6 +54,9 @@
 				slots.setTargets(configuration.targets);
 				state.pools.setTargets(configuration.targets);
 			}),
+			bus.subscribe('freshness-changed', ({validity}) => {
+				state.validity = validity;
+			}),
 			bus.subscribe('membership-changed', ({members}) => {
 				state.quotas.setMembers(members);
 				slots.setMembers(members);
@@ -78,7 +84,7 @@
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
 	const requestId = createIdentifier();
-	const checked = checkRequest(request, state.routing, state.quotas);
+	const checked = checkRequest(request, state.routing, state.quotas, isKnowledgeCurrent(state.validity, state.context.clock));
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
--- /dev/null
+++ b/packages/node/src/freshness-plugin.ts
@@ -0,0 +1,196 @@
+/**
+ * Knows how old this node's knowledge is, tells its peers by heartbeats, and
+ * publishes until when the knowledge may be used and which members look-ups
+ * should leave out.
+ */
+import {isDeepStrictEqual} from 'node:util';
+import {
+	type Attestation, type Knowledge, type Member, createKnowledge, getKnowledgeAge, getTableAge,
+} from '@catkindale/policy';
+import type {HeartbeatMessage} from '@catkindale/protocol';
+import {roles} from './constants.js';
+import {createEchoBook} from './freshness-echoes.js';
+import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
+import {nodePlugins} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
+
+const startOrder = 12;
+
+nodePlugins.register({
+	name: 'freshness',
+	roles,
+	order: startOrder,
+	async start(context) {
+		const {bus, clock, logger, settings} = context;
+		const ownId = settings.node.name;
+		const limit = settings.timing.freshnessLimitMilliseconds;
+		const echoes = createEchoBook();
+		const attestations = new Map<string, Attestation>();
+		const connected = new Set<string>();
+		const refusing = new Set<string>();
+		let knowledge: Knowledge = {...createKnowledge(ownId), attestations};
+		let members: readonly Member[] = [];
+		let isLedgerRead = false;
+		let isDraining = false;
+		let drained: ReadonlySet<string> = new Set();
+		let leaving: ReadonlySet<string> = new Set();
+		let wasCurrent = false;
+		let validity: KnowledgeValidity = noValidity;
+		let unavailable: ReadonlySet<string> = new Set();
+
+		const reportUnavailable = (isCurrent: boolean): void => {
+			const ids = new Set<string>();
+			for (const {id} of members) {
+				const isUsable = id === ownId ? isCurrent && !isDraining : isPeerUsable(isCurrent, connected.has(id), refusing.has(id));
+				if (!isUsable || drained.has(id) || leaving.has(id)) {
+					ids.add(id);
+				}
+			}
+
+			if (!isDeepStrictEqual(ids, unavailable)) {
+				unavailable = ids;
+				bus.publish({type: 'unavailable-members-changed', ids});
+			}
+		};
+
+		const evaluate = (): void => {
+			const now = clock.monotonic();
+			const left = limit - getKnowledgeAge(knowledge, now);
+			const isCurrent = left > 0;
+			if (isCurrent) {
+				validity = {untilMonotonic: now + left, untilWall: clock.wall() + left};
+				knowledge = {...knowledge, isEstablished: true};
+				bus.publish({type: 'freshness-changed', validity});
+			}
+
+			if (isCurrent !== wasCurrent) {
+				wasCurrent = isCurrent;
+				logger.info('freshness', {state: isCurrent ? 'current' : 'out-of-date'});
+			}
+
+			reportUnavailable(isCurrent);
+		};
+
+		const createHeartbeat = (sequence: number, peer: string): HeartbeatMessage => {
+			const tableAge = getTableAge(knowledge, clock.monotonic());
+			const echo = echoes.getEcho(peer);
+			return {
+				type: 'heartbeat',
+				sequence,
+				configurationVersion: knowledge.version,
+				isEstablished: knowledge.isEstablished,
+				isServing: !isDraining && isKnowledgeCurrent(validity, clock),
+				...(echo !== undefined && {echo}),
+				...(Number.isFinite(tableAge) && {tableAgeMilliseconds: Math.max(0, tableAge)}),
+			};
+		};
+
+		const beat = (peers: Iterable<string> = connected): void => {
+			const sequence = echoes.begin(clock.monotonic());
+			for (const peer of peers) {
+				bus.publish({type: 'peer-send', to: peer, message: createHeartbeat(sequence, peer)});
+			}
+		};
+
+		const receive = (peer: string, heartbeat: HeartbeatMessage): void => {
+			const sentAt = echoes.receive(peer, heartbeat.sequence, heartbeat.echo);
+			if (heartbeat.isServing) {
+				refusing.delete(peer);
+			} else {
+				refusing.add(peer);
+			}
+
+			if (sentAt !== undefined) {
+				attestations.set(peer, {
+					sentAt,
+					version: heartbeat.configurationVersion,
+					isEstablished: heartbeat.isEstablished,
+					tableAgeMilliseconds: heartbeat.tableAgeMilliseconds ?? Number.POSITIVE_INFINITY,
+				});
+			}
+
+			evaluate();
+			if (heartbeat.echo === undefined) {
+				beat([peer]);
+			}
+		};
+
+		const setMembers = (next: readonly Member[]): void => {
+			members = next;
+			knowledge = {...knowledge, members};
+			evaluate();
+		};
+
+		const work = startPeriodicWork(async () => {
+			evaluate();
+			beat();
+		}, settings.timing.heartbeatMilliseconds);
+		const endings = [
+			bus.subscribe('configuration-known', ({record}) => {
+				knowledge = {...knowledge, version: record.version};
+				evaluate();
+				beat();
+			}),
+			bus.subscribe('configuration-read', ({startedAt}) => {
+				knowledge = {...knowledge, tableReadAt: startedAt};
+				evaluate();
+			}),
+			bus.subscribe('membership-changed', message => {
+				isLedgerRead = true;
+				setMembers(message.members);
+			}),
+			bus.subscribe('peer-connected', ({id}) => {
+				echoes.forget(id);
+				attestations.delete(id);
+				connected.add(id);
+				beat([id]);
+				if (members.length > 0) {
+					bus.publish({type: 'peer-send', to: id, message: {type: 'known-members', members: [...members]}});
+				}
+			}),
+			bus.subscribe('peer-disconnected', ({id}) => {
+				connected.delete(id);
+				evaluate();
+			}),
+			bus.subscribe('peer-received', ({from, message}) => {
+				if (message.type === 'heartbeat') {
+					receive(from, message);
+				}
+
+				if (message.type === 'known-members' && !isLedgerRead) {
+					bus.publish({type: 'members-heard', members: message.members});
+					setMembers(message.members);
+				}
+			}),
+			bus.subscribe('configuration-changed', ({configuration}) => {
+				drained = new Set(configuration.drains.filter(({kind}) => kind === 'vm').map(({name}) => name));
+				evaluate();
+			}),
+			bus.subscribe('machines-listed', ({machines}) => {
+				leaving = new Set(machines.filter(({state}) => state === 'leaving').map(({id}) => id));
+				evaluate();
+			}),
+			bus.subscribe('drain-started', () => {
+				isDraining = true;
+				evaluate();
+				beat();
+			}),
+		];
+		return {
+			async stop() {
+				await work.stop();
+				for (const end of endings) {
+					end();
+				}
+			},
+		};
+	},
+});
+
+/**
+ * A node whose knowledge is current trusts what it hears. One that may be cut
+ * off sends callers to the members that it doesn't hear.
+ */
+function isPeerUsable(isOwnCurrent: boolean, isConnected: boolean, isRefusing: boolean): boolean {
+	return isOwnCurrent ? isConnected && !isRefusing : !(isConnected && isRefusing);
+}
--- /dev/null
+++ b/packages/node/src/freshness-validity.ts
@@ -0,0 +1,20 @@
+/**
+ * How long a node's knowledge may be used without another proof that it is
+ * current. Both clocks bound it, so that a paused process or VM finds its
+ * knowledge out of date before it serves anything.
+ */
+import type {Clock} from '@catkindale/common';
+
+export type KnowledgeValidity = {
+	/** Milliseconds by the monotonic clock. */
+	readonly untilMonotonic: number;
+	/** Milliseconds by the wall clock. */
+	readonly untilWall: number;
+};
+
+/** The validity of a node that knows nothing yet. */
+export const noValidity: KnowledgeValidity = {untilMonotonic: Number.NEGATIVE_INFINITY, untilWall: Number.NEGATIVE_INFINITY};
+
+export function isKnowledgeCurrent(validity: KnowledgeValidity, clock: Clock): boolean {
+	return clock.monotonic() < validity.untilMonotonic && clock.wall() < validity.untilWall;
+}
--- /dev/null
+++ b/packages/node/src/key-action.ts
@@ -0,0 +1,61 @@
+/**
+ * `POST /v1/keys/grant` and `POST /v1/keys/withdraw`: a grant is valid only
+ * from the table, a withdrawal is in force at once.
+ */
+import {z} from 'zod';
+import {createIdentifier, fail, succeed} from '@catkindale/common';
+import {type Configuration, type CustomerKey, keySchema} from '@catkindale/policy';
+import {registerAdminAction} from './admin-actions.js';
+import {reportChange} from './change-report.js';
+import {type ConfigurationEdit, editConfiguration} from './configuration-change.js';
+import {parseActionBody} from './action-body.js';
+import {restrict} from './restriction-action.js';
+
+const author = z.string().default('operator');
+const grantSchema = z.strictObject({...keySchema.shape, author});
+const withdrawSchema = z.strictObject({hash: keySchema.shape.hash, author});
+
+registerAdminAction({
+	name: 'key-grant',
+	method: 'POST',
+	path: '/v1/keys/grant',
+	async run(context, state, request) {
+		const body = parseActionBody(grantSchema, request.body);
+		if (!body.ok) {
+			return body.error;
+		}
+
+		const {customer, hash} = body.value;
+		const outcome = await editConfiguration(context, addKey({customer, hash}), {author: body.value.author});
+		context.logger.info('key_grant', {customer, outcome: outcome.kind});
+		return reportChange(context, state, outcome);
+	},
+});
+
+registerAdminAction({
+	name: 'key-withdraw',
+	method: 'POST',
+	path: '/v1/keys/withdraw',
+	async run(context, state, request) {
+		const body = parseActionBody(withdrawSchema, request.body);
+		if (!body.ok) {
+			return body.error;
+		}
+
+		return restrict(context, state, {id: createIdentifier(), kind: 'key-withdrawn', ...body.value});
+	},
+});
+
+function addKey(key: CustomerKey): ConfigurationEdit {
+	return (current: Configuration) => {
+		if (current.customers.every(customer => customer.name !== key.customer)) {
+			return fail(`there is no customer "${key.customer}"`);
+		}
+
+		if (current.keys.some(known => known.hash === key.hash)) {
+			return fail('the key is granted already');
+		}
+
+		return succeed({...current, keys: [...current.keys, key]});
+	};
+}
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -5,7 +5,7 @@
 import {randomBytes} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {
-	type HelloMessage, type PeerMessage, createFrameReader, createProofCode, encodeFrame, isProofCode, parsePeerMessage, protocolVersion,
+	type HelloMessage, type PeerMessage, createFrameReader, createProofCode, encodeFrame, handshakeFrameBytes, isProofCode, maximumFrameBytes, parsePeerMessage, protocolVersion,
 } from '@catkindale/protocol';
 
 export type LinkIdentity = {readonly id: string; readonly incarnation: string};
@@ -13,7 +13,11 @@
 export type LinkOptions = {
 	readonly socket: Socket;
 	readonly own: LinkIdentity;
+	/** Whether this node opened the connection. */
+	readonly isDialed: boolean;
 	readonly secret: string;
+	/** A proven peer that sends nothing for so long is taken as gone. */
+	readonly silenceMilliseconds: number;
 	readonly handshakeTimeoutMilliseconds: number;
 	readonly onReady: (link: MeshLink) => void;
 	readonly onMessage: (link: MeshLink, message: PeerMessage) => void;
@@ -23,6 +27,7 @@
 export type MeshLink = {
 	/** Undefined until the peer has proved its membership. */
 	readonly peer: LinkIdentity | undefined;
+	readonly isDialed: boolean;
 	send: (message: PeerMessage) => void;
 	close: (reason: string) => void;
 };
@@ -37,7 +42,7 @@
 
 export function openLink(options: LinkOptions): MeshLink {
 	const {socket, own, secret} = options;
-	const reader = createFrameReader();
+	const reader = createFrameReader(handshakeFrameBytes);
 	const nonce = randomBytes(nonceBytes).toString('hex');
 	let state: LinkState = {kind: 'awaiting-hello'};
 	let closeReason = 'closed by peer';
@@ -46,6 +51,7 @@
 		get peer() {
 			return state.kind === 'ready' ? state.peer : undefined;
 		},
+		isDialed: options.isDialed,
 		send(message) {
 			if (socket.writableLength > maximumQueuedBytes) {
 				link.close('the peer reads too slowly');
@@ -83,7 +89,9 @@
 			return;
 		}
 
-		socket.setTimeout(0);
+		clearTimeout(handshakeTimer);
+		socket.setTimeout(options.silenceMilliseconds);
+		reader.setLimit(maximumFrameBytes);
 		state = {kind: 'ready', peer: {id: hello.id, incarnation: hello.incarnation}};
 		options.onReady(link);
 	};
@@ -115,8 +123,11 @@
 
 	socket.setNoDelay(true);
 	socket.setTimeout(options.handshakeTimeoutMilliseconds, () => {
-		link.close('no handshake in time');
+		link.close('the peer is silent');
 	});
+	const handshakeTimer = setTimeout(() => {
+		link.close('no handshake in time');
+	}, options.handshakeTimeoutMilliseconds);
 	socket.on('data', (chunk: Uint8Array) => {
 		const frames = reader.push(chunk);
 		if (!frames.ok) {
@@ -136,6 +147,7 @@
 		closeReason = error.message;
 	});
 	socket.on('close', () => {
+		clearTimeout(handshakeTimer);
 		options.onClosed(link, closeReason);
 	});
 	link.send({
--- a/packages/node/src/mesh-plugin.ts
+++ b/packages/node/src/mesh-plugin.ts
@@ -1,6 +1,6 @@
 /**
  * Owns the connections between nodes. Dials the members that have no link,
- * spreads broadcasts and shows by heartbeats that this node lives.
+ * spreads broadcasts and ends links that have gone silent.
  */
 import {type Socket, connect, createServer} from 'node:net';
 import type {Member} from '@catkindale/policy';
@@ -12,6 +12,8 @@
 
 const startOrder = 10;
 const handshakeTimeoutMilliseconds = 3000;
+const minimumSilenceMilliseconds = 3000;
+const heartbeatsBeforeSilence = 6;
 
 nodePlugins.register({
 	name: 'mesh',
@@ -24,24 +26,34 @@
 		const openLinks = new Set<MeshLink>();
 		const dialing = new Set<string>();
 		let members: readonly Member[] = [];
-		let configurationVersion = 0;
+		let isLedgerRead = false;
 
 		const adopt = (socket: Socket, dialed?: string): void => {
 			const link = openLink({
 				socket,
 				own,
+				isDialed: dialed !== undefined,
 				secret: settings.secrets.peer,
 				handshakeTimeoutMilliseconds,
+				silenceMilliseconds: Math.max(minimumSilenceMilliseconds, heartbeatsBeforeSilence * settings.timing.heartbeatMilliseconds),
 				onReady(ready) {
 					const id = ready.peer?.id ?? '';
 					const previous = links.get(id);
+					if (previous && isPreferredLink(own.id, previous, ready)) {
+						ready.close('there is a link already');
+						return;
+					}
+
 					links.set(id, ready);
 					previous?.close('replaced by a newer link');
 					logger.info('peer_connected', {peer: id});
 					bus.publish({type: 'peer-connected', id});
 				},
 				onMessage(ready, message) {
-					bus.publish({type: 'peer-received', from: ready.peer?.id ?? '', message});
+					const from = ready.peer?.id ?? '';
+					if (links.get(from) === ready && !context.cuts.peers.has(from)) {
+						bus.publish({type: 'peer-received', from, message});
+					}
 				},
 				onClosed(closed, reason) {
 					openLinks.delete(closed);
@@ -67,19 +79,18 @@
 		};
 
 		const maintain = async (): Promise<void> => {
-			// The member with the lower identifier dials, so that pairs get one link.
-			const missing = members.filter(member => own.id < member.id && !links.has(member.id));
+			// The member with the lower identifier dials, so that pairs get one link. A
+			// node that couldn't read the table dials all, since none knows its address.
+			const missing = members.filter(member => member.id !== own.id && (own.id < member.id || !isLedgerRead) && !links.has(member.id));
 			for (const member of missing) {
 				dial(member.peerAddress);
 			}
 
-			if (members.length === 0) {
+			if (!isLedgerRead && links.size === 0) {
 				for (const address of settings.peers) {
 					dial(address);
 				}
 			}
-
-			bus.publish({type: 'peer-broadcast', message: {type: 'heartbeat', configurationVersion, tableAgeMilliseconds: 0}});
 		};
 
 		const server = createServer(socket => {
@@ -88,19 +99,25 @@
 		context.bound.peer = await listenOn(server, settings.listen.peer);
 		const endings = [
 			bus.subscribe('peer-send', ({to, message}) => {
-				links.get(to)?.send(message);
+				if (!context.cuts.peers.has(to)) {
+					links.get(to)?.send(message);
+				}
 			}),
 			bus.subscribe('peer-broadcast', ({message}) => {
-				for (const link of links.values()) {
-					link.send(message);
+				for (const [id, link] of links) {
+					if (!context.cuts.peers.has(id)) {
+						link.send(message);
+					}
 				}
 			}),
 			bus.subscribe('membership-changed', message => {
+				isLedgerRead = true;
 				members = message.members;
 				work.runSoon();
 			}),
-			bus.subscribe('configuration-changed', message => {
-				configurationVersion = message.version;
+			bus.subscribe('members-heard', message => {
+				members = message.members;
+				work.runSoon();
 			}),
 		];
 		const work = startPeriodicWork(maintain, settings.timing.heartbeatMilliseconds);
@@ -124,3 +141,16 @@
 		};
 	},
 });
+
+/**
+ * Two nodes that dial each other at once agree on the link that the lower
+ * identifier dialled. A new incarnation of the peer always replaces.
+ */
+function isPreferredLink(ownId: string, previous: MeshLink, next: MeshLink): boolean {
+	if (previous.peer?.incarnation !== next.peer?.incarnation) {
+		return false;
+	}
+
+	const isLowerDialing = (link: MeshLink): boolean => link.isDialed === (ownId < (link.peer?.id ?? ''));
+	return isLowerDialing(previous) && !isLowerDialing(next);
+}
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -25,6 +25,9 @@
 /** Addresses in use, known once the sockets listen. */
 export type BoundAddresses = {caller: string; peer: string; admin: string; metrics: string};
 
+/** Connections that a test cut on purpose; empty unless the settings allow cuts. */
+export type Cuts = {peers: ReadonlySet<string>; isTableCut: boolean};
+
 export type NodeContext = {
 	readonly settings: Settings;
 	readonly incarnation: string;
@@ -35,6 +38,7 @@
 	readonly platform: Platform;
 	readonly callerHandlers: CallerHandlers;
 	readonly bound: BoundAddresses;
+	readonly cuts: Cuts;
 };
 
 /** The plug-ins of a node register here when their modules are loaded. */
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,9 +1,10 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	Member, Route, Target, VersionedConfiguration,
+	Member, Restriction, Route, Target, VersionedConfiguration, VersionedRecord,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
+import type {KnowledgeValidity} from './freshness-validity.js';
 import type {AttemptResult} from './target-selector.js';
 import type {VersionShare} from './version-chooser.js';
 
@@ -16,6 +17,26 @@
 		| {readonly type: 'table-read'}
 	/** An operator's change was committed and should be read at once. */
 		| {readonly type: 'configuration-committed'; readonly version: number}
+	/** A committed configuration, from the table, a peer or a change of this node. */
+		| {readonly type: 'configuration-learned'; readonly record: VersionedRecord; readonly source: string}
+	/** The highest version that this node knows; it may not be in force here yet. */
+		| {readonly type: 'configuration-known'; readonly record: VersionedRecord}
+	/** The configuration's row was read; the read began at this monotonic time. */
+		| {readonly type: 'configuration-read'; readonly startedAt: number}
+	/** How long what this node knows may be taken as current. */
+		| {readonly type: 'freshness-changed'; readonly validity: KnowledgeValidity}
+	/** Members that look-ups leave out: silent, draining or doubtful ones. */
+		| {readonly type: 'unavailable-members-changed'; readonly ids: ReadonlySet<string>}
+	/** The members as a peer knows them, while the table can't be read. */
+		| {readonly type: 'members-heard'; readonly members: readonly Member[]}
+	/** An operator's restriction, to be in force at once on all nodes. */
+		| {readonly type: 'restriction-issued'; readonly restriction: Restriction}
+	/** The restrictions that no configuration contains yet. */
+		| {readonly type: 'restrictions-changed'; readonly restrictions: readonly Restriction[]}
+	/** A target's own answer says that it is leaving. */
+		| {readonly type: 'target-leaving-seen'; readonly target: string}
+	/** The targets that leave by the platform's list or by their own word. */
+		| {readonly type: 'leaving-targets-changed'; readonly targets: ReadonlySet<string>}
 	/** To one member; lost when there is no link to it. */
 		| {readonly type: 'peer-send'; readonly to: string; readonly message: PeerMessage}
 	/** To every member that can be reached. */
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -6,12 +6,14 @@
 import type {RequestQuotas} from './request-quotas.js';
 import type {RoutingTable} from './routing-table.js';
 
+const staleRetryMilliseconds = 1000;
+
 export type CheckedRequest
 	/** The customer is undefined on a route that is open to all. */
 	= | {readonly kind: 'admitted'; readonly route: Route; readonly customer: Customer | undefined}
 		| {readonly kind: 'refused'; readonly problem: Problem};
 
-export function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas): CheckedRequest {
+export function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas, isCurrent: boolean): CheckedRequest {
 	if (!routing) {
 		return refuse(503, 'not-configured', 'this VM has no configuration yet');
 	}
@@ -26,6 +28,10 @@
 		return {kind: 'admitted', route, customer: undefined};
 	}
 
+	if (!isCurrent) {
+		return refuse(503, 'knowledge-out-of-date', 'this VM can\'t tell whether keys and rates are current; use another entry', staleRetryMilliseconds);
+	}
+
 	const key = getRequestKey(request);
 	const customer = key === undefined ? undefined : routing.findCustomer(key);
 	if (!customer) {
--- /dev/null
+++ b/packages/node/src/restriction-action.ts
@@ -0,0 +1,28 @@
+/**
+ * The common part of the operators' restrictions: in force on every node that
+ * can be reached at once, then recorded in the table. When the table can't be
+ * written the restriction stays in force and is recorded later.
+ */
+import type {Restriction} from '@catkindale/policy';
+import type {AdminAnswer} from './admin-actions.js';
+import type {AdminState} from './admin-state.js';
+import {reportChange} from './change-report.js';
+import {editConfiguration} from './configuration-change.js';
+import type {NodeContext} from './node-context.js';
+import {addRestriction} from './restriction-plugin.js';
+
+export async function restrict(context: NodeContext, state: AdminState, restriction: Restriction): Promise<AdminAnswer> {
+	context.bus.publish({type: 'restriction-issued', restriction});
+	const outcome = await editConfiguration(context, addRestriction(restriction), {author: restriction.author, restriction: restriction.id});
+	context.logger.info('restrict', {restriction: restriction.id, kind: restriction.kind, outcome: outcome.kind});
+	if (outcome.kind === 'committed') {
+		return reportChange(context, state, outcome);
+	}
+
+	const detail = 'in force on every node that can be reached; not recorded in the table yet, this goes on by itself: see "catkindale status"';
+	return {
+		status: 202, body: {
+			result: 'restricted', restriction: restriction.id, outcome: outcome.kind, detail,
+		},
+	};
+}
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -30,9 +30,11 @@
 	tablePollMilliseconds: z.int().positive().default(500),
 	machineListPollMilliseconds: z.int().positive().default(1000),
 	heartbeatMilliseconds: z.int().positive().default(500),
-	freshnessLimitMilliseconds: z.int().positive().default(5000),
+	freshnessLimitMilliseconds: z.int().positive().default(2500),
 	pauseLimitMilliseconds: z.int().positive().default(2000),
 	graceMilliseconds: z.int().positive().default(30_000),
+	/** How long a stopping node goes on serving callers that hold an older look-up. */
+	lookupHoldMilliseconds: z.int().min(0).default(10_000),
 });
 
 export const settingsSchema = z.strictObject({
@@ -61,6 +63,8 @@
 	}),
 	limits: limitsSchema.prefault({}),
 	timing: timingSchema.prefault({}),
+	/** For tests only: lets an operator cut this node's connections. */
+	testing: z.strictObject({allowCuts: z.boolean().default(false)}).prefault({}),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -8,8 +8,9 @@
 	type DriverSettings, machineListDrivers, objectDrivers, tableDrivers,
 } from '@catkindale/platform';
 import {
-	type BoundAddresses, type NodeContext, type Platform, nodePlugins,
+	type BoundAddresses, type Cuts, type NodeContext, type Platform, nodePlugins,
 } from './node-context.js';
+import {createCuttableTable} from './cut-action.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import './admin-plugin.js';
@@ -17,10 +18,12 @@
 import './configuration-plugin.js';
 import './directory-plugin.js';
 import './entry-plugin.js';
+import './freshness-plugin.js';
 import './machine-list-plugin.js';
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
+import './restriction-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
@@ -38,7 +41,9 @@
 /** Starts the plug-ins of the settings' roles. Rejects if a socket can't be opened. */
 export async function startNode(settings: Settings, parts: NodeParts = {}): Promise<NodeHandle> {
 	const logger = parts.logger ?? createLogger(settings.node.name);
-	const platform = parts.platform ?? openPlatform(settings);
+	const cuts: Cuts = {peers: new Set(), isTableCut: false};
+	const opened = parts.platform ?? openPlatform(settings);
+	const platform = settings.testing.allowCuts ? {...opened, table: createCuttableTable(opened.table, cuts)} : opened;
 	const context: NodeContext = {
 		settings,
 		logger,
@@ -51,6 +56,7 @@
 		bound: {
 			caller: '', peer: '', admin: '', metrics: '',
 		},
+		cuts,
 	};
 	const lifeCycle = await startPlugins(nodePlugins.getPlugins(settings.node.roles), context, logger);
 	logger.info('started', {incarnation: context.incarnation, ...context.bound});
--- a/packages/node/src/status-action.ts
+++ b/packages/node/src/status-action.ts
@@ -1,5 +1,6 @@
-/** `GET /v1/status`: versions in force and members, as this node sees them. */
+/** `GET /v1/status`: versions in force, regions and members, as this node sees them. */
 import {registerAdminAction} from './admin-actions.js';
+import {getForce} from './admin-state.js';
 
 registerAdminAction({
 	name: 'status',
@@ -12,8 +13,21 @@
 			region,
 			zone,
 			state: memberState,
+			isServing: !state.unavailable.has(id),
 			configurationVersion: id === ownName ? state.configuration?.version ?? 0 : state.peerVersions.get(id),
 		}));
-		return {status: 200, body: {node: ownName, configurationVersion: state.configuration?.version ?? 0, members}};
+		const version = state.record?.version ?? 0;
+		const regions = getForce(state, ownName, version).map(({region, isInForce, missing}) => ({region, state: isInForce ? 'in force' : 'not in force', missing}));
+		return {
+			status: 200, body: {
+				node: ownName,
+				configurationVersion: state.configuration?.version ?? 0,
+				knownVersion: version,
+				regions,
+				members,
+				changes: state.record?.history ?? [],
+				restrictions: state.restrictions,
+			},
+		};
 	},
 });
--- /dev/null
+++ b/packages/policy/src/configuration-record.ts
@@ -0,0 +1,31 @@
+/** The configuration as the table's row and the messages between nodes keep it. */
+import {z} from 'zod';
+import {configurationSchema} from './configuration.js';
+
+/** One committed change, kept so that lost answers and lost races can be explained. */
+export const committedChangeSchema = z.object({
+	version: z.int().positive(),
+	changeId: z.string(),
+	author: z.string(),
+	/** The identifier of the restriction that the change recorded. */
+	restriction: z.string().optional(),
+});
+
+export const configurationRecordSchema = z.object({
+	/** The latest changes, oldest first; the last one wrote this version. */
+	history: z.array(committedChangeSchema),
+	configuration: configurationSchema,
+});
+
+export type CommittedChange = z.infer<typeof committedChangeSchema>;
+export type ConfigurationRecord = z.infer<typeof configurationRecordSchema>;
+
+/** A record with the version of its row. */
+export type VersionedRecord = ConfigurationRecord & {readonly version: number};
+
+const maximumHistory = 64;
+
+/** The history after one more change. */
+export function appendChange(history: readonly CommittedChange[], change: CommittedChange): CommittedChange[] {
+	return [...history, change].slice(-maximumHistory);
+}
--- /dev/null
+++ b/packages/policy/src/quorum.ts
@@ -0,0 +1,56 @@
+/**
+ * Quorums over the fleet: a majority of the regions, each by a majority of
+ * its members. Any two such sets share a node.
+ *
+ * Source: Kumar, "Hierarchical quorum consensus: a new algorithm for managing
+ * replicated data", IEEE Transactions on Computers 40(9), 1991.
+ */
+
+export type QuorumMember = {readonly id: string; readonly region: string};
+
+/** How far a version has come in one region. */
+export type RegionForce = {
+	readonly region: string;
+	readonly members: number;
+	/** Members that haven't confirmed the version. */
+	readonly missing: readonly string[];
+	readonly isInForce: boolean;
+	readonly isMajority: boolean;
+};
+
+/**
+ * The smallest value that a quorum of members doesn't exceed; infinite if
+ * there is none. Members without a value count as infinite.
+ */
+export function getQuorumValue(members: readonly QuorumMember[], getValue: (id: string) => number): number {
+	const valuesByRegion = new Map<string, number[]>();
+	for (const {id, region} of members) {
+		valuesByRegion.set(region, [...valuesByRegion.get(region) ?? [], getValue(id)]);
+	}
+
+	const regionValues = [...valuesByRegion.values()].map(values => getMajorityValue(values));
+	return getMajorityValue(regionValues);
+}
+
+/** Where the version is in force, by what each member confirmed. */
+export function getForceByRegion(members: readonly QuorumMember[], getVersion: (id: string) => number, version: number): RegionForce[] {
+	const regions = [...new Set(members.map(member => member.region))].toSorted((left, right) => left.localeCompare(right));
+	return regions.map(region => {
+		const ids = members.filter(member => member.region === region).map(member => member.id);
+		const missing = ids.filter(id => getVersion(id) < version);
+		return {
+			region, members: ids.length, missing, isInForce: missing.length === 0, isMajority: missing.length * 2 < ids.length,
+		};
+	});
+}
+
+/** Whether a quorum has confirmed the version, so that it may be called accepted. */
+export function isQuorum(regions: readonly RegionForce[]): boolean {
+	const reached = regions.filter(region => region.isMajority).length;
+	return reached * 2 > regions.length;
+}
+
+function getMajorityValue(values: readonly number[]): number {
+	const sorted = values.toSorted((left, right) => left - right);
+	return sorted[Math.floor(sorted.length / 2)] ?? Number.POSITIVE_INFINITY;
+}
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -9,12 +9,16 @@
 } from '@catkindale/common';
 
 const lengthBytes = 4;
-const maximumFrameBytes = bytesPerMebibyte;
+export const maximumFrameBytes = bytesPerMebibyte;
+/** Enough for a hello and a proof; what a stranger can make a node hold. */
+export const handshakeFrameBytes = 4096;
 const encoder = new Encoder({mapsAsObjects: true, useRecords: false});
 
 export type FrameReader = {
 	/** Takes the bytes that came in and returns the frames that are whole. */
 	push: (chunk: Uint8Array) => Result<readonly unknown[], string>;
+	/** Changes the size limit for the frames that follow. */
+	setLimit: (bytes: number) => void;
 };
 
 export function encodeFrame(message: unknown): Buffer {
@@ -25,7 +29,8 @@
 	return frame;
 }
 
-export function createFrameReader(): FrameReader {
+export function createFrameReader(initialLimit = maximumFrameBytes): FrameReader {
+	let limit = initialLimit;
 	let pending: Buffer = Buffer.alloc(0);
 	return {
 		push(chunk) {
@@ -33,8 +38,8 @@
 			const frames: unknown[] = [];
 			while (pending.length >= lengthBytes) {
 				const length = pending.readUInt32BE(0);
-				if (length > maximumFrameBytes) {
-					return fail(`a frame of ${length} bytes is above the limit of ${maximumFrameBytes}`);
+				if (length > limit) {
+					return fail(`a frame of ${length} bytes is above the limit of ${limit}`);
 				}
 
 				if (pending.length < lengthBytes + length) {
@@ -52,6 +57,9 @@
 
 			return succeed(frames);
 		},
+		setLimit(bytes) {
+			limit = bytes;
+		},
 	};
 }
 
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -19,9 +19,18 @@
 
 export const heartbeatMessageSchema = z.object({
 	type: z.literal('heartbeat'),
+	/** Rises with each heartbeat of the sender. */
+	sequence: z.int(),
+	/** The last sequence that the sender got from the receiver over this link. */
+	echo: z.int().optional(),
+	/** The highest version that the sender knows. */
 	configurationVersion: z.int(),
 	/** Milliseconds since the table was read by the sender or its relays. */
-	tableAgeMilliseconds: z.number().min(0),
+	tableAgeMilliseconds: z.number().min(0).optional(),
+	/** Whether the sender's knowledge has been current since its start. */
+	isEstablished: z.boolean(),
+	/** Whether look-ups may name the sender. */
+	isServing: z.boolean(),
 });
 
 export type HelloMessage = z.infer<typeof helloMessageSchema>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,7 +1,9 @@
 /** All messages that nodes exchange, as one discriminated union. */
 import {z} from 'zod';
 import {type Result, fail, succeed} from '@catkindale/common';
-import {configurationMessageSchema} from './configuration-messages.js';
+import {
+	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
+} from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
@@ -9,6 +11,9 @@
 	proofMessageSchema,
 	heartbeatMessageSchema,
 	configurationMessageSchema,
+	restrictionsMessageSchema,
+	knownMembersMessageSchema,
+	targetLeavingMessageSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
