--- a/packages/cli/src/check-command.ts
+++ b/packages/cli/src/check-command.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import {readFile} from 'node:fs/promises';
 import type {CommandModule} from 'yargs';
-import {parseManifest} from '@catkindale/node';
+import {formatManifestIssue, parseManifest} from '@catkindale/node';
 import {exitCodes} from './constants.js';
 
 type CheckArguments = {manifest: string};
@@ -19,7 +19,7 @@
 		}
 
 		for (const issue of manifest.error) {
-			process.stderr.write(`${file}: ${issue}\n`);
+			process.stderr.write(`${file}: ${formatManifestIssue(issue)}\n`);
 		}
 
 		process.exitCode = exitCodes.failed;
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,18 +4,22 @@
 import {benchCommand} from './bench-command.js';
 import {checkCommand} from './check-command.js';
 import {demoCommand} from './demo-command.js';
+import {diffCommand} from './diff-command.js';
 import {drainCommand} from './drain-command.js';
 import {keyCommand} from './key-command.js';
 import {nodeCommand} from './node-command.js';
 import {standinCommand} from './standin-command.js';
 import {statusCommand} from './status-command.js';
 import {verifyCommand} from './verify-command.js';
+import {watchCommand} from './watch-command.js';
 
 export const commands = [
 	nodeCommand,
 	applyCommand,
 	checkCommand,
+	diffCommand,
 	statusCommand,
+	watchCommand,
 	keyCommand,
 	drainCommand,
 	demoCommand,
--- a/packages/cli/src/standin-command.ts
+++ b/packages/cli/src/standin-command.ts
@@ -1,14 +1,16 @@
 /** `catkindale standin`: small stand-ins of the platform, for development and tests only. */
+import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import type {Argv, CommandModule} from 'yargs';
 import {parseAddress} from '@catkindale/common';
+import {formatManifestIssue, parseManifest} from '@catkindale/node';
 import {
 	type Standin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {exitCodes} from './constants.js';
 import {waitForStopSignal} from './node-command.js';
 
-type StandinArguments = {kind: StandinKind; listen: string; slots: number; serviceMilliseconds: number; lagMilliseconds: number; seed: number};
+type StandinArguments = {kind: StandinKind; listen: string; manifest: string | undefined; slots: number; serviceMilliseconds: number; lagMilliseconds: number; seed: number};
 type StandinKind = typeof kinds[number];
 
 const kinds = ['table', 'objects', 'machines', 'target'] as const;
@@ -19,19 +21,40 @@
 	builder: (command: Argv<object>) => command
 		.positional('kind', {choices: kinds, demandOption: true, describe: 'what it stands for'})
 		.option('listen', {type: 'string', default: '127.0.0.1:0', describe: 'IP number and port'})
+		.option('manifest', {type: 'string', describe: 'target: run all targets of this manifest at their addresses'})
 		.option('slots', {type: 'number', default: 4, describe: 'target: requests in flight'})
 		.option('service-milliseconds', {type: 'number', default: 5, describe: 'target: time for one request'})
 		.option('lag-milliseconds', {type: 'number', default: 0, describe: 'machines: lag of the list'})
 		.option('seed', {type: 'number', default: 1, describe: 'seed of injected faults'}) as never,
 	async handler(options) {
-		const standin = await startStandin(options);
-		process.stdout.write(`listening on ${standin.address}\n`);
+		const standins = options.manifest === undefined ? [await startStandin(options)] : await startManifestTargets(options.manifest, options);
+		for (const standin of standins) {
+			process.stdout.write(`listening on ${standin.address}\n`);
+		}
+
 		await waitForStopSignal();
-		await standin.stop();
+		await Promise.all(standins.map(async standin => standin.stop()));
 		process.exit(exitCodes.done);
 	},
 };
 
+/** Starts a stand-in for each target of a manifest. */
+async function startManifestTargets(file: string, options: StandinArguments): Promise<Standin[]> {
+	const manifest = parseManifest(await readFile(file, 'utf8'));
+	if (!manifest.ok) {
+		throw new Error(manifest.error.map(issue => `${file}: ${formatManifestIssue(issue)}`).join('\n'));
+	}
+
+	const standins: Standin[] = [];
+	for (const {address, slots} of manifest.value.targets) {
+		standins.push(await startStandin({
+			...options, kind: 'target', listen: address, slots,
+		}));
+	}
+
+	return standins;
+}
+
 async function startStandin(options: StandinArguments): Promise<Standin> {
 	const address = parseAddress(options.listen);
 	if (!address.ok) {
--- /dev/null
+++ b/packages/cli/src/watch-command.ts
@@ -0,0 +1,70 @@
+/** `catkindale watch`: prints a line for each change of what a node reports, until interrupted. */
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {isDeepStrictEqual} from 'node:util';
+import type {CommandModule} from 'yargs';
+import {formatLogLine, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
+import {type AdminArguments, addAdminOptions, callAdmin} from './admin-client.js';
+
+type WatchArguments = AdminArguments & {interval: number; seconds: number | undefined};
+
+export const watchCommand: CommandModule<object, WatchArguments> = {
+	command: 'watch',
+	describe: 'print each change of the status as it happens',
+	builder: command => addAdminOptions(command)
+		.option('interval', {type: 'number', default: 1, describe: 'seconds between two looks'})
+		.option('seconds', {type: 'number', describe: 'end after so many seconds'}),
+	async handler(options) {
+		const endsAt = performance.now() + ((options.seconds ?? Number.POSITIVE_INFINITY) * millisecondsPerSecond);
+		let previous: Record<string, unknown> = {};
+		while (performance.now() < endsAt) {
+			const current = await readStatus(options);
+			printChanges(previous, current, options.json);
+			previous = current;
+			await delay(options.interval * millisecondsPerSecond);
+		}
+	},
+};
+
+async function readStatus(options: AdminArguments): Promise<Record<string, unknown>> {
+	try {
+		const {body} = await callAdmin(options, 'GET', '/v1/status');
+		return flatten(body, '');
+	} catch (error) {
+		return {unreachable: getErrorMessage(error)};
+	}
+}
+
+function printChanges(previous: Record<string, unknown>, current: Record<string, unknown>, isJson: boolean): void {
+	const fields = [...new Set([...Object.keys(previous), ...Object.keys(current)])];
+	for (const field of fields.filter(name => !isDeepStrictEqual(previous[name], current[name]))) {
+		const change = {
+			time: new Date().toISOString(), event: 'status_changed', field, from: getText(previous[field]), to: getText(current[field]),
+		};
+		process.stdout.write(`${isJson ? JSON.stringify(change) : formatLogLine(change)}\n`);
+	}
+}
+
+/** Turns nested data into one level; entries of lists go by their identifier or name. */
+function flatten(value: unknown, path: string): Record<string, unknown> {
+	if (typeof value !== 'object' || value === null) {
+		return {[path]: value};
+	}
+
+	const entries = Object.entries(value).map(([key, item]) => [getEntryName(key, item), item] as const);
+	const parts = entries.map(([key, item]) => flatten(item, path === '' ? key : `${path}.${key}`));
+	return Object.assign({}, ...parts) as Record<string, unknown>;
+}
+
+function getEntryName(key: string, item: unknown): string {
+	if (typeof item !== 'object' || item === null) {
+		return key;
+	}
+
+	const {id, name} = item as {id?: unknown; name?: unknown};
+	return getText(id) ?? getText(name) ?? key;
+}
+
+function getText(value: unknown): string | undefined {
+	return typeof value === 'string' || typeof value === 'number' || typeof value === 'boolean' ? String(value) : undefined;
+}
--- a/packages/node/src/apply-action.ts
+++ b/packages/node/src/apply-action.ts
@@ -1,12 +1,8 @@
 /** `POST /v1/configuration?if-version=N&author=…`: applies a manifest as one change. */
-import {parse} from 'smol-toml';
-import {type Configuration, parseConfiguration} from '@catkindale/policy';
-import {
-	type Result, fail, getErrorMessage, succeed,
-} from '@catkindale/common';
 import {registerAdminAction} from './admin-actions.js';
 import {reportChange} from './change-report.js';
 import {commitConfiguration} from './configuration-change.js';
+import {formatManifestIssue, parseManifest} from './manifest.js';
 
 registerAdminAction({
 	name: 'apply',
@@ -15,7 +11,7 @@
 	async run(context, state, request) {
 		const manifest = parseManifest(request.body);
 		if (!manifest.ok) {
-			return {status: 422, body: {result: 'refused', issues: manifest.error}};
+			return {status: 422, body: {result: 'refused', issues: manifest.error.map(issue => formatManifestIssue(issue))}};
 		}
 
 		const ifVersion = request.query.get('if-version');
@@ -26,16 +22,3 @@
 		return reportChange(context, state, outcome);
 	},
 });
-
-/** Parses a manifest in TOML and checks it as a whole. */
-export function parseManifest(text: string): Result<Configuration, readonly string[]> {
-	let data: unknown;
-	try {
-		data = parse(text);
-	} catch (error) {
-		return fail([getErrorMessage(error)]);
-	}
-
-	const parsed = parseConfiguration(data);
-	return parsed.ok ? succeed(parsed.value) : fail(parsed.error.map(issue => `${issue.path.join('.')}: ${issue.reason}`));
-}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,5 @@
 /** The plug-ins that make up an entry VM, and the way to start one. */
-export {parseManifest} from './apply-action.js';
+export * from './manifest.js';
 export * from './constants.js';
 export * from './errors.js';
 export * from './settings.js';
