--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -10,11 +10,11 @@
 } from './exchange.js';
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
+import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
-import {type RequestQuotas, createRequestQuotas} from './request-quotas.js';
+import type {RequestQuotas} from './request-quotas.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
-import {createSlotQuota} from './slot-quota.js';
 import {createTargetPools} from './target-pools.js';
 import {createTargetSelector} from './target-selector.js';
 import {createVersionChooser} from './version-chooser.js';
@@ -35,12 +35,12 @@
 	order: startOrder,
 	async start(context) {
 		const {bus, settings} = context;
-		const slots = createSlotQuota(settings.node.name);
+		const {requests, slots} = getNodeQuotas(context);
 		const state: EntryState = {
 			context,
 			routing: undefined,
 			validity: noValidity,
-			quotas: createRequestQuotas(settings.node.name, context.clock),
+			quotas: requests,
 			selector: createTargetSelector(slots),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
@@ -49,18 +49,12 @@
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				state.routing = createRoutingTable(configuration);
-				state.quotas.setCustomers(configuration.customers);
 				state.versions.setConfiguration(configuration);
-				slots.setTargets(configuration.targets);
 				state.pools.setTargets(configuration.targets);
 			}),
 			bus.subscribe('freshness-changed', ({validity}) => {
 				state.validity = validity;
 			}),
-			bus.subscribe('membership-changed', ({members}) => {
-				state.quotas.setMembers(members);
-				slots.setMembers(members);
-			}),
 			bus.subscribe('version-share-changed', ({share}) => {
 				state.versions.setShare(share);
 			}),
@@ -84,7 +78,7 @@
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
 	const requestId = createIdentifier();
-	const checked = checkRequest(request, state.routing, state.quotas, isKnowledgeCurrent(state.validity, state.context.clock));
+	const checked = await checkRequest(request, state.routing, state.quotas, isKnowledgeCurrent(state.validity, state.context.clock));
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -6,6 +6,7 @@
 } from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 import {rolloutReportMessageSchema} from './rollout-messages.js';
+import {quotaMessageSchemas} from './quota-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
@@ -16,6 +17,7 @@
 	restrictionsMessageSchema,
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
+	...quotaMessageSchemas,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
