Run rollouts on the nodes: on time, or taken back

Any node writes the next step by compare-and-set, in the order of the rendezvous rank; nodes exchange evidence every heartbeat and halt on sight; a share is a lease of 2 s. Operators get rollout status, halt and resume, and metrics.

vitest run packages/cli/tests/rollout (3 nodes, stand-ins, one process each, deadline 14 s): a good version is done in time without a failed call, a failing one is reverted and gets nothing from 3 s after, an operator's halt holds.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,7 @@
 import {checkCommand} from './check-command.js';
 import {demoCommand} from './demo-command.js';
 import {nodeCommand} from './node-command.js';
+import {rolloutCommand} from './rollout-command.js';
 import {standinCommand} from './standin-command.js';
 import {statusCommand} from './status-command.js';
 import {verifyCommand} from './verify-command.js';
@@ -14,6 +15,7 @@
 	applyCommand,
 	checkCommand,
 	statusCommand,
+	rolloutCommand,
 	demoCommand,
 	benchCommand,
 	verifyCommand,
--- /dev/null
+++ b/packages/cli/src/rollout-command.ts
@@ -0,0 +1,71 @@
+/** `catkindale rollout status|halt|resume`: the operator's view of rollouts. */
+import process from 'node:process';
+import type {Argv, CommandModule} from 'yargs';
+import {
+	type AdminArguments, type AdminReply, addAdminOptions, callAdmin,
+} from './admin-client.js';
+import {exitCodes} from './constants.js';
+
+const actions = ['status', 'halt', 'resume'] as const;
+
+type RolloutArguments = AdminArguments & {action: typeof actions[number]; name: string | undefined; reason: string | undefined};
+
+type HistoryRecord = {at: number; phase: string; step: number; share: number; reason: string};
+type ListedRollout = {
+	name: string; service: string; from: string; to: string; phase: string; step: number; share: number; deadline: string;
+	shares: number[]; reason: string; suspicion?: number; samples?: number; history: HistoryRecord[];
+};
+
+const statusDone = 200;
+const percent = 100;
+
+export const rolloutCommand: CommandModule<object, RolloutArguments> = {
+	command: 'rollout <action> [name]',
+	describe: 'report rollouts, halt one at once, or resume a halted one',
+	builder: (command: Argv<object>) => addAdminOptions(command)
+		.positional('action', {choices: actions, demandOption: true, describe: 'what to do'})
+		.positional('name', {type: 'string', describe: 'the rollout; all for status by default'})
+		.option('reason', {type: 'string', describe: 'why it is halted, for the report'})
+		.check(({action, name}) => action === 'status' || name !== undefined || `rollout ${String(action)} needs the name of a rollout`),
+	async handler(options) {
+		const reply = await callRollouts(options);
+		process.stdout.write(options.json ? `${JSON.stringify(reply.body)}\n` : describeReply(reply, options.name));
+		process.exitCode = reply.status === statusDone ? exitCodes.done : exitCodes.failed;
+	},
+};
+
+async function callRollouts(options: RolloutArguments): Promise<AdminReply> {
+	if (options.action === 'status') {
+		return callAdmin(options, 'GET', '/v1/rollouts');
+	}
+
+	const query = new URLSearchParams({name: options.name ?? ''});
+	if (options.reason !== undefined) {
+		query.set('reason', options.reason);
+	}
+
+	return callAdmin(options, 'POST', `/v1/rollouts/${options.action}?${query.toString()}`);
+}
+
+function describeReply({body}: AdminReply, name: string | undefined): string {
+	if (!Array.isArray(body.rollouts)) {
+		return `${String(body.result)}${typeof body.detail === 'string' ? `: ${body.detail}` : ''}\n`;
+	}
+
+	const rollouts = (body.rollouts as ListedRollout[]).filter(rollout => name === undefined || rollout.name === name);
+	const lines = rollouts.flatMap(rollout => describeRollout(rollout));
+	return [`read from ${String(body.source)}`, ...lines, ''].join('\n');
+}
+
+function describeRollout(rollout: ListedRollout): string[] {
+	const {name, service, from, to, phase, step, shares, deadline, reason} = rollout;
+	const head = `${name}: ${service} ${from} -> ${to}, ${phase}, step ${step + 1} of ${shares.length}, share ${formatShare(rollout.share)}, deadline ${deadline}, ${reason}`;
+	const suspicion = rollout.suspicion === undefined ? [] : [`  samples ${rollout.samples ?? 0}, suspicion ${formatShare(rollout.suspicion)}`];
+	const history = rollout.history.map(record =>
+		`  ${new Date(record.at).toISOString()}  ${record.phase}  step ${record.step + 1}  share ${formatShare(record.share)}  ${record.reason}`);
+	return [head, ...suspicion, ...history];
+}
+
+function formatShare(share: number): string {
+	return `${(share * percent).toFixed(1)}%`;
+}
--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -10,6 +10,7 @@
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getRequestKey} from './request-headers.js';
 import './apply-action.js';
+import './rollout-actions.js';
 import './status-action.js';
 
 const startOrder = 15;
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -14,4 +14,6 @@
 export const rowKeys = {
 	configuration: 'configuration',
 	membershipPrefix: 'membership/',
+	rolloutPrefix: 'rollout/',
+	shiftPrefix: 'shift/',
 } as const;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -27,6 +27,8 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
+	/** An operator wants a rollout halted at once. */
+		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
 	/** The node takes no new work from now on. */
--- /dev/null
+++ b/packages/node/src/rollout-actions.ts
@@ -0,0 +1,110 @@
+/**
+ * Operators' actions on rollouts: the report of each, halt and resume. A halt
+ * works on the nodes at once; the answer says whether it is recorded.
+ */
+import {createIdentifier} from '@catkindale/common';
+import {
+	type RolloutChange, type RolloutRow, changeRollout, getHighestSuspicion, getRowShare, isFinal, rolloutRowSchema,
+} from '@catkindale/policy';
+import type {TableOutcome} from '@catkindale/platform';
+import {type AdminAnswer, registerAdminAction} from './admin-actions.js';
+import {rowKeys} from './constants.js';
+import type {NodeContext} from './node-context.js';
+import {getRolloutTasks} from './rollout-registry.js';
+
+const mostTries = 5;
+const statusUnclear = 504;
+
+registerAdminAction({
+	name: 'rollout-status',
+	method: 'GET',
+	path: '/v1/rollouts',
+	async run(context) {
+		const outcome = await context.platform.table.list(rowKeys.rolloutPrefix);
+		const rows = outcome.kind === 'done'
+			? outcome.value.map(row => rolloutRowSchema.parse(row.value))
+			: [...getRolloutTasks(context).values()].flatMap(task => task.follower.row ?? []);
+		const source = outcome.kind === 'done' ? 'table' : 'this node\'s knowledge; the table can\'t be read';
+		return {status: 200, body: {source, rollouts: rows.map(row => describeRow(context, row))}};
+	},
+});
+
+registerAdminAction({
+	name: 'rollout-halt',
+	method: 'POST',
+	path: '/v1/rollouts/halt',
+	async run(context, _state, {query}) {
+		const name = query.get('name') ?? '';
+		const reason = query.get('reason') ?? 'halted by an operator';
+		context.bus.publish({type: 'rollout-halt-requested', rollout: name, reason});
+		return changeRow(context, name, {kind: 'halt', reason});
+	},
+});
+
+registerAdminAction({
+	name: 'rollout-resume',
+	method: 'POST',
+	path: '/v1/rollouts/resume',
+	async run(context, _state, {query}) {
+		return changeRow(context, query.get('name') ?? '', {kind: 'resume', reason: 'resumed by an operator'});
+	},
+});
+
+function describeRow(context: NodeContext, row: RolloutRow): Record<string, unknown> {
+	const task = getRolloutTasks(context).get(row.name);
+	return {
+		...row,
+		share: getRowShare(row),
+		deadline: new Date(row.deadlineAt).toISOString(),
+		samples: task?.follower.samples,
+		suspicion: task ? getHighestSuspicion(task.follower) : undefined,
+		halt: task?.follower.halt,
+	};
+}
+
+/** Changes the row by compare-and-set, as often as others get in between. */
+async function changeRow(context: NodeContext, name: string, change: RolloutChange): Promise<AdminAnswer> {
+	const key = `${rowKeys.rolloutPrefix}${name}`;
+	for (let attempt = 0; attempt < mostTries; attempt++) {
+		const read = await context.platform.table.get(key);
+		if (read.kind !== 'done') {
+			return describeMissing(change);
+		}
+
+		if (!read.value) {
+			return {status: 404, body: {result: 'refused', detail: `there is no rollout "${name}"`}};
+		}
+
+		const row = rolloutRowSchema.parse(read.value.value);
+		const refusal = getRefusal(row, change);
+		if (refusal) {
+			return refusal;
+		}
+
+		const changed = changeRollout(row, change, context.clock.wall());
+		const outcome: TableOutcome<unknown> = await context.platform.table.transact(createIdentifier(), [{key, expectedVersion: read.value.version, value: changed}]);
+		if (outcome.kind === 'done') {
+			context.logger.info('rollout_change', {rollout: name, change: change.kind, reason: change.reason});
+			return {status: 200, body: {result: changed.phase, rollout: name}};
+		}
+	}
+
+	return {status: statusUnclear, body: {result: 'unknown', detail: 'the table gave no clear answer; run "catkindale rollout status"'}};
+}
+
+/** The answer where nothing is to be written; a repeated halt or resume has its way already. */
+function getRefusal(row: RolloutRow, change: RolloutChange): AdminAnswer | undefined {
+	if (isFinal(row)) {
+		return {status: 409, body: {result: 'refused', detail: `the rollout is ${row.phase}: ${row.reason}`}};
+	}
+
+	const wantedPhase = change.kind === 'halt' ? 'halted' : 'running';
+	return row.phase === wantedPhase ? {status: 200, body: {result: row.phase, rollout: row.name}} : undefined;
+}
+
+function describeMissing(change: RolloutChange): AdminAnswer {
+	const detail = change.kind === 'halt'
+		? 'the table can\'t be reached: the nodes that can be reached have halted, and they record it once the table is back'
+		: 'the table can\'t be reached; nothing was changed';
+	return {status: 503, body: {result: change.kind === 'halt' ? 'halted, not recorded' : 'refused', detail}};
+}
--- /dev/null
+++ b/packages/node/src/rollout-evidence.ts
@@ -0,0 +1,59 @@
+/** Counts how attempts at the old and the new version of a service ended. */
+import {
+	type EvidenceCounts, type RouteEvidence, type Route, type Target, createEvidenceCounts, getLatencyBucket,
+} from '@catkindale/policy';
+import type {AttemptResult} from './target-selector.js';
+
+const failedKinds: ReadonlySet<AttemptResult['kind']> = new Set(['failed', 'shed', 'not-sent', 'lost']);
+
+export type EvidenceCollector = {
+	/** @param now monotonic milliseconds */
+	add: (route: Route, target: Target, result: AttemptResult, now: number) => void;
+	getEvidence: () => readonly RouteEvidence[];
+};
+
+export type CollectorOptions = {
+	readonly from: string;
+	readonly to: string;
+	/** How long an instance counts as cold from the first request on; its latencies aren't evidence. */
+	readonly coldMilliseconds: number;
+};
+
+export function createEvidenceCollector(options: CollectorOptions): EvidenceCollector {
+	const routes = new Map<string, RouteEvidence>();
+	const firstUsedAt = new Map<string, number>();
+
+	const isCold = (target: Target, now: number): boolean => {
+		const first = firstUsedAt.get(target.name) ?? now;
+		firstUsedAt.set(target.name, first);
+		return now - first < options.coldMilliseconds;
+	};
+
+	return {
+		add(route, target, result, now) {
+			if (target.version !== options.from && target.version !== options.to) {
+				return;
+			}
+
+			const name = `${route.method} ${route.path}`;
+			const evidence = routes.get(name) ?? {route: name, from: createEvidenceCounts(), to: createEvidenceCounts()};
+			routes.set(name, evidence);
+			const isNew = target.version === options.to;
+			const isCounted = !isNew || !isCold(target, now);
+			addResult(isNew ? evidence.to : evidence.from, result, isCounted);
+		},
+		getEvidence: () => structuredClone([...routes.values()]),
+	};
+}
+
+function addResult(counts: EvidenceCounts, result: AttemptResult, isLatencyCounted: boolean): void {
+	counts.requests += 1;
+	if (failedKinds.has(result.kind)) {
+		counts.failures += 1;
+		return;
+	}
+
+	// A caller that went away has waited at least so long.
+	const bucket = getLatencyBucket(result.milliseconds);
+	counts.latencies[bucket] = (counts.latencies[bucket] ?? 0) + (isLatencyCounted ? 1 : 0);
+}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -21,6 +21,7 @@
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
+import './rollout-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
--- a/packages/policy/src/rollout-decision.ts
+++ b/packages/policy/src/rollout-decision.ts
@@ -19,7 +19,7 @@
 
 export type RolloutDecision = RolloutChange | {readonly kind: 'hold'; readonly reason: string};
 
-/** Requests of the new version without which a step isn't judged. */
+/** Requests of the new version without which a step isn't judged; the first share is too small to ask for any. */
 export const smallestSample = 10;
 
 /** @param now wall time in milliseconds */
@@ -58,7 +58,7 @@
 		return {kind: 'hold', reason: 'the step is being watched'};
 	}
 
-	if (!evidence.isInForceEverywhere || evidence.samples < smallestSample) {
+	if (!evidence.isInForceEverywhere || (row.step > 0 && evidence.samples < smallestSample)) {
 		return {kind: 'hold', reason: getHindrance(evidence)};
 	}
 
--- a/packages/policy/src/rollout-follower.ts
+++ b/packages/policy/src/rollout-follower.ts
@@ -14,7 +14,7 @@
 	type ReceivedReport, type RolloutHalt, type RolloutReport, getEvidenceDifference, isNewerReport, mergeEvidence, sumEvidence,
 } from './rollout-report.js';
 import {
-	type RolloutChange, type RolloutRow, changeRollout, getRowShare, isFinal,
+	type RolloutRow, type RolloutWish, changeRollout, getRowShare, isFinal, isRowOfRollout, startRollout,
 } from './rollout-row.js';
 
 /** How long a share holds after the node last heard that its row is current. */
@@ -61,24 +61,34 @@
 	};
 }
 
-/** Takes in the row as the table gave it just now. */
-export function updateFromTable(follower: RolloutFollower, row: RolloutRow, version: number, now: Moment): RolloutFollower {
-	return {...adoptRow(follower, row, version), readAt: now.monotonic};
+/**
+ * Takes in the row as the table gave it.
+ * @param row undefined if the table has none
+ * @param readAt monotonic time in milliseconds at which the reading began
+ */
+export function updateFromTable(follower: RolloutFollower, row: RolloutRow | undefined, version: number, readAt: number): RolloutFollower {
+	const next = row ? adoptRow(follower, row, version) : follower;
+	return {...next, readAt: Math.max(next.readAt, readAt)};
 }
 
-/** Takes in a report of a member; its own reports come in this way as well. */
-export function updateFromReport(follower: RolloutFollower, from: string, report: RolloutReport, now: Moment): RolloutFollower {
-	const last = follower.reports.get(from)?.report;
-	if (!isNewerReport(report, last)) {
+/**
+ * Takes in a report of a member; its own reports come in this way as well.
+ * @param now monotonic milliseconds
+ */
+export function updateFromReport(follower: RolloutFollower, from: string, report: RolloutReport, now: number): RolloutFollower {
+	const received = follower.reports.get(from);
+	if (!isNewerReport(report, received)) {
 		return follower;
 	}
 
+	const last = received?.report;
 	const isSame = last?.incarnation === report.incarnation;
+	const retired = isSame || !last ? received?.retired ?? [] : [...received?.retired ?? [], last.incarnation];
 	// What was counted before this node began to listen belongs to earlier steps.
 	const added = last !== undefined || report.sequence <= 1 ? getEvidenceDifference(report.evidence, isSame ? last.evidence : []) : [];
 	const next = {
 		...follower,
-		reports: new Map(follower.reports).set(from, {report, receivedAt: now.monotonic}),
+		reports: new Map(follower.reports).set(from, {report, receivedAt: now, retired}),
 		pending: mergeEvidence(follower.pending, added),
 	};
 	return adoptHalt(report.row ? adoptRow(next, report.row, report.rowVersion) : next, report.halt);
@@ -192,19 +202,47 @@
 	return member === follower.member || isSilent || received.report.rowVersion >= follower.rowVersion;
 }
 
+/**
+ * The row that this node thinks should stand in the table next; undefined
+ * while nothing is to change. A node that knows only an older configuration
+ * than the one that declared the rollout doesn't replace or withdraw it.
+ */
+export function getWantedRow(follower: RolloutFollower, wish: RolloutWish, members: readonly string[], now: Moment): RolloutRow | undefined {
+	const {row} = follower;
+	if (!row) {
+		const isKnownMissing = follower.readAt !== -Infinity;
+		return wish.rollout && isKnownMissing ? startRollout(wish.rollout, wish, now.wall) : undefined;
+	}
+
+	const isDeclared = wish.rollout !== undefined && isRowOfRollout(row, wish.rollout);
+	if (!isDeclared && wish.configurationVersion > row.configurationVersion) {
+		return getReplacement(row, wish, now);
+	}
+
+	const decision = decideNext(follower, members, now);
+	return decision.kind === 'hold' ? undefined : changeRollout(row, decision, now.wall);
+}
+
+function getReplacement(row: RolloutRow, wish: RolloutWish, now: Moment): RolloutRow | undefined {
+	if (!isFinal(row)) {
+		return changeRollout(row, {kind: 'revert', reason: 'withdrawn or replaced by a configuration'}, now.wall);
+	}
+
+	return wish.rollout ? startRollout(wish.rollout, wish, now.wall, row) : undefined;
+}
+
 /**
  * The write that this node should try now; undefined while there is nothing to
  * change or members of a better rank may still do it.
  * @param rank the node's place in the rendezvous ranking for the rollout
  */
-export function planWrite(follower: RolloutFollower, decision: RolloutDecision, rank: number, now: Moment): {readonly follower: RolloutFollower; readonly write: RolloutWrite | undefined} {
-	const {row} = follower;
-	if (decision.kind === 'hold' || !row) {
+export function planWrite(follower: RolloutFollower, wanted: RolloutRow | undefined, rank: number, now: Moment): {readonly follower: RolloutFollower; readonly write: RolloutWrite | undefined} {
+	if (!wanted) {
 		return {follower: {...follower, wantedSince: undefined}, write: undefined};
 	}
 
 	const wantedSince = follower.wantedSince ?? now.monotonic;
 	const isOwnTurn = now.monotonic - wantedSince >= rank * rankDelayMilliseconds;
-	const write = isOwnTurn ? {expectedVersion: follower.rowVersion, row: changeRollout(row, decision, now.wall)} : undefined;
+	const write = isOwnTurn ? {expectedVersion: follower.rowVersion, row: wanted} : undefined;
 	return {follower: {...follower, wantedSince}, write};
 }
--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -7,6 +7,8 @@
 import {millisecondsPerSecond} from '@catkindale/common';
 
 const firstShare = 0.01;
+/** The largest share that is watched, also when the new version has few instances. */
+const largestWatchedShare = 0.1;
 const growthFactor = 2.5;
 const wholeShare = 1;
 const roundingTolerance = 1e-9;
@@ -31,7 +33,7 @@
  * @param instances how many instances run the new version
  */
 export function getPlannedShares(cap: number, instances: number): number[] {
-	const watched = Math.min(cap, wholeShare / Math.max(1, instances));
+	const watched = Math.min(cap, largestWatchedShare, wholeShare / Math.max(1, instances));
 	const shares = watched > firstShare ? [firstShare, Math.min(watched, firstShare + cap)] : [watched, watched];
 	let share = watched;
 	while (share < wholeShare - roundingTolerance) {
--- a/packages/policy/src/rollout-report.ts
+++ b/packages/policy/src/rollout-report.ts
@@ -34,11 +34,20 @@
 export type RolloutReport = z.infer<typeof rolloutReportSchema>;
 
 /** The last report of a member and when it came, in monotonic milliseconds. */
-export type ReceivedReport = {readonly report: RolloutReport; readonly receivedAt: number};
+export type ReceivedReport = {
+	readonly report: RolloutReport;
+	readonly receivedAt: number;
+	/** Earlier incarnations, whose reports may still come late. */
+	readonly retired: readonly string[];
+};
 
 /** Whether the report is news beside the last one of the same member. */
-export function isNewerReport(report: RolloutReport, last: RolloutReport | undefined): boolean {
-	return last?.incarnation !== report.incarnation || report.sequence > last.sequence;
+export function isNewerReport(report: RolloutReport, last: ReceivedReport | undefined): boolean {
+	if (last?.retired.includes(report.incarnation)) {
+		return false;
+	}
+
+	return last?.report.incarnation !== report.incarnation || report.sequence > last.report.sequence;
 }
 
 /** The evidence that the later counts add to the earlier ones. */
--- a/packages/policy/src/rollout-row.ts
+++ b/packages/policy/src/rollout-row.ts
@@ -24,6 +24,8 @@
 	service: z.string(),
 	from: z.string(),
 	to: z.string(),
+	/** The version of the configuration that declared the rollout. */
+	configurationVersion: z.int(),
 	/** Rises when an operator resumes or replaces the rollout; a halt counts for the attempts up to its own. */
 	attempt: z.int(),
 	cap: z.number(),
@@ -37,6 +39,14 @@
 	history: z.array(rolloutRecordSchema),
 });
 
+/** What the configuration asks for; `rollout` is undefined once it is withdrawn. */
+export type RolloutWish = {
+	readonly rollout: Rollout | undefined;
+	readonly configurationVersion: number;
+	/** How many targets run the new version. */
+	readonly instances: number;
+};
+
 export type RolloutPhase = typeof rolloutPhases[number];
 export type RolloutRow = z.infer<typeof rolloutRowSchema>;
 
@@ -56,18 +66,19 @@
 }
 
 /** The first row of a rollout; `previous` is the final row of another one by the same name. */
-export function startRollout(rollout: Rollout, instances: number, now: number, previous?: RolloutRow): RolloutRow {
+export function startRollout(rollout: Rollout, wish: Omit<RolloutWish, 'rollout'>, now: number, previous?: RolloutRow): RolloutRow {
 	assertInvariant(!previous || isFinal(previous), 'a rollout is replaced only once it has ended', {name: rollout.name});
 	const row: RolloutRow = {
 		name: rollout.name,
 		service: rollout.service,
 		from: rollout.from,
 		to: rollout.to,
+		configurationVersion: wish.configurationVersion,
 		attempt: (previous?.attempt ?? 0) + 1,
 		cap: rollout.cap,
 		startedAt: now,
 		deadlineAt: Date.parse(rollout.deadline),
-		shares: getPlannedShares(rollout.cap, instances),
+		shares: getPlannedShares(rollout.cap, wish.instances),
 		phase: 'running',
 		step: 0,
 		steppedAt: now,
