--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -8,6 +8,7 @@
 import {drainCommand} from './drain-command.js';
 import {keyCommand} from './key-command.js';
 import {nodeCommand} from './node-command.js';
+import {rolloutCommand} from './rollout-command.js';
 import {standinCommand} from './standin-command.js';
 import {statusCommand} from './status-command.js';
 import {verifyCommand} from './verify-command.js';
@@ -22,6 +23,7 @@
 	watchCommand,
 	keyCommand,
 	drainCommand,
+	rolloutCommand,
 	demoCommand,
 	benchCommand,
 	verifyCommand,
--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -14,6 +14,7 @@
 import './cut-action.js';
 import './drain-action.js';
 import './key-action.js';
+import './rollout-actions.js';
 import './status-action.js';
 
 const startOrder = 15;
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -15,4 +15,6 @@
 	configuration: 'configuration',
 	membershipPrefix: 'membership/',
 	ledger: 'membership/fleet',
+	rolloutPrefix: 'rollout/',
+	shiftPrefix: 'shift/',
 } as const;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -50,6 +50,8 @@
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
 	/** The sites of client blocks, for the directory. */
 		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
+	/** An operator wants a rollout halted at once. */
+		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
 	/** Slots at the target were borrowed just now. */
