Wait for a fair turn and choose targets by what they showed

Cause: the selector refused at once without a free slot and sorted all targets by free slots only, so that a slow or fast-failing target kept its part and a choice took time linear in the targets. Now a request waits in the fair queue of its service and version within its deadline, is refused early when it can't be in time, and gets the better of two random targets by expected work. Histograms of queue time per customer and class, gauges of slots held, usable and in use.

It does not notice a paused target that is never woken. Ruled out: a moving average that follows each rise at once; with service times that vary it takes normal targets for slow.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -38,7 +38,9 @@
 			context,
 			routing: undefined,
 			quotas: createRequestQuotas(settings.node.name, context.clock),
-			selector: createTargetSelector(slots),
+			selector: createTargetSelector({
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			latency: createLatencyHistogram(context),
--- /dev/null
+++ b/packages/node/src/target-pool.ts
@@ -0,0 +1,196 @@
+/**
+ * The targets of one service and version on this node, and the requests that
+ * wait for one of them. Owns the timers that end or resume waiting.
+ */
+import {type Clock, type Random, assertInvariant} from '@catkindale/common';
+import {
+	type AdmissionRefusal, type AdmissionRequest, type Target, type TargetAdmission, type TargetReport, createTargetAdmission,
+} from '@catkindale/policy';
+import type {PoolState} from './selector-metrics.js';
+import type {SlotQuota} from './slot-quota.js';
+import type {AttemptResult, Selection, SelectionRequest} from './target-selector.js';
+
+export type TargetPool = {
+	readonly select: (request: SelectionRequest) => Promise<Selection>;
+	readonly report: (target: string, report: TargetReport) => void;
+	readonly getState: () => PoolState;
+	/** Monotonic time of the last request. */
+	readonly getUsedAt: () => number;
+};
+
+/** The part of the slot quota that the choice of targets uses. */
+export type SelectorQuota = Pick<SlotQuota, 'getHeld' | 'take' | 'release'>;
+
+export type TargetPoolParts = {
+	readonly quota: SelectorQuota;
+	readonly region: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly isRegionOpen?: (region: string) => boolean;
+};
+
+type Waiting = AdmissionRequest & {readonly settle: (selection: Selection) => void};
+
+const customerWeight = 1;
+const heldRefreshMilliseconds = 20;
+const idleRefreshMilliseconds = 1000;
+/** How long a request waits on a node that holds no slot, for one to be lent. */
+const loanWaitMilliseconds = 1000;
+const leastRetryAfterMilliseconds = 1000;
+
+export function createTargetPool(parts: TargetPoolParts): TargetPool {
+	const {quota, clock, region, random, isRegionOpen} = parts;
+	const admission: TargetAdmission<Waiting> = createTargetAdmission({
+		region, random, takeSlot: target => quota.take(target), ...(isRegionOpen && {isRegionOpen}),
+	});
+	let targets: readonly Target[] = [];
+	let targetsByName = new Map<string, Target>();
+	let timer: NodeJS.Timeout | undefined;
+	let heldAt = -Infinity;
+	let usedAt = clock.monotonic();
+
+	const refreshHeld = (now: number): void => {
+		heldAt = now;
+		for (const target of targets) {
+			admission.choice.setHeld(target.name, quota.getHeld(target.name), now);
+		}
+	};
+
+	const setTargets = (next: readonly Target[], now: number): void => {
+		if (next === targets) {
+			return;
+		}
+
+		targets = next;
+		targetsByName = new Map(next.map(target => [target.name, target]));
+		admission.setTargets(next, now);
+		refreshHeld(now);
+	};
+
+	const refuse = (request: Waiting, reason: AdmissionRefusal): void => {
+		const holdsNone = reason === 'deadline' && admission.choice.getHeldSlots() === 0;
+		const wait = admission.estimateWait(request, clock.monotonic());
+		request.settle({kind: 'refused', reason: holdsNone ? 'no-slot' : reason, retryAfterMilliseconds: Math.max(leastRetryAfterMilliseconds, wait)});
+	};
+
+	const start = (request: Waiting, name: string): void => {
+		const target = targetsByName.get(name);
+		assertInvariant(target !== undefined, 'only a target of the pool is chosen', {name});
+		const startedAt = clock.monotonic();
+		let isFinished = false;
+		request.settle({
+			kind: 'selected',
+			target,
+			finish(result: AttemptResult) {
+				assertInvariant(!isFinished, 'a slot is given back once', {target: name});
+				isFinished = true;
+				const now = clock.monotonic();
+				quota.release(name);
+				admission.finish(name, {kind: result.kind, milliseconds: result.headMilliseconds ?? now - startedAt}, now);
+				dispatch(now);
+			},
+		});
+	};
+
+	const runSteps = (now: number): void => {
+		for (let step = admission.next(now); step; step = admission.next(now)) {
+			switch (step.kind) {
+				case 'start': {
+					start(step.request, step.target);
+					break;
+				}
+
+				case 'refuse': {
+					refuse(step.request, step.reason);
+					break;
+				}
+			}
+		}
+	};
+
+	/** Starts what can start; looks again soon while a request waits. */
+	const dispatch = (now: number): void => {
+		runSteps(now);
+		if (admission.getLength() > 0 && now - heldAt >= heldRefreshMilliseconds) {
+			refreshHeld(now);
+			runSteps(now);
+		}
+
+		if (admission.getLength() === 0) {
+			clearTimeout(timer);
+			timer = undefined;
+			return;
+		}
+
+		timer ??= setTimeout(() => {
+			timer = undefined;
+			dispatch(clock.monotonic());
+		}, heldRefreshMilliseconds);
+	};
+
+	const offer = (request: Waiting, now: number): void => {
+		const answer = admission.offer(request, now);
+		if (answer.kind === 'refused') {
+			refuse(request, answer.reason);
+			return;
+		}
+
+		if (answer.displaced) {
+			refuse(answer.displaced, 'queue-full');
+		}
+
+		dispatch(now);
+	};
+
+	return {
+		async select(request) {
+			const now = clock.monotonic();
+			usedAt = now;
+			setTargets(request.candidates, now);
+			if (now - heldAt >= idleRefreshMilliseconds) {
+				refreshHeld(now);
+			}
+
+			return new Promise(resolve => {
+				const abort = (): void => {
+					admission.cancel(waiting);
+					settle({kind: 'refused', reason: 'cancelled', retryAfterMilliseconds: leastRetryAfterMilliseconds});
+				};
+
+				const settle = (selection: Selection): void => {
+					request.signal.removeEventListener('abort', abort);
+					resolve(selection);
+				};
+
+				const {customer, excluded, deadlineAt} = request;
+				const waiting: Waiting = {
+					customer,
+					weight: customerWeight,
+					class: request.class,
+					excluded,
+					queuedAt: now,
+					deadlineAt: admission.choice.getHeldSlots() > 0 ? deadlineAt : Math.min(deadlineAt, now + loanWaitMilliseconds),
+					settle,
+				};
+				request.signal.addEventListener('abort', abort, {once: true});
+				offer(waiting, now);
+			});
+		},
+		report(target, report) {
+			admission.choice.report(target, report, clock.monotonic());
+		},
+		getState() {
+			const states = targets.map(target => admission.choice.getState(target.name)).filter(state => state !== undefined);
+			return {
+				service: targets[0]?.service ?? '',
+				version: targets[0]?.version ?? '',
+				waiting: admission.getLength(),
+				held: states.reduce((sum, state) => sum + state.held, 0),
+				usable: states.reduce((sum, state) => sum + state.usable, 0),
+				inUse: states.reduce((sum, state) => sum + state.inUse, 0),
+				cutOff: states.filter(state => state.isCutOff).length,
+			};
+		},
+		getUsedAt: () => usedAt,
+	};
+}
--- a/packages/node/src/target-selector.ts
+++ b/packages/node/src/target-selector.ts
@@ -2,8 +2,13 @@
  * Gives a request a slot at one of its service's targets, or refuses it.
  * A request waits only within its deadline.
  */
-import type {RequestClass, Target} from '@catkindale/policy';
-import type {SlotQuota} from './slot-quota.js';
+import type {Registry} from 'prom-client';
+import {type Clock, type Random, createRandom} from '@catkindale/common';
+import type {
+	AttemptKind, RequestClass, Target, TargetReport,
+} from '@catkindale/policy';
+import {type PoolState, createSelectorMetrics} from './selector-metrics.js';
+import {type SelectorQuota, type TargetPool, createTargetPool} from './target-pool.js';
 
 export type SelectionRequest = {
 	readonly service: string;
@@ -21,8 +26,10 @@
 
 /** How an attempt at a target ended, for the choice of later ones. */
 export type AttemptResult = {
-	readonly kind: 'answered' | 'failed' | 'shed' | 'not-sent' | 'lost' | 'cancelled';
+	readonly kind: AttemptKind;
 	readonly milliseconds: number;
+	/** Time to the head of the answer, where known: a slow caller then doesn't make its target look slow. */
+	readonly headMilliseconds?: number;
 };
 
 export type SelectedTarget = {
@@ -33,35 +40,90 @@
 
 export type Selection
 	= | ({readonly kind: 'selected'} & SelectedTarget)
-		| {readonly kind: 'refused'; readonly reason: 'no-target' | 'no-slot' | 'queue-full' | 'deadline'; readonly retryAfterMilliseconds: number};
+		| {readonly kind: 'refused'; readonly reason: 'no-target' | 'no-slot' | 'queue-full' | 'deadline' | 'cancelled'; readonly retryAfterMilliseconds: number};
 
 export type TargetSelector = {
 	select: (request: SelectionRequest) => Promise<Selection>;
+	/** Takes in what a target says of itself; it can only lower what the target gets. */
+	report: (target: Target, report: TargetReport) => void;
+	getPools: () => PoolState[];
+};
+
+export type TargetSelectorParts = {
+	readonly quota: SelectorQuota;
+	/** The region of this node. */
+	readonly region: string;
+	readonly clock: Clock;
+	readonly registry: Registry;
+	readonly random?: Random;
+	/** Whether the quota of the link to the region allows another request. */
+	readonly isRegionOpen?: (region: string) => boolean;
 };
 
 const retryAfterMilliseconds = 1000;
+const poolLifeMilliseconds = 600_000;
+const largestSeed = 0x7F_FF_FF_FF;
+
+export function createTargetSelector(parts: TargetSelectorParts): TargetSelector {
+	const {clock, registry} = parts;
+	const pools = new Map<string, TargetPool>();
+	const random = parts.random ?? createRandom(Math.floor(Math.random() * largestSeed));
+	const getPools = (): PoolState[] => [...pools.values()].map(pool => pool.getState());
+	const metrics = createSelectorMetrics(registry, getPools);
+
+	/** Versions come and go; their pools are forgotten when no request has come for long. */
+	const forgetUnused = (now: number): void => {
+		for (const [name, pool] of pools) {
+			if (now - pool.getUsedAt() > poolLifeMilliseconds && pool.getState().inUse === 0) {
+				pools.delete(name);
+			}
+		}
+	};
+
+	const getPool = (target: Target): TargetPool => {
+		const name = getPoolName(target);
+		const known = pools.get(name);
+		if (known) {
+			return known;
+		}
+
+		forgetUnused(clock.monotonic());
+		const pool = createTargetPool({...parts, random});
+		pools.set(name, pool);
+		return pool;
+	};
+
+	const wait = async (request: SelectionRequest): Promise<Selection> => {
+		const [first] = request.candidates;
+		if (!first) {
+			return {kind: 'refused', reason: 'no-target', retryAfterMilliseconds};
+		}
+
+		if (request.signal.aborted) {
+			return {kind: 'refused', reason: 'cancelled', retryAfterMilliseconds};
+		}
+
+		return getPool(first).select(request);
+	};
 
-export function createTargetSelector(quota: SlotQuota): TargetSelector {
 	return {
-		async select({candidates, excluded}) {
-			const usable = candidates.filter(target => !excluded.has(target.name));
-			const ordered = usable.toSorted((left, right) => getFreeSlots(quota, right) - getFreeSlots(quota, left));
-			const target = ordered.find(candidate => quota.take(candidate.name));
-			if (!target) {
-				return {kind: 'refused', reason: usable.length === 0 ? 'no-target' : 'no-slot', retryAfterMilliseconds};
+		async select(request) {
+			const queuedAt = clock.monotonic();
+			const selection = await wait(request);
+			metrics.observeWait(request.customer, request.class, clock.monotonic() - queuedAt);
+			if (selection.kind === 'refused') {
+				metrics.countRefusal(request.customer, request.class, selection.reason);
 			}
 
-			return {
-				kind: 'selected',
-				target,
-				finish() {
-					quota.release(target.name);
-				},
-			};
+			return selection;
+		},
+		report(target, report) {
+			pools.get(getPoolName(target))?.report(target.name, report);
 		},
+		getPools,
 	};
 }
 
-function getFreeSlots(quota: SlotQuota, target: Target): number {
-	return quota.getHeld(target.name) - quota.getInUse(target.name);
+function getPoolName(target: Target): string {
+	return `${target.service} ${target.version}`;
 }
--- /dev/null
+++ b/packages/node/tests/target-selector.test.ts
@@ -0,0 +1,133 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect, test} from 'vitest';
+import {systemClock} from '@catkindale/common';
+import type {Selection, SelectionRequest} from '../src/target-selector.js';
+import {createSelection, createTestSelector} from './helpers-selector.js';
+
+type Case = {
+	readonly title: string;
+	readonly held: Record<string, number>;
+	readonly change?: () => Partial<SelectionRequest>;
+	readonly reason: string;
+};
+
+const refusals: Case[] = [
+	{title: 'without a target', held: {}, reason: 'no-target'},
+	{
+		title: 'when every target was tried', held: {a: 1}, change: () => ({excluded: new Set(['a'])}), reason: 'no-target',
+	},
+	{title: 'when no slot is lent to a node that holds none', held: {a: 0}, reason: 'no-slot'},
+	{
+		title: 'when the caller has gone', held: {a: 1}, change: () => ({signal: AbortSignal.abort()}), reason: 'cancelled',
+	},
+];
+
+test.each(refusals)('refuses $title', async ({held, change, reason}) => {
+	const {selector, candidates, quota} = createTestSelector(held);
+	const selection = await selector.select(createSelection(candidates, change?.()));
+	expect(selection).toMatchObject({kind: 'refused', reason});
+	expect([...quota.inUse.values()].every(inUse => inUse === 0)).toBe(true);
+});
+
+test('a waiting request gets the slot that another gives back', async () => {
+	const {selector, candidates, quota} = createTestSelector({a: 1});
+	const first = await selector.select(createSelection(candidates));
+	const second = selector.select(createSelection(candidates));
+	finish(first);
+	expect(await second).toMatchObject({kind: 'selected', target: {name: 'a'}});
+	expect(quota.inUse.get('a')).toBe(1);
+});
+
+test('a waiting request gets a slot that is lent meanwhile', async () => {
+	const {selector, candidates, quota} = createTestSelector({a: 0});
+	const waiting = selector.select(createSelection(candidates));
+	quota.held.set('a', 1);
+	expect(await waiting).toMatchObject({kind: 'selected'});
+});
+
+test('a request that waits is refused at its deadline, and one that can\'t be in time at once', async () => {
+	const {selector, candidates} = createTestSelector({a: 1});
+	const first = await selector.select(createSelection(candidates));
+	await delay(60);
+	finish(first);
+	const running = await selector.select(createSelection(candidates));
+	const startedAt = systemClock.monotonic();
+	const hopeless = await selector.select(createSelection(candidates, {deadlineAt: startedAt + 30}));
+	expect(hopeless).toMatchObject({kind: 'refused', reason: 'deadline'});
+	expect(systemClock.monotonic() - startedAt).toBeLessThan(25);
+	const waiting = await selector.select(createSelection(candidates, {deadlineAt: startedAt + 200}));
+	expect(waiting).toMatchObject({kind: 'refused', reason: 'deadline'});
+	finish(running);
+});
+
+test('an aborted request leaves no trace', async () => {
+	const {selector, candidates, quota} = createTestSelector({a: 1});
+	const first = await selector.select(createSelection(candidates));
+	const caller = new AbortController();
+	const waiting = selector.select(createSelection(candidates, {signal: caller.signal}));
+	caller.abort();
+	expect(await waiting).toMatchObject({kind: 'refused', reason: 'cancelled'});
+	expect(selector.getPools()[0]?.waiting).toBe(0);
+	finish(first);
+	expect(quota.inUse.get('a')).toBe(0);
+	expect(await selector.select(createSelection(candidates))).toMatchObject({kind: 'selected'});
+});
+
+test('a small customer isn\'t held up by a flood', async () => {
+	const {selector, candidates} = createTestSelector({a: 1});
+	const first = await selector.select(createSelection(candidates));
+	const order: string[] = [];
+	const customers = [...Array.from({length: 10}, () => 'large'), 'small'];
+	const served = customers.map(async customer => {
+		const selection = await selector.select(createSelection(candidates, {customer}));
+		order.push(customer);
+		finish(selection);
+	});
+	finish(first);
+	await Promise.all(served);
+	expect(order.indexOf('small')).toBeLessThanOrEqual(1);
+});
+
+test('a slot that the quota no longer holds isn\'t used', async () => {
+	const {selector, candidates, quota} = createTestSelector({a: 2, b: 1});
+	const first = await selector.select(createSelection(candidates));
+	quota.held.set('a', 0);
+	const second = await selector.select(createSelection(candidates, {excluded: new Set(first.kind === 'selected' ? [first.target.name] : [])}));
+	for (const [target, inUse] of quota.inUse) {
+		expect(inUse).toBeLessThanOrEqual(target === 'a' ? 1 : quota.getHeld(target));
+	}
+
+	expect(['selected', 'refused']).toContain(second.kind);
+});
+
+test('a failing target gets less work and is probed after a pause', async () => {
+	const {selector, candidates} = createTestSelector({a: 1, b: 1});
+	const chosen: string[] = [];
+	for (let request = 0; request < 100; request++) {
+		const selection = await selector.select(createSelection(candidates));
+		if (selection.kind === 'selected') {
+			chosen.push(selection.target.name);
+			selection.finish({kind: selection.target.name === 'a' ? 'lost' : 'answered', milliseconds: 1});
+		}
+	}
+
+	expect(chosen.length).toBe(100);
+	expect(chosen.filter(name => name === 'a').length).toBeLessThanOrEqual(2);
+	expect(selector.getPools()[0]?.cutOff).toBe(1);
+});
+
+test('the metrics show queue times per customer and class, and slots', async () => {
+	const {selector, candidates, registry} = createTestSelector({a: 3});
+	const selection = await selector.select(createSelection(candidates));
+	const text = await registry.metrics();
+	expect(text).toContain('catkindale_queue_seconds_count{customer="wideroe",class="interactive"} 1');
+	expect(text).toContain('catkindale_target_slots{service="pricing",version="1",state="held"} 3');
+	expect(text).toContain('catkindale_target_slots{service="pricing",version="1",state="in_use"} 1');
+	finish(selection);
+});
+
+function finish(selection: Selection): void {
+	if (selection.kind === 'selected') {
+		selection.finish({kind: 'answered', milliseconds: 1});
+	}
+}
--- a/packages/policy/src/target-admission.ts
+++ b/packages/policy/src/target-admission.ts
@@ -42,16 +42,19 @@
 	readonly estimateWait: (request: QueuedRequest, now: number) => number;
 };
 
-export type TargetAdmissionOptions = {
+export type TargetAdmissionOptions<Request> = {
 	readonly region: string;
 	readonly random: Random;
 	readonly limits?: FairQueueLimits;
 	readonly isRegionOpen?: (region: string) => boolean;
+	/** Takes the slot from the quota that this node holds; false if it holds none that is free. */
+	readonly takeSlot?: (target: string, request: Request) => boolean;
 };
 
-export function createTargetAdmission<Request extends AdmissionRequest>(options: TargetAdmissionOptions): TargetAdmission<Request> {
+export function createTargetAdmission<Request extends AdmissionRequest>(options: TargetAdmissionOptions<Request>): TargetAdmission<Request> {
 	const choice = createTargetChoice(options);
 	const queue: FairQueue<Request> = createFairQueue(options.limits ?? defaultFairQueueLimits);
+	const {takeSlot = () => true} = options;
 	let targets: readonly ChoiceTarget[] = [];
 
 	const hasTargetFor = (request: Request): boolean => request.excluded.size === 0
@@ -75,6 +78,20 @@
 	/** Milliseconds until all requests that wait now are started. */
 	const getDrainTime = (): number => queue.getLength() * (choice.getUsualLatency() ?? 0) / Math.max(1, choice.getUsableSlots());
 
+	/** Chooses a target whose slot can be taken; one that turns out to have none is left out until the next `setHeld`. */
+	const takeTarget = (request: Request, now: number): string | undefined => {
+		const wish = {excluded: request.excluded, waitMilliseconds: getDrainTime()};
+		for (let target = choice.choose(wish, now); target !== undefined; target = choice.choose(wish, now)) {
+			if (takeSlot(target, request)) {
+				return target;
+			}
+
+			choice.setHeld(target, choice.getState(target)?.inUse ?? 0, now);
+		}
+
+		return undefined;
+	};
+
 	return {
 		choice,
 		estimateWait,
@@ -114,7 +131,7 @@
 				return {kind: 'refuse', request, reason: 'no-target'};
 			}
 
-			const target = choice.choose({excluded: request.excluded, waitMilliseconds: getDrainTime()}, now);
+			const target = takeTarget(request, now);
 			if (target === undefined) {
 				if (request.excluded.size > 0 && choice.hasFree(now)) {
 					// It mustn't hold up those behind it, which could use the free target.
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -44,6 +44,8 @@
 	readonly hasFree: (now: number) => boolean;
 	/** Slots that may be in use at once in the own region. */
 	readonly getUsableSlots: () => number;
+	/** Slots that this node holds at all targets. */
+	readonly getHeldSlots: () => number;
 	/** Usual milliseconds of a request in the own region; undefined before the first answer. */
 	readonly getUsualLatency: () => number | undefined;
 	/** When the next target comes back from a pause; undefined if none is in a pause. */
@@ -284,6 +286,7 @@
 			return [...regions.values()].some(region => isHome(region) && region.free.length > 0);
 		},
 		getUsableSlots: () => [...regions.values()].filter(region => isHome(region)).reduce((sum, region) => sum + region.usable, 0),
+		getHeldSlots: () => [...regions.values()].reduce((sum, region) => sum + region.held, 0),
 		getUsualLatency: () => getHomeRegion()?.usualLatency ?? [...regions.values()][0]?.usualLatency,
 		getNextWake: () => paused.peek()?.wakeAt,
 		getState(target) {
