--- a/packages/cli/src/verification-target-choice.ts
+++ b/packages/cli/src/verification-target-choice.ts
@@ -28,6 +28,7 @@
 
 const steps = 400;
 const regions = ['oslo', 'bergen', 'tromso'] as const;
+const ownRegion = 'oslo';
 const limits = {requestsPerCustomer: 8, requests: 24, bulkShare: 0.1};
 const mostTargets = 12;
 const longestStepMilliseconds = 40;
@@ -42,7 +43,7 @@
 		const run: Run = {
 			seed,
 			random,
-			admission: createTargetAdmission({region: 'oslo', random: createRandom(seed + 1), limits}),
+			admission: createTargetAdmission({region: ownRegion, random: createRandom(seed + 1), limits}),
 			held: new Map(),
 			states: new Map(),
 			waiting: new Map(),
@@ -236,4 +237,20 @@
 	for (const [id, state] of run.states) {
 		assertInvariant(state !== 'waiting', 'no request is lost', {seed: run.seed, id});
 	}
+
+	checkReturn(run);
+}
+
+/** Every target of the own region with a slot held gets work again once its pauses are over. */
+function checkReturn(run: Run): void {
+	while (run.admission.choice.hasFree(run.now)) {
+		offer(run);
+		dispatch(run);
+	}
+
+	for (const target of run.targets) {
+		const held = run.held.get(target.name) ?? 0;
+		const isUsed = run.running.some(started => started.target === target.name);
+		assertInvariant(isUsed || held === 0 || target.region !== ownRegion, 'a target gets work again after its pauses', {seed: run.seed, target: target.name, held});
+	}
 }
