--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -41,7 +41,9 @@
 			routing: undefined,
 			validity: noValidity,
 			quotas: requests,
-			selector: createTargetSelector(slots),
+			selector: createTargetSelector({
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			latency: createLatencyHistogram(context),
