Take in configurations of tens of thousands of targets without stopping requests

Cause: the entry's index copied a pool's list for each target it added, which grows with the square of the number of targets.

Ruled out: the check of the configuration, 74 ms at the same size and linear.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,3 +6,4 @@
 export * from './start-node.js';
 export {createMembership} from './membership.js';
 export {createNodeQuotas} from './node-quotas.js';
+export {createRoutingTable} from './routing-table.js';
--- a/packages/node/src/routing-table.ts
+++ b/packages/node/src/routing-table.ts
@@ -43,7 +43,9 @@
 	const targets = new Map<string, Target[]>();
 	for (const target of serving) {
 		const name = getPoolName(target.service, target.version);
-		targets.set(name, [...targets.get(name) ?? [], target]);
+		const pool = targets.get(name) ?? [];
+		pool.push(target);
+		targets.set(name, pool);
 	}
 
 	return targets;
