--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,6 +4,8 @@
 import {benchCommand} from './bench-command.js';
 import {checkCommand} from './check-command.js';
 import {demoCommand} from './demo-command.js';
+import {drainCommand} from './drain-command.js';
+import {keyCommand} from './key-command.js';
 import {nodeCommand} from './node-command.js';
 import {rolloutCommand} from './rollout-command.js';
 import {standinCommand} from './standin-command.js';
@@ -16,6 +18,8 @@
 	checkCommand,
 	statusCommand,
 	rolloutCommand,
+	keyCommand,
+	drainCommand,
 	demoCommand,
 	benchCommand,
 	verifyCommand,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,8 @@
 /** The pure decisions: no input or output, no timers, time passed in. */
+export * from './client-address.js';
+export {findIpv4Assignment} from './client-block-ranges.js';
+export * from './client-block-snapshot.js';
+export * from './client-block-table.js';
 export * from './configuration.js';
 export * from './configuration-check.js';
 export * from './evidence.js';
@@ -10,5 +14,16 @@
 export * from './rollout-report.js';
 export * from './rollout-row.js';
 export * from './shift.js';
+export * from './attempt.js';
+export * from './customer-flows.js';
+export * from './fair-queue.js';
+export * from './priority-queue.js';
+export * from './configuration-record.js';
+export * from './freshness.js';
+export * from './quorum.js';
+export * from './restriction.js';
 export * from './slot-floors.js';
+export * from './target-admission.js';
+export * from './target-choice.js';
+export * from './target-health.js';
 export * from './token-bucket.js';
