Check rollouts under faults by randomised runs

catkindale verify rollouts runs the nodes' own code in simulated time: lost, late and repeated messages, lost answers and late writes of the table, outages, kills, freezes, cuts, operators. A share now needs a majority heard within 2 s: with the table alone, a region that still reads it but hears nobody would have kept its share after a halt elsewhere. Rising steps get at least 2.5 s each.

--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,3 +1,4 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-token-bucket.js';
 import './verification-fairness.js';
+import './verification-rollouts.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,3 +4,6 @@
 export * from './errors.js';
 export * from './settings.js';
 export * from './start-node.js';
+export * from './rollout-task.js';
+export type {AttemptResult} from './target-selector.js';
+export * from './version-chooser.js';
--- a/packages/policy/src/rollout-follower.ts
+++ b/packages/policy/src/rollout-follower.ts
@@ -17,7 +17,7 @@
 	type RolloutRow, type RolloutWish, changeRollout, getRowShare, isFinal, isRowOfRollout, startRollout,
 } from './rollout-row.js';
 
-/** How long a share holds after the node last heard that its row is current. */
+/** How long a share holds after the node last heard from a majority of the members. */
 export const shareLeaseMilliseconds = 2 * millisecondsPerSecond;
 /** How long a node of the next rank waits before it writes in place of the one before it. */
 const rankDelayMilliseconds = 700;
@@ -167,18 +167,20 @@
 		return {share: 0, validUntil: Infinity, deadlineAt: row?.deadlineAt};
 	}
 
-	const confirmedAt = Math.max(follower.readAt, getMajorityTime(follower, members));
-	return {share: getRowShare(row), validUntil: confirmedAt + shareLeaseMilliseconds, deadlineAt: row.deadlineAt};
+	return {share: getRowShare(row), validUntil: getMajorityTime(follower, members) + shareLeaseMilliseconds, deadlineAt: row.deadlineAt};
 }
 
-/** The latest time since when a majority of the members, this one included, has been heard. */
+/**
+ * The latest time since when a majority of the members, this one included, has
+ * been heard. Two majorities share a member, through which each halt passes.
+ */
 function getMajorityTime(follower: RolloutFollower, members: readonly string[]): number {
 	const times = members
 		.filter(member => member !== follower.member)
 		.map(member => follower.reports.get(member)?.receivedAt ?? -Infinity)
 		.toSorted((left, right) => right - left);
 	const needed = Math.floor(members.length / 2);
-	return needed === 0 ? -Infinity : times[needed - 1] ?? -Infinity;
+	return needed === 0 ? Infinity : times[needed - 1] ?? -Infinity;
 }
 
 /** What this node thinks should happen to the rollout now. */
--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -15,11 +15,14 @@
 
 /** Parts of the time from the start to the deadline. */
 const watchStartsAt = 0.08;
-const riseStartsAt = 0.6;
+const latestRiseStartsAt = 0.6;
+const earliestRiseStartsAt = 0.2;
 const completionAt = 0.85;
 const marginPart = 0.05;
 const shortestMarginMilliseconds = 1500;
 const longestMarginMilliseconds = 30 * millisecondsPerSecond;
+/** Time for a step to come into force everywhere and to be judged. */
+const shortestRisingStepMilliseconds = 2500;
 const shortestDwellMilliseconds = 300;
 const longestShortenedDwellMilliseconds = 10 * millisecondsPerSecond;
 const shortenedDwellPart = 0.5;
@@ -56,18 +59,31 @@
 }
 
 /** The wall time at which a step ends by the plan. */
-export function getStepEnd({startedAt, deadlineAt}: RolloutTimes, step: number, steps: number): number {
-	const duration = deadlineAt - startedAt;
-	const risingSteps = Math.max(1, steps - 2);
-	const part = step === 0
-		? watchStartsAt
-		: riseStartsAt + ((completionAt - riseStartsAt) * (step - 1) / risingSteps);
-	return startedAt + (duration * part);
+export function getStepEnd(times: RolloutTimes, step: number, steps: number): number {
+	const duration = times.deadlineAt - times.startedAt;
+	if (step === 0) {
+		return times.startedAt + (duration * watchStartsAt);
+	}
+
+	const risingMilliseconds = getRisingStep(times, steps) * (getRisingSteps(steps) - step + 1);
+	return times.startedAt + (duration * completionAt) - risingMilliseconds;
 }
 
 /** The shortest time in milliseconds for which a step is watched when the plan is late. */
 export function getShortestDwell(times: RolloutTimes, steps: number): number {
-	const risingSteps = Math.max(1, steps - 2);
-	const planned = (times.deadlineAt - times.startedAt) * (completionAt - riseStartsAt) / risingSteps;
+	const planned = getRisingStep(times, steps);
 	return Math.min(Math.max(planned * shortenedDwellPart, shortestDwellMilliseconds), longestShortenedDwellMilliseconds);
 }
+
+function getRisingSteps(steps: number): number {
+	return Math.max(1, steps - 2);
+}
+
+/** The planned time of one rising step in milliseconds. */
+function getRisingStep({startedAt, deadlineAt}: RolloutTimes, steps: number): number {
+	const duration = deadlineAt - startedAt;
+	const risingSteps = getRisingSteps(steps);
+	const shortest = duration * (completionAt - latestRiseStartsAt);
+	const longest = duration * (completionAt - earliestRiseStartsAt);
+	return Math.min(longest, Math.max(shortest, risingSteps * shortestRisingStepMilliseconds)) / risingSteps;
+}
