Check that a bad version is found out, also behind a cut

It now cuts nodes from the table as well, sends requests at the moment of waking, and asserts that ten failures of a bad version end its traffic within 5.5 s.

--- a/packages/cli/src/rollout-fleet.ts
+++ b/packages/cli/src/rollout-fleet.ts
@@ -23,6 +23,8 @@
 	isTableDown: boolean;
 	/** Whether two nodes can't hear each other. */
 	isCut: (left: string, right: string) => boolean;
+	/** Whether a node can't reach the table while others can. */
+	isTableCut: (node: string) => boolean;
 };
 
 export type FleetNode = {
@@ -76,7 +78,14 @@
 	let now = 0;
 	let isAnswered = false;
 	const faults: FleetFaults = {
-		messageLossShare: 0, messageRepeatShare: 0, longestMessageLag: 2 * shortestLagMilliseconds, answerLossShare: 0, longestWriteLag: 20, isTableDown: false, isCut: () => false,
+		messageLossShare: 0,
+		messageRepeatShare: 0,
+		longestMessageLag: 2 * shortestLagMilliseconds,
+		answerLossShare: 0,
+		longestWriteLag: 20,
+		isTableDown: false,
+		isCut: () => false,
+		isTableCut: () => false,
 	};
 
 	const schedule = (delay: number, run: () => void): void => {
@@ -134,9 +143,16 @@
 		},
 	};
 
+	const getTableOf = (member: string): TableService => ({
+		...table,
+		async transact(changeId, writes) {
+			return faults.isTableCut(member) ? {kind: 'not-done', reason: 'cut'} : table.transact(changeId, writes);
+		},
+	});
+
 	const createTask = (member: string, clock: Clock): RolloutTask => {
 		const task = createRolloutTask(rollout, {
-			member, incarnation: createIdentifier(), clock, logger: createSilentLogger(), table,
+			member, incarnation: createIdentifier(), clock, logger: createSilentLogger(), table: getTableOf(member),
 		});
 		setWish(task, configuration, configurationVersion);
 		return task;
@@ -188,7 +204,7 @@
 	};
 
 	const poll = (node: FleetNode): void => {
-		if (!faults.isTableDown) {
+		if (!faults.isTableDown && !faults.isTableCut(node.name)) {
 			readRow(node.task, rows.get(`rollout/${rollout}`), now);
 		}
 	};
--- a/packages/cli/src/verification-rollouts.ts
+++ b/packages/cli/src/verification-rollouts.ts
@@ -19,12 +19,16 @@
 const tickMilliseconds = 500;
 const requestMilliseconds = 100;
 const requestsPerPulse = 2;
+const requestsOnWaking = 50;
 const shortestDeadline = 15_000;
 const longestDeadline = 30_000;
 /** After the deadline and the last fault: time for the row to end and for all to know. */
 const settleMilliseconds = 8000;
 /** How long a share may still be used after it was lowered or a halt was seen. */
 const restrictionMilliseconds = 3000;
+/** Failures that must tell, and the time from them to the last request, by evidence and halt. */
+const tellingFailures = 10;
+const detectionMilliseconds = 2500 + restrictionMilliseconds;
 const clockTolerance = 100;
 const roundingTolerance = 1e-6;
 
@@ -44,7 +48,11 @@
 	readonly knownSince: Map<string, {attempt: number; since: number}>;
 	verdict: Verdict | undefined;
 	lastFaultAt: number;
-	requests: number;
+	/** Until when faults hindered the nodes, as far as is known. */
+	disturbedAt: number;
+	failures: number;
+	/** When the new version had failed often enough to be found out. */
+	shownAt: number;
 };
 
 registerVerification({
@@ -74,7 +82,20 @@
 	});
 	const isBad = random.fraction() < 0.5;
 	const watch: Watch = {
-		random, fleet, deadlineAt, route: configuration.routes[0]!, targets: configuration.targets, badFrom: isBad ? random.integer(0, deadlineAt) : Infinity, excess: new Map(), shares: [], knownSince: new Map(), verdict: undefined, lastFaultAt: 0, requests: 0,
+		random,
+		fleet,
+		deadlineAt,
+		route: configuration.routes[0]!,
+		targets: configuration.targets,
+		badFrom: isBad ? random.integer(0, deadlineAt) : Infinity,
+		excess: new Map(),
+		shares: [],
+		knownSince: new Map(),
+		verdict: undefined,
+		lastFaultAt: 0,
+		disturbedAt: 0,
+		failures: 0,
+		shownAt: Infinity,
 	};
 	startTraffic(watch);
 	scheduleFaults(watch);
@@ -105,7 +126,7 @@
 	const pulse = (): void => {
 		for (const node of watch.fleet.nodes) {
 			if (node.state === 'live') {
-				sendRequests(watch, node);
+				sendRequests(watch, node, requestsPerPulse);
 			}
 		}
 
@@ -115,13 +136,16 @@
 	pulse();
 }
 
-function sendRequests(watch: Watch, node: FleetNode): void {
-	for (let request = 0; request < requestsPerPulse; request++) {
-		watch.requests += 1;
+function sendRequests(watch: Watch, node: FleetNode, count: number): void {
+	for (let request = 0; request < count; request++) {
 		const version = node.chooser.choose('pricing') ?? '1';
 		checkRequest(watch, node, version === '2');
 		const isFailing = version === '2' && watch.fleet.now() >= watch.badFrom;
 		const result: AttemptResult = {kind: isFailing ? 'failed' : 'answered', milliseconds: watch.random.integer(5, 20)};
+		if (isFailing) {
+			countFailure(watch);
+		}
+
 		const {route, targets} = watch;
 		const target = targets.find(candidate => candidate.version === version);
 		if (target) {
@@ -130,6 +154,18 @@
 	}
 }
 
+function countFailure(watch: Watch): void {
+	const now = watch.fleet.now();
+	watch.failures += 1;
+	if (watch.failures === tellingFailures) {
+		watch.shownAt = now;
+	}
+
+	const isDone = watch.verdict?.phase === 'done';
+	const undisturbedSince = Math.max(watch.shownAt, watch.disturbedAt);
+	assertInvariant(isDone || now <= undisturbedSince + detectionMilliseconds, 'a bad version gets nothing soon after its badness shows', {now, undisturbedSince});
+}
+
 function checkRequest(watch: Watch, node: FleetNode, isNew: boolean): void {
 	const now = watch.fleet.now();
 	const share = getLargestShare(watch, now);
@@ -235,9 +271,13 @@
 	const during = (begin: () => void, end: () => void): void => {
 		fleet.schedule(startsAt, () => {
 			watch.knownSince.clear();
+			watch.disturbedAt = startsAt + lasts;
 			begin();
 		});
-		fleet.schedule(startsAt + lasts, end);
+		fleet.schedule(startsAt + lasts, () => {
+			watch.disturbedAt = fleet.now();
+			end();
+		});
 	};
 
 	const kind = faultKinds[random.integer(0, faultKinds.length - 1)]!;
@@ -258,7 +298,7 @@
 				// A frozen node's first act on waking is a request that waited.
 				if (node.state === 'frozen') {
 					node.state = 'live';
-					sendRequests(watch, node);
+					sendRequests(watch, node, requestsOnWaking);
 					fleet.wake(node);
 				}
 			});
@@ -275,10 +315,13 @@
 		}
 
 		case 'cut': {
+			const isTableCut = random.fraction() < 0.5;
 			during(() => {
 				fleet.faults.isCut = (left, right) => left === node.name || right === node.name;
+				fleet.faults.isTableCut = name => isTableCut && name === node.name;
 			}, () => {
 				fleet.faults.isCut = () => false;
+				fleet.faults.isTableCut = () => false;
 			});
 			return;
 		}
