--- /dev/null
+++ b/packages/cli/src/bench-rollouts.ts
@@ -0,0 +1,107 @@
+/** Kinds of new versions x deadlines, through the product's decisions and beside baselines. */
+import {registerBench} from './bench-registry.js';
+import {
+	type RolloutMethod, type TrialResult, rolloutMethods, runTrial,
+} from './rollout-trials.js';
+import {type VersionKind, isGoodKind, versionKinds} from './rollout-versions.js';
+
+type Summary = {
+	readonly completed: number;
+	readonly takenBack: number;
+	readonly late: number;
+	readonly harmed: number;
+	readonly largestShare: number;
+	readonly slowestSeconds: number | undefined;
+};
+
+const seedCount = 20;
+const deadlinesInMinutes = [2, 10, 60];
+const harmPart = 1 / 5;
+const percent = 100;
+const columns = [7, 27, 28, 9, 10, 13, 10, 9, 8, 9];
+
+registerBench({
+	name: 'rollouts',
+	describe: 'kinds of version x deadlines x 20 seeds in simulated time, beside fixed steps and an error-rate threshold',
+	async run({seed, print}) {
+		print(formatLine(['minutes', 'version', 'method', 'in time', 'taken back', 'wrong verdict', 'harmed', 'largest', 'to zero', 'late']));
+		let isOnTarget = true;
+		for (const minutes of deadlinesInMinutes) {
+			const harmedOfMethods = new Map<RolloutMethod, number>();
+			for (const kind of versionKinds) {
+				isOnTarget = await runKind({
+					kind, minutes, seed, print, harmedOfMethods,
+				}) && isOnTarget;
+			}
+
+			isOnTarget = reportHarm(harmedOfMethods, minutes, print) && isOnTarget;
+		}
+
+		return isOnTarget;
+	},
+});
+
+type KindOptions = {
+	readonly kind: VersionKind;
+	readonly minutes: number;
+	readonly seed: number;
+	readonly print: (line: string) => void;
+	readonly harmedOfMethods: Map<RolloutMethod, number>;
+};
+
+async function runKind({kind, minutes, seed, print, harmedOfMethods}: KindOptions): Promise<boolean> {
+	let isOnTarget = true;
+	for (const method of rolloutMethods) {
+		const results: TrialResult[] = [];
+		for (let index = 0; index < seedCount; index++) {
+			results.push(await runTrial({
+				kind, method, minutes, seed: seed + index,
+			}));
+		}
+
+		const summary = summarize(results);
+		const right = isGoodKind(kind) ? summary.completed : summary.takenBack;
+		print(formatLine([
+			String(minutes),
+			kind,
+			method,
+			String(summary.completed),
+			String(summary.takenBack),
+			String(seedCount - right),
+			summary.harmed.toFixed(1),
+			`${(summary.largestShare * percent).toFixed(1)}%`,
+			summary.slowestSeconds?.toFixed(1) ?? '-',
+			String(summary.late),
+		]));
+		harmedOfMethods.set(method, (harmedOfMethods.get(method) ?? 0) + summary.harmed);
+		if (method === 'catkindale') {
+			isOnTarget = right === seedCount && summary.late === 0;
+		}
+	}
+
+	return isOnTarget;
+}
+
+/** Harmed is a mean per rollout, the largest share and the time to zero the worst of the seeds. */
+function summarize(results: readonly TrialResult[]): Summary {
+	const seconds = results.flatMap(result => result.secondsToZero ?? []);
+	return {
+		completed: results.filter(result => result.end === 'done' && result.isInTime).length,
+		takenBack: results.filter(result => result.end === 'reverted').length,
+		late: results.filter(result => !result.isInTime).length,
+		harmed: results.reduce((sum, result) => sum + result.harmed, 0) / results.length,
+		largestShare: Math.max(...results.map(result => result.largestShare)),
+		slowestSeconds: seconds.length > 0 ? Math.max(...seconds) : undefined,
+	};
+}
+
+function reportHarm(harmedOfMethods: ReadonlyMap<RolloutMethod, number>, minutes: number, print: (line: string) => void): boolean {
+	const [own = 0, ...baselines] = rolloutMethods.map(method => harmedOfMethods.get(method) ?? 0);
+	const better = Math.min(...baselines);
+	print(`${minutes} minutes: harmed over all kinds ${own.toFixed(1)}, better baseline ${better.toFixed(1)}, part ${(own / better).toFixed(3)} (target at most ${harmPart})`);
+	return own <= better * harmPart;
+}
+
+function formatLine(cells: readonly string[]): string {
+	return cells.map((cell, index) => index >= 1 && index <= 2 ? cell.padEnd(columns[index] ?? 0) : cell.padStart(columns[index] ?? 0)).join(' ');
+}
