--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -2,3 +2,4 @@
 import './verification-token-bucket.js';
 import './verification-fairness.js';
 import './verification-rollouts.js';
+import './verification-target-choice.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,5 @@
 /** The plug-ins that make up an entry VM, and the way to start one. */
-export {parseManifest} from './apply-action.js';
+export * from './manifest.js';
 export * from './constants.js';
 export * from './errors.js';
 export * from './settings.js';
@@ -7,3 +7,5 @@
 export * from './rollout-task.js';
 export type {AttemptResult} from './target-selector.js';
 export * from './version-chooser.js';
+export {createMembership} from './membership.js';
+export {createNodeQuotas} from './node-quotas.js';
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -54,5 +54,7 @@
 		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
+	/** Slots at the target were borrowed just now. */
+		| {readonly type: 'slots-gained'; readonly target: string}
 	/** The node takes no new work from now on. */
 		| {readonly type: 'drain-started'};
