--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -2,3 +2,4 @@
 import './bench-capacity.js';
 import './bench-client-blocks.js';
 import './bench-rendezvous.js';
+import './bench-rollouts.js';
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -24,8 +24,8 @@
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
-import './restriction-plugin.js';
 import './rollout-plugin.js';
+import './restriction-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
