--- a/packages/policy/src/customer-flows.ts
+++ b/packages/policy/src/customer-flows.ts
@@ -9,7 +9,7 @@
  * some depth: Jin, Chase and Kaur, "Interposed proportional sharing for a
  * storage service utility", ACM SIGMETRICS, 2004.
  */
-import {createPriorityQueue} from './priority-queue.js';
+import {type PrioritizedItem, createPriorityQueue} from './priority-queue.js';
 
 export type WaitingRequest = {
 	readonly customer: string;
@@ -19,7 +19,6 @@
 
 export type CustomerFlows<Request extends WaitingRequest> = {
 	readonly getLength: () => number;
-	readonly getLengthOf: (customer: string) => number;
 	readonly add: (request: Request) => void;
 	/** The request that is due next. */
 	readonly peek: () => Request | undefined;
@@ -35,7 +34,7 @@
 	readonly countCustomers: () => number;
 };
 
-type Flow<Request> = {
+type Flow<Request> = PrioritizedItem & {
 	readonly customer: string;
 	readonly requests: Request[];
 	/** Virtual time at which the first waiting request starts; if none waits, at which the last one served ended. */
@@ -87,7 +86,7 @@
 		}
 
 		const flow: Flow<Request> = {
-			customer, requests: [], tag: virtualTime, order: 0, weight: 1,
+			customer, requests: [], tag: virtualTime, order: 0, weight: 1, heapPosition: -1,
 		};
 		flows.set(customer, flow);
 		return flow;
@@ -97,7 +96,6 @@
 
 	return {
 		getLength: () => length,
-		getLengthOf: customer => flows.get(customer)?.requests.length ?? 0,
 		add(request) {
 			const flow = getFlow(request.customer);
 			flow.requests.push(request);
--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -56,7 +56,6 @@
 	let interactiveInSuccession = 0;
 
 	const getLength = (): number => flows.interactive.getLength() + flows.bulk.getLength();
-	const getLengthOf = (customer: string): number => flows.interactive.getLengthOf(customer) + flows.bulk.getLengthOf(customer);
 
 	const getNextClass = (): RequestClass => {
 		if (flows.interactive.getLength() === 0) {
@@ -77,7 +76,7 @@
 
 	const displace = (newcomer: Request): Request | undefined => {
 		const customer = longest.getLongest();
-		if (customer === undefined || getLengthOf(customer) <= getLengthOf(newcomer.customer) + 1) {
+		if (customer === undefined || longest.getLength(customer) <= longest.getLength(newcomer.customer) + 1) {
 			return undefined;
 		}
 
@@ -90,7 +89,7 @@
 	return {
 		getLength,
 		add(request) {
-			if (getLengthOf(request.customer) >= limits.requestsPerCustomer) {
+			if (longest.getLength(request.customer) >= limits.requestsPerCustomer) {
 				return {kind: 'full'};
 			}
 
--- a/packages/policy/src/priority-queue.ts
+++ b/packages/policy/src/priority-queue.ts
@@ -4,6 +4,9 @@
  */
 import {assertInvariant} from '@catkindale/common';
 
+/** An item knows its place in the one heap that holds it; -1 outside of any. */
+export type PrioritizedItem = {heapPosition: number};
+
 export type PriorityQueue<Item> = {
 	readonly getLength: () => number;
 	readonly has: (item: Item) => boolean;
@@ -16,9 +19,8 @@
 };
 
 /** Creates an empty queue; the order of an item may change only before `update` is called for it. */
-export function createPriorityQueue<Item>(isBefore: (left: Item, right: Item) => boolean): PriorityQueue<Item> {
+export function createPriorityQueue<Item extends PrioritizedItem>(isBefore: (left: Item, right: Item) => boolean): PriorityQueue<Item> {
 	const items: Item[] = [];
-	const positions = new Map<Item, number>();
 
 	const getItem = (position: number): Item => {
 		const item = items[position];
@@ -28,7 +30,7 @@
 
 	const place = (item: Item, position: number): void => {
 		items[position] = item;
-		positions.set(item, position);
+		item.heapPosition = position;
 	};
 
 	const moveUp = (item: Item, from: number): number => {
@@ -76,24 +78,26 @@
 		moveDown(item, moveUp(item, position));
 	};
 
+	const has = (item: Item): boolean => items[item.heapPosition] === item;
+
 	return {
 		getLength: () => items.length,
-		has: item => positions.has(item),
+		has,
 		peek: () => items[0],
 		add(item) {
-			assertInvariant(!positions.has(item), 'an item is in a heap once');
+			assertInvariant(item.heapPosition === -1, 'an item is in one heap only');
 			items.push(item);
 			moveUp(item, items.length - 1);
 		},
 		remove(item) {
-			const position = positions.get(item);
 			const last = items.at(-1);
-			if (position === undefined || last === undefined) {
+			if (!has(item) || last === undefined) {
 				return false;
 			}
 
+			const position = item.heapPosition;
 			items.pop();
-			positions.delete(item);
+			item.heapPosition = -1;
 			if (last !== item) {
 				settle(last, position);
 			}
@@ -101,9 +105,8 @@
 			return true;
 		},
 		update(item) {
-			const position = positions.get(item);
-			assertInvariant(position !== undefined, 'only an item of the heap is moved');
-			settle(item, position);
+			assertInvariant(has(item), 'only an item of the heap is moved');
+			settle(item, item.heapPosition);
 		},
 	};
 }
--- a/packages/policy/src/region-targets.ts
+++ b/packages/policy/src/region-targets.ts
@@ -2,10 +2,11 @@
  * The targets of one pool in one region: which of them have a free slot, in an
  * array from which a random one is drawn in constant time, and sums over all.
  */
+import type {PrioritizedItem} from './priority-queue.js';
 import type {RegionSpill} from './region-spill.js';
 import type {Attempt, TargetHealth} from './target-health.js';
 
-export type Candidate = {
+export type Candidate = PrioritizedItem & {
 	readonly name: string;
 	readonly region: RegionTargets;
 	health: TargetHealth;
@@ -48,7 +49,7 @@
 
 export function createCandidate(name: string, region: RegionTargets, health: TargetHealth): Candidate {
 	return {
-		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1,
+		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1, heapPosition: -1,
 	};
 }
 
