--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -14,4 +14,7 @@
 export const rowKeys = {
 	configuration: 'configuration',
 	membershipPrefix: 'membership/',
+	ledger: 'membership/fleet',
+	rolloutPrefix: 'rollout/',
+	shiftPrefix: 'shift/',
 } as const;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,3 +5,4 @@
 export * from './membership-proof.js';
 export * from './messages.js';
 export * from './rollout-messages.js';
+export * from './quota-messages.js';
