--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -3,3 +3,4 @@
 import './bench-client-blocks.js';
 import './bench-rendezvous.js';
 import './bench-rollouts.js';
+import './bench-costs.js';
