Show withdrawn keys, outages, cuts and races with real processes

A key whose withdrawal isn't recorded yet can't be granted again: the later record would have taken it back without a word.

--- a/packages/cli/tests/helpers.ts
+++ b/packages/cli/tests/helpers.ts
@@ -198,3 +198,70 @@
 ${targetLines.join('\n')}
 `;
 }
+
+export type TableFaults = {readonly outage?: boolean; readonly delayMilliseconds?: number; readonly lostAnswerShare?: number};
+
+/** Sets the faults of the table stand-in; those left out end. */
+export async function setTableFaults(platform: TestPlatform, faults: TableFaults): Promise<void> {
+	const answer = await request(`${platform.table}/faults`, {method: 'POST', body: JSON.stringify(faults)});
+	await answer.body.dump();
+}
+
+/** Cuts a node off from peers and from the table; what isn't named is connected again. */
+export async function cutNode(node: TestNode, peers: readonly TestNode[], table: boolean): Promise<void> {
+	await callAdmin(node, 'POST', '/v1/testing/cuts', JSON.stringify({peers: peers.map(({name}) => name), table}));
+}
+
+/** The address at which the node's peers reach it. */
+export async function getPeerAddress(node: TestNode): Promise<string> {
+	return node.waitFor(/event=started .*\bpeer=(\S+)/v);
+}
+
+/** Starts nodes that can be cut off, and waits until they know each other. */
+export async function startFleet(platform: TestPlatform, places: readonly TestNodePlace[], timing = ''): Promise<TestNode[]> {
+	const settings = `testing = {allowCuts = true}\ntiming = {lookupHoldMilliseconds = 300${timing}}`;
+	const nodes = await Promise.all(places.map(async place => startNodeProcess(platform, place, settings)));
+	await waitForServing(nodes, nodes.length);
+	return nodes;
+}
+
+/** Resolves once each of the nodes counts so many members that look-ups may name. */
+export async function waitForServing(nodes: readonly TestNode[], count: number): Promise<void> {
+	await waitUntil(async () => {
+		const replies = await Promise.all(nodes.map(async node => callAdmin(node, 'GET', '/v1/status')));
+		const counts = replies.map(reply => (reply.body.members as Array<{isServing: boolean}>).filter(({isServing}) => isServing).length);
+		return counts.every(serving => serving === count) || undefined;
+	}, `${count} serving members on all nodes`);
+}
+
+export type Answer = {readonly status: number; readonly reason: string | undefined};
+
+/** Sends one request and reads its answer whole; a failed connection gives status 0. */
+export async function sendRequest(address: string, headers: Record<string, string> = {}): Promise<Answer> {
+	try {
+		const answer = await request(address, {headers});
+		const body = await answer.body.json() as {reason?: string};
+		return {status: answer.statusCode, reason: body.reason};
+	} catch {
+		return {status: 0, reason: undefined};
+	}
+}
+
+/** Resolves with the milliseconds until every one of the addresses gives the status. */
+export async function waitForStatus(addresses: readonly string[], headers: Record<string, string>, status: number): Promise<number> {
+	const startedAt = performance.now();
+	await waitUntil(async () => {
+		const answers = await Promise.all(addresses.map(async address => sendRequest(address, headers)));
+		return answers.every(answer => answer.status === status) || undefined;
+	}, `status ${status} from all entries`);
+	return performance.now() - startedAt;
+}
+
+const targetSlots = 30;
+
+/** Starts one target of the pricing service at each place. */
+export async function startTargets(places: readonly TestNodePlace[]): Promise<ManifestTarget[]> {
+	return Promise.all(places.map(async ({region, zone}) => ({
+		name: `pricing-${zone}`, address: await startStandinProcess('target', ['--slots', String(targetSlots)]), region, zone, slots: targetSlots,
+	})));
+}
--- a/packages/node/src/key-action.ts
+++ b/packages/node/src/key-action.ts
@@ -26,6 +26,10 @@
 		}
 
 		const {customer, hash} = body.value;
+		if (state.restrictions.some(restriction => restriction.kind === 'key-withdrawn' && restriction.hash === hash)) {
+			return {status: 409, body: {result: 'refused', detail: 'a withdrawal of this key isn\'t recorded in the table yet; try again once "catkindale status" no longer lists it'}};
+		}
+
 		const outcome = await editConfiguration(context, addKey({customer, hash}), {author: body.value.author});
 		context.logger.info('key_grant', {customer, outcome: outcome.kind});
 		return reportChange(context, state, outcome);
