--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,6 +1,6 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	Member, Restriction, Route, Target, VersionedConfiguration, VersionedRecord,
+	ClientBlockTable, Member, Restriction, Route, Target, VersionedConfiguration, VersionedRecord,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
@@ -48,7 +48,13 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
+	/** The sites of client blocks, for the directory. */
+		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
+	/** An operator wants a rollout halted at once. */
+		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
+	/** Slots at the target were borrowed just now. */
+		| {readonly type: 'slots-gained'; readonly target: string}
 	/** The node takes no new work from now on. */
 		| {readonly type: 'drain-started'};
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -15,6 +15,7 @@
 import type {Settings} from './settings.js';
 import './admin-plugin.js';
 import './caller-server-plugin.js';
+import './client-blocks-plugin.js';
 import './configuration-plugin.js';
 import './directory-plugin.js';
 import './entry-plugin.js';
@@ -24,6 +25,7 @@
 import './mesh-plugin.js';
 import './metrics-plugin.js';
 import './restriction-plugin.js';
+import './rollout-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -5,15 +5,19 @@
 	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
 } from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
+import {rolloutReportMessageSchema} from './rollout-messages.js';
+import {quotaMessageSchemas} from './quota-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
 	proofMessageSchema,
 	heartbeatMessageSchema,
 	configurationMessageSchema,
+	rolloutReportMessageSchema,
 	restrictionsMessageSchema,
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
+	...quotaMessageSchemas,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
