List the VMs of the failure tests as live

A frozen node that the platform's list leaves out is fenced, and its slots stay with the fenced incarnation for its longest deadline: the tests of frozen nodes waited for it.

--- a/packages/cli/tests/helpers.ts
+++ b/packages/cli/tests/helpers.ts
@@ -217,9 +217,17 @@
 	return node.waitFor(/event=started .*\bpeer=(\S+)/v);
 }
 
+/** Sets the platform's list of VMs: these live, those leave. */
+export async function listMachines(platform: TestPlatform, live: readonly string[], leaving: readonly string[] = []): Promise<void> {
+	const machines = [...live.map(id => ({id, state: 'live'})), ...leaving.map(id => ({id, state: 'leaving'}))];
+	const answer = await request(`${platform.machines}/machines`, {method: 'PUT', body: JSON.stringify({machines})});
+	await answer.body.dump();
+}
+
 /** Starts nodes that can be cut off, and waits until they know each other. */
 export async function startFleet(platform: TestPlatform, places: readonly TestNodePlace[], timing = ''): Promise<TestNode[]> {
 	const settings = `testing = {allowCuts = true}\ntiming = {lookupHoldMilliseconds = 300${timing}}`;
+	await listMachines(platform, places.map(({name}) => name));
 	const nodes = await Promise.all(places.map(async place => startNodeProcess(platform, place, settings)));
 	await waitForServing(nodes, nodes.length);
 	return nodes;
