Answer callers with whole answers of their own and true outcomes

Cause: an attempt was one library call with a pipe behind it. A cut small answer was a broken connection, one without an end mark passed as whole, an answer without the echoed identifier passed, a crossed answer's connection could be used again, a body limit did not exist, a slow upload held a slot, malformed input in mid-upload was told as not run, dot segments reached the target, several keys were taken by chance, and a graceful stop waited its whole grace time for idle connections.

Now small bodies are read whole before a target is chosen, small answers are held until they are whole, and an attempt knows whether anything was handed over. Requests go to another target within a retry budget per service where that is safe. A stop marks answers `Connection: close` and serves what is on its way before it closes idle connections.

--- /dev/null
+++ b/packages/node/src/answer.ts
@@ -0,0 +1,54 @@
+/** Answers of targets: held whole while they are small, else passed on as they come. */
+import {type Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {headerNames} from './constants.js';
+
+export type AnswerHead = {
+	readonly status: number;
+	/** A flat list of names and values, without those of the connection. */
+	readonly headers: readonly string[];
+};
+
+export type WholeAnswer = AnswerHead & {readonly body: Buffer};
+
+const statusesWithoutBody = new Set([204, 304]);
+
+/** Whether an answer to the method with this status carries no body, whatever its headers say. */
+export function isBodyless(method: string, status: number): boolean {
+	return method === 'HEAD' || statusesWithoutBody.has(status);
+}
+
+/** Begins a streamed answer. */
+export function writeAnswerHead(response: ServerResponse, head: AnswerHead, requestId: string): void {
+	response.writeHead(head.status, [...head.headers, headerNames.outcome, 'ran', headerNames.requestId, requestId]);
+}
+
+/** Sends an answer that is held whole. */
+export function sendWholeAnswer(response: ServerResponse, answer: WholeAnswer, requestId: string, extraHeaders: readonly string[] = []): void {
+	if (response.destroyed || response.headersSent) {
+		return;
+	}
+
+	const headers = [...answer.headers, ...extraHeaders];
+	const needsLength = !isBodyless(response.req.method ?? '', answer.status) && !hasHeader(headers, 'content-length');
+	if (needsLength) {
+		headers.push('content-length', String(answer.body.length));
+	}
+
+	writeAnswerHead(response, {status: answer.status, headers}, requestId);
+	response.end(answer.body);
+}
+
+/** Ends a streamed answer that was cut, so that it can't look whole: the connection is reset. */
+export function abortAnswer(response: ServerResponse): void {
+	const {socket} = response;
+	if (socket) {
+		socket.resetAndDestroy();
+	} else {
+		response.destroy();
+	}
+}
+
+function hasHeader(headers: readonly string[], name: string): boolean {
+	return headers.some((header, index) => index % 2 === 0 && header.toLowerCase() === name);
+}
--- a/packages/node/src/caller-server-plugin.ts
+++ b/packages/node/src/caller-server-plugin.ts
@@ -3,14 +3,18 @@
  * other request goes to the entry.
  */
 import type {Duplex} from 'node:stream';
-import {createServer} from 'node:http';
+import {type ServerResponse, createServer} from 'node:http';
+import {abortAnswer} from './answer.js';
 import {type CallerHandler, type NodeContext, nodePlugins} from './node-context.js';
-import {closeGracefully, listenOn} from './http-server.js';
+import {drainServer, listenOn} from './http-server.js';
 import {sendProblem} from './problem.js';
 
 const startOrder = 30;
 const directoryPath = '/v1/entries';
 
+/** The latest response on each connection, to tell a fault in mid-request from one before it. */
+const latestResponses = new WeakMap<Duplex, ServerResponse>();
+
 nodePlugins.register({
 	name: 'caller-server',
 	roles: ['entry', 'directory'],
@@ -18,6 +22,20 @@
 	async start(context) {
 		const {limits, timing, listen} = context.settings;
 		let isDraining = false;
+		const running = new Set<ServerResponse>();
+		const serve: CallerHandler = (request, response) => {
+			if (isDraining) {
+				announceClose(response);
+			}
+
+			latestResponses.set(request.socket, response);
+			running.add(response);
+			response.once('close', () => {
+				running.delete(response);
+			});
+			getHandler(context, request.url ?? '/')(request, response);
+		};
+
 		const server = createServer({
 			maxHeaderSize: limits.headerBytes,
 			headersTimeout: limits.headerTimeoutMilliseconds,
@@ -27,12 +45,10 @@
 			insecureHTTPParser: false,
 			noDelay: true,
 		}, (request, response) => {
-			if (isDraining) {
-				response.setHeader('connection', 'close');
-			}
-
-			getHandler(context, request.url ?? '/')(request, response);
+			serve(request, response);
 		});
+		// The body is asked for when it is first read, not before the request is checked.
+		server.on('checkContinue', serve);
 		server.maxConnections = limits.callerConnections;
 		server.on('clientError', refuseMalformed);
 		context.bound.caller = await listenOn(server, listen.caller);
@@ -40,11 +56,11 @@
 			async drain() {
 				isDraining = true;
 				context.bus.publish({type: 'drain-started'});
-				const force = setTimeout(() => {
-					server.closeAllConnections();
-				}, timing.graceMilliseconds);
-				await closeGracefully(server);
-				clearTimeout(force);
+				for (const response of running) {
+					announceClose(response);
+				}
+
+				await drainServer(server, timing.graceMilliseconds);
 			},
 			async stop() {
 				server.closeAllConnections();
@@ -53,6 +69,13 @@
 	},
 });
 
+/** Tells the caller that its connection ends with this answer, so that it sends no more on it. */
+function announceClose(response: ServerResponse): void {
+	if (!response.headersSent) {
+		response.setHeader('connection', 'close');
+	}
+}
+
 function getHandler(context: NodeContext, url: string): CallerHandler {
 	const path = url.split('?', 1)[0];
 	const handler = path === directoryPath ? context.callerHandlers.directory : context.callerHandlers.entry;
@@ -77,13 +100,22 @@
 		return;
 	}
 
+	const running = latestResponses.get(socket);
+	const isInRequest = running !== undefined && !running.writableFinished;
+	if (isInRequest && running.headersSent) {
+		abortAnswer(running);
+		return;
+	}
+
+	// In mid-request some of it may be with a target already.
+	const outcome = isInRequest ? 'unknown' : 'not-run';
 	const {status, reason} = malformedAnswers[error.code ?? ''] ?? malformedDefault;
-	const body = JSON.stringify({status: Number(status.slice(0, 3)), outcome: 'not-run', reason});
+	const body = JSON.stringify({status: Number(status.slice(0, 3)), outcome, reason});
 	socket.end([
 		`HTTP/1.1 ${status}`,
 		'content-type: application/problem+json',
 		`content-length: ${body.length}`,
-		'catkindale-outcome: not-run',
+		`catkindale-outcome: ${outcome}`,
 		'connection: close',
 		'',
 		body,
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -6,12 +6,14 @@
 import {Histogram} from 'prom-client';
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
+	type EntryParts, type Exchange, type ExchangeResult, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
 } from './exchange.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
+import {getRequestKey} from './request-headers.js';
 import {type RequestQuotas, createRequestQuotas} from './request-quotas.js';
+import {createRetryBudgets} from './retry-budgets.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
 import {createSlotQuota} from './slot-quota.js';
 import {createTargetPools} from './target-pools.js';
@@ -41,6 +43,7 @@
 			selector: createTargetSelector(slots),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
+			retries: createRetryBudgets(),
 			latency: createLatencyHistogram(context),
 		};
 		const endings = [
@@ -89,14 +92,36 @@
 
 	const {route, customer} = checked;
 	const exchange: Exchange = {
-		request, response, requestId, startedAt, route, customer,
+		request,
+		response,
+		requestId,
+		startedAt,
+		deadlineAt: startedAt + getDeadlineMilliseconds(request, route),
+		route,
+		customer,
+		key: getRequestKey(request),
 	};
-	const outcome = await runExchange({...state, routing: state.routing}, exchange);
-	observe(state, exchange, outcome);
+	const result = await runForCaller({...state, routing: state.routing}, exchange);
+	tellResult(exchange, result);
+	observe(state, exchange, result);
 }
 
-function observe(state: EntryState, {customer, route, startedAt}: Exchange, outcome: ExchangeOutcome): void {
+async function runForCaller(parts: EntryParts, exchange: Exchange): Promise<ExchangeResult> {
+	const body = await readExchangeBody(parts, exchange);
+	if ('status' in body) {
+		return {kind: 'problem', problem: body};
+	}
+
+	const caller = new AbortController();
+	exchange.response.once('close', () => {
+		caller.abort();
+	});
+	return runExchange(parts, exchange, body, caller.signal);
+}
+
+function observe(state: EntryState, {customer, route, startedAt}: Exchange, result: ExchangeResult): void {
 	const seconds = (state.context.clock.monotonic() - startedAt) / millisecondsPerSecond;
+	const outcome = result.kind === 'problem' ? result.problem.outcome : result.kind;
 	state.latency.observe({customer: customer?.name ?? 'open', class: route.class, outcome}, seconds);
 }
 
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -1,14 +1,23 @@
-/** Serves one admitted request: selects a target, forwards, answers the caller. */
+/**
+ * Serves one admitted request: reads its body, selects a target, forwards, and
+ * tries another target where that is safe and the retry budget allows.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Customer, Route, Target} from '@catkindale/policy';
+import type {RequestOutcome} from '@catkindale/common';
+import {
+	type AttemptEnd, type Customer, type Route, type Target, isRetriable, isRetriableStatus,
+} from '@catkindale/policy';
+import {type WholeAnswer, sendWholeAnswer} from './answer.js';
+import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
-import {type ForwardOutcome, forwardRequest} from './forward.js';
+import {type Attempt, type ForwardOutcome, startAttempt} from './forward.js';
 import type {NodeContext} from './node-context.js';
-import {sendProblem} from './problem.js';
+import {type Problem, sendProblem} from './problem.js';
 import {getForwardHeaders} from './request-headers.js';
+import type {RetryBudgets} from './retry-budgets.js';
 import type {RoutingTable} from './routing-table.js';
 import type {TargetPools} from './target-pools.js';
-import type {AttemptResult, TargetSelector} from './target-selector.js';
+import type {AttemptResult, Selection, TargetSelector} from './target-selector.js';
 import type {VersionChooser} from './version-chooser.js';
 
 /** What the entry's task owns and each exchange uses. */
@@ -18,6 +27,7 @@
 	readonly selector: TargetSelector;
 	readonly pools: TargetPools;
 	readonly versions: VersionChooser;
+	readonly retries: RetryBudgets;
 };
 
 export type Exchange = {
@@ -26,103 +36,315 @@
 	readonly requestId: string;
 	/** Monotonic time in milliseconds. */
 	readonly startedAt: number;
+	/** Monotonic time in milliseconds after which no answer is of use. */
+	readonly deadlineAt: number;
 	readonly route: Route;
 	readonly customer: Customer | undefined;
+	/** The key that came with the request. */
+	readonly key: string | undefined;
 };
 
-export type ExchangeOutcome = ForwardOutcome['kind'] | 'refused';
+/** What became of the request, before it is told to the caller unless it was streamed. */
+export type ExchangeResult
+	= | {readonly kind: 'answered'; readonly answer: WholeAnswer}
+		| {readonly kind: 'streamed'; readonly status: number}
+	/** The beginning of an answer is with the caller, the rest is lost; the connection is reset. */
+		| {readonly kind: 'cut'}
+		| {readonly kind: 'problem'; readonly problem: Problem};
+
+type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
 
 const openCustomer = 'open';
 const firstFailureStatus = 500;
 const retryAfterMilliseconds = 1000;
+const maximumAttempts = 3;
 
-export async function runExchange(parts: EntryParts, exchange: Exchange): Promise<ExchangeOutcome> {
-	const {request, response, route, customer, requestId} = exchange;
-	const version = parts.versions.choose(route.service) ?? '';
-	const caller = new AbortController();
-	response.once('close', () => {
-		caller.abort();
-	});
-	const selection = await parts.selector.select({
-		service: route.service,
-		customer: customer?.name ?? openCustomer,
-		class: route.class,
-		deadlineAt: exchange.startedAt + getDeadline(request, route),
-		candidates: parts.routing.getTargets(route.service, version),
-		excluded: new Set(),
-		signal: caller.signal,
+export function getDeadlineMilliseconds(request: IncomingMessage, route: Route): number {
+	const wanted = Number(request.headers[headerNames.deadline] ?? Number.NaN);
+	return wanted > 0 ? Math.min(wanted, route.deadlineMilliseconds) : route.deadlineMilliseconds;
+}
+
+/** Reads the body as far as it is kept; a failure is a problem that is surely not run. */
+export async function readExchangeBody(parts: EntryParts, exchange: Exchange): Promise<CallerBody | Problem> {
+	const {request, response, deadlineAt} = exchange;
+	const {bodyBytes, idleTimeoutMilliseconds} = parts.context.settings.limits;
+	const body = await readCallerBody(request, {
+		bodyBytes, idleTimeoutMilliseconds, deadlineMilliseconds: deadlineAt - parts.context.clock.monotonic(),
+	}, () => {
+		if (request.headers.expect) {
+			response.writeContinue();
+		}
 	});
-	if (selection.kind === 'refused') {
-		sendProblem(response, {
-			status: 503, outcome: 'not-run', reason: selection.reason, detail: 'no target can take the request now', retryAfterMilliseconds: selection.retryAfterMilliseconds,
-		}, requestId);
-		return 'refused';
+	return body.ok ? body.value : getBodyProblem(body.error, 'not-run');
+}
+
+/**
+ * Runs the request. The signal cancels it when the caller goes away; a request
+ * whose outcome is remembered passes one that stays silent.
+ */
+export async function runExchange(parts: EntryParts, exchange: Exchange, body: CallerBody, signal: AbortSignal): Promise<ExchangeResult> {
+	const {route, customer} = exchange;
+	const version = parts.versions.choose(route.service) ?? '';
+	const excluded = new Set<string>();
+	const records: AttemptRecord[] = [];
+	for (;;) {
+		const selection = await parts.selector.select({
+			service: route.service,
+			customer: customer?.name ?? openCustomer,
+			class: route.class,
+			deadlineAt: exchange.deadlineAt,
+			candidates: parts.routing.getTargets(route.service, version),
+			excluded,
+			signal,
+		});
+		if (selection.kind === 'refused') {
+			return getRefusal(selection, records);
+		}
+
+		const outcome = await runAttempt(parts, exchange, {selection, body, signal});
+		records.push({target: selection.target, outcome});
+		excluded.add(selection.target.name);
+		if (!mayRetry(parts, exchange, body, records)) {
+			return getResult(parts, exchange, records);
+		}
+	}
+}
+
+/** Tells the caller what became of the request; a streamed answer is told already. */
+export function tellResult(exchange: Exchange, result: ExchangeResult): void {
+	switch (result.kind) {
+		case 'answered': {
+			sendWholeAnswer(exchange.response, result.answer, exchange.requestId);
+			break;
+		}
+
+		case 'problem': {
+			sendProblem(exchange.response, result.problem, exchange.requestId);
+			break;
+		}
+
+		case 'streamed':
+		case 'cut': {
+			break;
+		}
+	}
+}
+
+type AttemptParts = {
+	readonly selection: Selection & {readonly kind: 'selected'};
+	readonly body: CallerBody;
+	readonly signal: AbortSignal;
+};
+
+async function runAttempt(parts: EntryParts, exchange: Exchange, {selection, body, signal}: AttemptParts): Promise<ForwardOutcome> {
+	const {clock, bus} = parts.context;
+	const {target} = selection;
+	const startedAt = clock.monotonic();
+	const attempt = signal.aborted ? undefined : start(parts, exchange, target, body);
+	const cancel = (): void => {
+		attempt?.abort('caller-gone');
+	};
+
+	signal.addEventListener('abort', cancel);
+	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller went away'};
+	signal.removeEventListener('abort', cancel);
+	if ((outcome.kind === 'answered' || outcome.kind === 'streamed') && outcome.isEchoed) {
+		parts.pools.setEchoing(target);
+	}
+
+	const result: AttemptResult = {kind: getResultKind(outcome), milliseconds: clock.monotonic() - startedAt};
+	if (result.kind === 'answered') {
+		parts.retries.recordSuccess(exchange.route.service);
 	}
 
-	const outcome = await attempt(parts, exchange, selection.target);
-	const milliseconds = parts.context.clock.monotonic() - exchange.startedAt;
-	const result = {kind: getResultKind(outcome, response), milliseconds};
 	selection.finish(result);
-	parts.context.bus.publish({
-		type: 'attempt-finished', route, target: selection.target, result,
+	bus.publish({
+		type: 'attempt-finished', route: exchange.route, target, result,
 	});
-	answerOutcome(parts, exchange, outcome);
-	return outcome.kind;
+	return outcome;
 }
 
-async function attempt(parts: EntryParts, exchange: Exchange, target: Target): Promise<ForwardOutcome> {
-	const {request, response, requestId, route, customer} = exchange;
-	const spent = parts.context.clock.monotonic() - exchange.startedAt;
-	const deadlineMilliseconds = getDeadline(request, route) - spent;
-	return forwardRequest({
+function start(parts: EntryParts, exchange: Exchange, target: Target, body: CallerBody): Attempt {
+	const {request, response, requestId, customer, key} = exchange;
+	const deadlineMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
+	return startAttempt({
 		pool: parts.pools.getPool(target),
-		request,
-		response,
+		method: request.method ?? 'GET',
+		path: request.url ?? '/',
+		headers: getForwardHeaders(request, {
+			key, requestId, customer: customer?.name, deadlineMilliseconds,
+		}),
+		body: body.open() ?? null,
 		requestId,
 		deadlineMilliseconds,
-		headers: getForwardHeaders(request, {requestId, customer: customer?.name, deadlineMilliseconds}),
+		requiresEcho: parts.pools.isEchoing(target),
+		claimResponse: () => response.headersSent || response.destroyed ? undefined : response,
 	});
 }
 
-function getResultKind(outcome: ForwardOutcome, response: ServerResponse): AttemptResult['kind'] {
-	if (outcome.kind === 'answered') {
-		return outcome.status >= firstFailureStatus ? 'failed' : 'answered';
+function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
+	const end = getAttemptEnd(records.at(-1)!.outcome);
+	return isRetriable(end, exchange.route.idempotent)
+		&& records.length < maximumAttempts
+		&& body.canOpen()
+		&& parts.context.clock.monotonic() < exchange.deadlineAt
+		&& parts.retries.take(exchange.route.service);
+}
+
+function getAttemptEnd(outcome: ForwardOutcome): AttemptEnd {
+	switch (outcome.kind) {
+		case 'answered': {
+			const {status} = outcome.answer;
+			return isRetriableStatus(status) ? {kind: 'failed', status} : {kind: 'final'};
+		}
+
+		case 'streamed': {
+			return {kind: 'final'};
+		}
+
+		case 'not-sent': {
+			return outcome.cause === 'target' ? {kind: 'not-run'} : {kind: 'final'};
+		}
+
+		case 'shed': {
+			return {kind: 'not-run'};
+		}
+
+		case 'lost': {
+			return outcome.cause === 'target' && !outcome.isStreaming ? {kind: 'unknown'} : {kind: 'final'};
+		}
+	}
+}
+
+function getResultKind(outcome: ForwardOutcome): AttemptResult['kind'] {
+	switch (outcome.kind) {
+		case 'answered': {
+			return outcome.answer.status >= firstFailureStatus ? 'failed' : 'answered';
+		}
+
+		case 'streamed': {
+			return outcome.status >= firstFailureStatus ? 'failed' : 'answered';
+		}
+
+		case 'shed': {
+			return 'shed';
+		}
+
+		case 'not-sent':
+		case 'lost': {
+			const isTargetsFault = outcome.cause === 'target' || outcome.cause === 'deadline';
+			return isTargetsFault ? outcome.kind : 'cancelled';
+		}
 	}
+}
 
-	return response.destroyed && outcome.kind === 'lost' ? 'cancelled' : outcome.kind;
+/** Whether any attempt may have run; an earlier attempt counts even if the last wasn't sent. */
+function getOutcome(records: readonly AttemptRecord[]): RequestOutcome {
+	const mayHaveRun = records.some(({outcome}) => outcome.kind !== 'not-sent' && outcome.kind !== 'shed');
+	return mayHaveRun ? 'unknown' : 'not-run';
 }
 
-function getDeadline(request: IncomingMessage, route: Route): number {
-	const wanted = Number(request.headers[headerNames.deadline] ?? Number.NaN);
-	return wanted > 0 ? Math.min(wanted, route.deadlineMilliseconds) : route.deadlineMilliseconds;
+function getRefusal(selection: Selection & {readonly kind: 'refused'}, records: readonly AttemptRecord[]): ExchangeResult {
+	const failed = records.findLast(({outcome}) => outcome.kind === 'answered');
+	if (failed?.outcome.kind === 'answered') {
+		return {kind: 'answered', answer: failed.outcome.answer};
+	}
+
+	return {
+		kind: 'problem', problem: {
+			status: selection.reason === 'deadline' ? 504 : 503,
+			outcome: getOutcome(records),
+			reason: selection.reason,
+			detail: 'no target can take the request now',
+			retryAfterMilliseconds: selection.retryAfterMilliseconds,
+		},
+	};
 }
 
-function answerOutcome(parts: EntryParts, exchange: Exchange, outcome: ForwardOutcome): void {
-	const {response, requestId} = exchange;
+function getResult(parts: EntryParts, exchange: Exchange, records: readonly AttemptRecord[]): ExchangeResult {
+	const {outcome} = records.at(-1)!;
 	switch (outcome.kind) {
 		case 'answered': {
-			return;
+			return {kind: 'answered', answer: outcome.answer};
+		}
+
+		case 'streamed': {
+			return {kind: 'streamed', status: outcome.status};
 		}
 
-		case 'not-sent':
 		case 'shed': {
-			sendProblem(response, {
-				status: 503, outcome: 'not-run', reason: 'target-unavailable', detail: 'the target didn\'t take the request', retryAfterMilliseconds,
-			}, requestId);
-			return;
+			return {kind: 'problem', problem: getTargetProblem(getOutcome(records))};
 		}
 
+		case 'not-sent':
 		case 'lost': {
-			parts.context.logger.warn('answer_lost', {request: requestId, reason: outcome.reason});
-			// A cut answer must not look like a whole one.
-			if (response.headersSent) {
-				response.destroy();
-				return;
+			parts.context.logger.warn('answer_lost', {request: exchange.requestId, cause: outcome.cause, reason: outcome.reason});
+			if (outcome.kind === 'lost' && outcome.isStreaming) {
+				return {kind: 'cut'};
 			}
 
-			sendProblem(response, {
-				status: 502, outcome: 'unknown', reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
-			}, requestId);
+			return {kind: 'problem', problem: getLossProblem(outcome, getOutcome(records))};
+		}
+	}
+}
+
+function getLossProblem({cause}: ForwardOutcome & {readonly kind: 'not-sent' | 'lost'}, outcome: RequestOutcome): Problem {
+	switch (cause) {
+		case 'deadline': {
+			return {
+				status: 504, outcome, reason: 'deadline', detail: 'the deadline has passed',
+			};
+		}
+
+		case 'body-too-large': {
+			return getBodyProblem('too-large', outcome);
+		}
+
+		case 'body-too-slow': {
+			return getBodyProblem('too-slow', outcome);
+		}
+
+		case 'caller-gone': {
+			return getBodyProblem('caller-gone', outcome);
+		}
+
+		case 'superseded':
+		case 'target': {
+			return getTargetProblem(outcome);
+		}
+	}
+}
+
+function getTargetProblem(outcome: RequestOutcome): Problem {
+	if (outcome === 'not-run') {
+		return {
+			status: 503, outcome, reason: 'target-unavailable', detail: 'the target didn\'t take the request', retryAfterMilliseconds,
+		};
+	}
+
+	return {
+		status: 502, outcome, reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
+	};
+}
+
+function getBodyProblem(kind: BodyFailureKind, outcome: RequestOutcome): Problem {
+	switch (kind) {
+		case 'too-large': {
+			return {
+				status: 413, outcome, reason: 'body-too-large', detail: 'the body is above the limit',
+			};
+		}
+
+		case 'too-slow': {
+			return {
+				status: 408, outcome, reason: 'body-too-slow', detail: 'the body came too slowly',
+			};
+		}
+
+		case 'caller-gone': {
+			return {
+				status: 499, outcome, reason: 'caller-gone', detail: 'the caller went away',
+			};
 		}
 	}
 }
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -1,75 +1,260 @@
-/** Hands one request to one target and passes its answer on as it comes. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
-import type {Dispatcher, Pool} from 'undici';
-import {getErrorCode, getErrorMessage} from '@catkindale/common';
+/**
+ * One attempt: hands a request to one target and takes its answer. Tells
+ * apart a request that was never handed over from one whose answer is lost.
+ */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import {getErrorMessage} from '@catkindale/common';
+import {
+	type AnswerHead, type WholeAnswer, abortAnswer, isBodyless, writeAnswerHead,
+} from './answer.js';
+import {CallerBodyError} from './caller-body.js';
 import {headerNames} from './constants.js';
 import {getAnswerHeaders} from './request-headers.js';
 
 export type ForwardOptions = {
-	readonly pool: Pool;
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
+	readonly pool: Dispatcher;
+	readonly method: string;
+	readonly path: string;
 	readonly headers: string[];
+	readonly body: Buffer | Readable | null;
 	readonly requestId: string;
 	readonly deadlineMilliseconds: number;
+	/** Whether an answer without the request's identifier is refused. */
+	readonly requiresEcho: boolean;
+	/** Gives the caller's response for a streamed answer; undefined if another attempt has it. */
+	readonly claimResponse: () => ServerResponse | undefined;
 };
 
+export type LossCause = 'target' | 'deadline' | 'caller-gone' | 'superseded' | 'body-too-large' | 'body-too-slow';
+
 /** What became of the request at this target. */
 export type ForwardOutcome
-	= | {readonly kind: 'answered'; readonly status: number}
+	/** The answer is held whole and not sent yet. */
+	= | {readonly kind: 'answered'; readonly answer: WholeAnswer; readonly isEchoed: boolean}
+	/** The answer was passed on as it came. */
+		| {readonly kind: 'streamed'; readonly status: number; readonly isEchoed: boolean}
 	/** Nothing was handed to the target. */
-		| {readonly kind: 'not-sent'; readonly reason: string}
+		| {readonly kind: 'not-sent'; readonly cause: LossCause; readonly reason: string}
 	/** The target says by its contract that it didn't run the request. */
 		| {readonly kind: 'shed'}
-		| {readonly kind: 'lost'; readonly reason: string};
-
-const codesBeforeSending = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-export async function forwardRequest(options: ForwardOptions): Promise<ForwardOutcome> {
-	const {request, response, requestId} = options;
-	const abort = new AbortController();
-	const timer = setTimeout(() => {
-		abort.abort(new Error('the deadline has passed'));
-	}, options.deadlineMilliseconds);
-	response.once('close', () => {
-		abort.abort(new Error('the caller went away'));
+		| {readonly kind: 'lost'; readonly cause: LossCause; readonly reason: string; readonly isStreaming: boolean};
+
+export type Attempt = {
+	readonly outcome: Promise<ForwardOutcome>;
+	/** Cancels the request at the target and closes its connection. */
+	abort: (cause: LossCause) => void;
+};
+
+class AttemptAbort extends Error {
+	constructor(readonly abortCause: LossCause, message: string) {
+		super(message);
+	}
+}
+
+type AnswerState
+	= | {readonly kind: 'waiting'}
+		| {readonly kind: 'held'; readonly head: AnswerHead; readonly isEchoed: boolean; readonly chunks: Buffer[]; bytes: number}
+		| {readonly kind: 'streaming'; readonly head: AnswerHead; readonly isEchoed: boolean; readonly response: ServerResponse}
+		| {readonly kind: 'discarded'};
+
+/** Answers up to this size are sent only when they are whole. */
+export const maximumHeldAnswerBytes = 65_536;
+const firstFinalStatus = 200;
+const bodyFailureCauses = {'too-large': 'body-too-large', 'too-slow': 'body-too-slow', 'caller-gone': 'caller-gone'} as const;
+
+export function startAttempt(options: ForwardOptions): Attempt {
+	let resolve: (outcome: ForwardOutcome) => void;
+	const outcome = new Promise<ForwardOutcome>(settled => {
+		resolve = settled;
 	});
-	try {
-		const answer = await options.pool.request({
-			method: request.method as Dispatcher.HttpMethod,
-			path: request.url ?? '/',
-			headers: options.headers,
-			body: hasBody(request) ? request : null,
-			signal: abort.signal,
-			responseHeaders: 'raw',
-		});
-		const rawHeaders = answer.headers as unknown as string[];
-		const read = (name: string) => getRawHeader(rawHeaders, name);
-		if (read(headerNames.requestId) !== undefined && read(headerNames.requestId) !== requestId) {
-			answer.body.destroy();
-			return {kind: 'lost', reason: 'the answer belongs to another request'};
-		}
+	let controller: Dispatcher.DispatchController | undefined;
+	let abortReason: AttemptAbort | undefined;
+	let isSettled = false;
+	let answer: AnswerState = {kind: 'waiting'};
 
-		if (read(headerNames.outcome) === 'not-run') {
-			await answer.body.dump();
-			return {kind: 'shed'};
+	const settle = (result: ForwardOutcome): void => {
+		if (isSettled) {
+			return;
 		}
 
-		const passed = getAnswerHeaders(rawHeaders, read('connection'));
-		response.writeHead(answer.statusCode, [...passed, headerNames.outcome, 'ran', headerNames.requestId, requestId]);
-		await pipeline(answer.body, response);
-		return {kind: 'answered', status: answer.statusCode};
-	} catch (error) {
-		const kind = codesBeforeSending.has(getErrorCode(error) ?? '') ? 'not-sent' : 'lost';
-		return {kind, reason: getErrorMessage(error)};
-	} finally {
+		isSettled = true;
 		clearTimeout(timer);
+		resolve(result);
+	};
+
+	const abort = (cause: LossCause, message = `ended early: ${cause}`): void => {
+		if (isSettled) {
+			return;
+		}
+
+		abortReason ??= new AttemptAbort(cause, message);
+		if (!controller) {
+			settle({kind: 'not-sent', cause, reason: message});
+			return;
+		}
+
+		controller.abort(abortReason);
+		failWith(abortReason);
+	};
+
+	const failWith = (error: unknown): void => {
+		const isStreaming = answer.kind === 'streaming';
+		if (answer.kind === 'streaming') {
+			abortAnswer(answer.response);
+		}
+
+		const details = {cause: getCause(error), reason: getErrorMessage(error)};
+		settle(controller ? {kind: 'lost', isStreaming, ...details} : {kind: 'not-sent', ...details});
+	};
+
+	const stream = (head: AnswerHead, isEchoed: boolean, chunks: readonly Buffer[]): void => {
+		const response = options.claimResponse();
+		if (!response) {
+			abort('superseded');
+			return;
+		}
+
+		answer = {
+			kind: 'streaming', head, isEchoed, response,
+		};
+		writeAnswerHead(response, head, options.requestId);
+		for (const chunk of chunks) {
+			pass(response, chunk);
+		}
+	};
+
+	const pass = (response: ServerResponse, chunk: Buffer): void => {
+		if (!response.write(chunk)) {
+			controller?.pause();
+			response.once('drain', () => {
+				controller?.resume();
+			});
+		}
+	};
+
+	const streamUnlessWhole = (): void => {
+		if (answer.kind === 'held' && !isSettled) {
+			stream(answer.head, answer.isEchoed, answer.chunks);
+		}
+	};
+
+	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
+		const read = (name: string): string | undefined => getRawHeader(rawHeaders, name);
+		const echoed = read(headerNames.requestId);
+		if (echoed === undefined ? options.requiresEcho : echoed !== options.requestId) {
+			abort('target', 'the answer belongs to another request');
+			return;
+		}
+
+		// Only an answer that is surely this request's own may say that it didn't run.
+		if (read(headerNames.outcome) === 'not-run' && echoed !== undefined) {
+			answer = {kind: 'discarded'};
+			settle({kind: 'shed'});
+			return;
+		}
+
+		const length = read('content-length');
+		const isEndMarked = length !== undefined || read('transfer-encoding') !== undefined;
+		if (!isEndMarked && !isBodyless(options.method, status)) {
+			abort('target', 'the answer doesn\'t tell where it ends');
+			return;
+		}
+
+		const head = {status, headers: getAnswerHeaders(rawHeaders, read('connection'))};
+		answer = {
+			kind: 'held', head, isEchoed: echoed !== undefined, chunks: [], bytes: 0,
+		};
+		if (length === undefined) {
+			setImmediate(streamUnlessWhole);
+		} else if (Number(length) > maximumHeldAnswerBytes && !isBodyless(options.method, status)) {
+			stream(head, echoed !== undefined, []);
+		}
+	};
+
+	const receiveData = (chunk: Buffer): void => {
+		switch (answer.kind) {
+			case 'held': {
+				answer.chunks.push(chunk);
+				answer.bytes += chunk.length;
+				if (answer.bytes > maximumHeldAnswerBytes) {
+					streamUnlessWhole();
+				}
+
+				return;
+			}
+
+			case 'streaming': {
+				pass(answer.response, chunk);
+				return;
+			}
+
+			case 'discarded': {
+				controller?.abort(new AttemptAbort('target', 'the rest of the answer isn\'t needed'));
+				return;
+			}
+
+			case 'waiting': {
+				abort('target', 'data came before the head of the answer');
+			}
+		}
+	};
+
+	const receiveEnd = (): void => {
+		if (answer.kind === 'held') {
+			settle({kind: 'answered', answer: {...answer.head, body: Buffer.concat(answer.chunks)}, isEchoed: answer.isEchoed});
+		} else if (answer.kind === 'streaming') {
+			answer.response.end();
+			settle({kind: 'streamed', status: answer.head.status, isEchoed: answer.isEchoed});
+		}
+	};
+
+	const timer = setTimeout(abort, Math.max(0, options.deadlineMilliseconds), 'deadline', 'the deadline has passed');
+	options.pool.dispatch({
+		method: options.method,
+		path: options.path,
+		headers: options.headers,
+		body: options.body,
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	}, {
+		onRequestStart(started) {
+			// The client may offer a request again after its connection broke; once is enough.
+			if (abortReason ?? controller) {
+				started.abort(abortReason ?? new AttemptAbort('target', 'the connection broke'));
+				return;
+			}
+
+			controller = started;
+		},
+		onResponseStart(started, status) {
+			if (status >= firstFinalStatus && !isSettled) {
+				receiveHead(status, getTexts(started.rawHeaders));
+			}
+		},
+		onResponseData(_started, chunk) {
+			receiveData(chunk);
+		},
+		onResponseEnd: receiveEnd,
+		onResponseError(_started, error) {
+			failWith(error);
+		},
+	});
+	return {outcome, abort};
+}
+
+function getCause(error: unknown): LossCause {
+	if (error instanceof AttemptAbort) {
+		return error.abortCause;
 	}
+
+	return error instanceof CallerBodyError ? bodyFailureCauses[error.kind] : 'target';
 }
 
-function hasBody(request: IncomingMessage): boolean {
-	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
+function getTexts(rawHeaders: Dispatcher.DispatchController['rawHeaders']): string[] {
+	return Array.isArray(rawHeaders) ? rawHeaders.map(header => Buffer.isBuffer(header) ? header.toString('latin1') : String(header)) : [];
 }
 
 function getRawHeader(rawHeaders: readonly string[], name: string): string | undefined {
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -1,5 +1,6 @@
 /** Error answers as `application/problem+json` (RFC 9457) that name the outcome. */
 import type {ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
 import {type RequestOutcome, millisecondsPerSecond} from '@catkindale/common';
 import {headerNames} from './constants.js';
 
@@ -10,8 +11,13 @@
 	readonly reason: string;
 	readonly detail: string;
 	readonly retryAfterMilliseconds?: number;
+	/** The status of the answer that the request got earlier, for a repeated request. */
+	readonly answerStatus?: number;
 };
 
+/** How long the rest of an unread body is taken before the connection is closed. */
+const lingerMilliseconds = 1000;
+
 /** Sends the problem; does nothing if an answer has begun already. */
 export function sendProblem(response: ServerResponse, problem: Problem, requestId?: string): void {
 	if (response.headersSent || response.destroyed) {
@@ -30,7 +36,29 @@
 		response.setHeader('retry-after', String(Math.ceil(problem.retryAfterMilliseconds / millisecondsPerSecond)));
 	}
 
-	response.end(JSON.stringify({
-		status: problem.status, outcome: problem.outcome, reason: problem.reason, detail: problem.detail,
+	const body = Buffer.from(JSON.stringify({
+		status: problem.status, outcome: problem.outcome, reason: problem.reason, detail: problem.detail, answerStatus: problem.answerStatus,
 	}));
+	response.setHeader('content-length', body.length);
+	if (response.req.complete) {
+		response.end(body);
+	} else {
+		endAfterBody(response, body);
+	}
+}
+
+/** A close with unread data would reset the connection before the caller has the answer. */
+function endAfterBody(response: ServerResponse, body: Buffer): void {
+	const {req: request} = response;
+	response.setHeader('connection', 'close');
+	response.write(body);
+	const end = (): void => {
+		clearTimeout(timer);
+		response.end();
+	};
+
+	const timer = setTimeout(end, lingerMilliseconds);
+	request.once('end', end);
+	request.once('close', end);
+	request.resume();
 }
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -1,8 +1,9 @@
 /** Decides whether a request may run at all: its route, its key, its customer's tokens. */
 import type {IncomingMessage} from 'node:http';
 import type {Customer, Route} from '@catkindale/policy';
+import {isPlainPath} from './path-check.js';
 import type {Problem} from './problem.js';
-import {getRequestKey} from './request-headers.js';
+import {getRequestKey, hasSeveralKeys} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
 import type {RoutingTable} from './routing-table.js';
 
@@ -16,6 +17,14 @@
 		return refuse(503, 'not-configured', 'this VM has no configuration yet');
 	}
 
+	if (!isPlainPath(request.url ?? '/')) {
+		return refuse(400, 'ambiguous-path', 'the path has dot segments, empty segments or encoded separators');
+	}
+
+	if (hasSeveralKeys(request)) {
+		return refuse(400, 'several-keys', 'a key may come once, in one header');
+	}
+
 	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 	const route = routing.findRoute(request.method ?? 'GET', path);
 	if (!route) {
--- a/packages/node/src/request-headers.ts
+++ b/packages/node/src/request-headers.ts
@@ -15,9 +15,12 @@
 	'upgrade',
 	'expect',
 ]);
-const credentialHeaders = new Set(['authorization', 'x-api-key']);
+const keyHeaders = new Set(['authorization', 'x-api-key']);
+const cookieHeader = 'cookie';
 
 export type ForwardIdentity = {
+	/** The key that came with the request; no header that holds it is forwarded. */
+	readonly key: string | undefined;
 	readonly requestId: string;
 	readonly customer: string | undefined;
 	readonly deadlineMilliseconds: number;
@@ -34,11 +37,23 @@
 	return typeof key === 'string' ? key : undefined;
 }
 
+/** Whether keys came in more than one place, so that it isn't clear whose request it is. */
+export function hasSeveralKeys(request: IncomingMessage): boolean {
+	let count = 0;
+	for (let index = 0; index < request.rawHeaders.length; index += 2) {
+		count += keyHeaders.has(request.rawHeaders[index]?.toLowerCase() ?? '') ? 1 : 0;
+	}
+
+	return count > 1;
+}
+
 /** The headers for the target as a flat list of names and values. */
 export function getForwardHeaders(request: IncomingMessage, identity: ForwardIdentity): string[] {
 	const dropped = getConnectionNames(request.headers.connection);
-	const headers = copyHeaders(request.rawHeaders, name =>
-		dropped.has(name) || hopByHopHeaders.has(name) || credentialHeaders.has(name) || name.startsWith(reservedHeaderPrefix));
+	const {key} = identity;
+	const headers = copyHeaders(request.rawHeaders, (name, value) =>
+		dropped.has(name) || hopByHopHeaders.has(name) || keyHeaders.has(name) || name.startsWith(reservedHeaderPrefix)
+		|| (key !== undefined && name !== cookieHeader && value.includes(key)));
 	const deadline = Math.max(0, Math.floor(identity.deadlineMilliseconds));
 	headers.push(headerNames.requestId, identity.requestId, headerNames.deadline, String(deadline));
 	if (identity.customer !== undefined) {
@@ -54,17 +69,19 @@
 	return copyHeaders(rawHeaders, name => dropped.has(name) || hopByHopHeaders.has(name) || name.startsWith(reservedHeaderPrefix));
 }
 
+/** The headers that `Connection` names; those that frame the body always stay. */
 function getConnectionNames(connection: string | undefined): Set<string> {
 	const names = (connection ?? '').split(',').map(name => name.trim().toLowerCase());
-	return new Set(names);
+	return new Set(names.filter(name => name !== 'content-length' && name !== 'host'));
 }
 
-function copyHeaders(rawHeaders: readonly string[], isDropped: (name: string) => boolean): string[] {
+function copyHeaders(rawHeaders: readonly string[], isDropped: (name: string, value: string) => boolean): string[] {
 	const copied: string[] = [];
 	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index] ?? '';
-		if (!isDropped(name.toLowerCase())) {
-			copied.push(name, rawHeaders[index + 1] ?? '');
+		const value = rawHeaders[index + 1] ?? '';
+		if (!isDropped(name.toLowerCase(), value)) {
+			copied.push(name, value);
 		}
 	}
 
--- a/packages/node/src/target-pools.ts
+++ b/packages/node/src/target-pools.ts
@@ -6,17 +6,22 @@
 export type TargetPools = {
 	setTargets: (targets: readonly Target[]) => void;
 	getPool: (target: Target) => Pool;
+	/** Whether the target has echoed a request's identifier; from then on it always must. */
+	isEchoing: (target: Target) => boolean;
+	setEchoing: (target: Target) => void;
 	close: () => Promise<void>;
 };
 
 export function createTargetPools(connections: number): TargetPools {
 	const pools = new Map<string, Pool>();
+	const echoing = new Set<string>();
 	return {
 		setTargets(targets) {
 			const wanted = new Set(targets.map(target => target.address));
 			for (const [address, pool] of pools) {
 				if (!wanted.has(address)) {
 					pools.delete(address);
+					echoing.delete(address);
 					void pool.close();
 				}
 			}
@@ -32,6 +37,10 @@
 			assertInvariant(pool !== undefined, 'each target of the configuration has a pool', {target: target.name});
 			return pool;
 		},
+		isEchoing: target => echoing.has(target.address),
+		setEchoing(target) {
+			echoing.add(target.address);
+		},
 		async close() {
 			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
 		},
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -2,5 +2,6 @@
 export * from './configuration.js';
 export * from './configuration-check.js';
 export * from './member.js';
+export * from './retry-budget.js';
 export * from './slot-floors.js';
 export * from './token-bucket.js';
