--- a/packages/node/src/caller-server-plugin.ts
+++ b/packages/node/src/caller-server-plugin.ts
@@ -4,6 +4,7 @@
  */
 import type {Duplex} from 'node:stream';
 import {type ServerResponse, createServer} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {abortAnswer} from './answer.js';
 import {type CallerHandler, type NodeContext, nodePlugins} from './node-context.js';
 import {drainServer, listenOn} from './http-server.js';
@@ -53,9 +54,11 @@
 		server.on('clientError', refuseMalformed);
 		context.bound.caller = await listenOn(server, listen.caller);
 		return {
+			// Callers that hold an older look-up are served for a while, each answer ending its connection.
 			async drain() {
 				isDraining = true;
 				context.bus.publish({type: 'drain-started'});
+				await delay(timing.lookupHoldMilliseconds);
 				for (const response of running) {
 					announceClose(response);
 				}
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -8,14 +8,15 @@
 import {
 	type EntryParts, type Exchange, type ExchangeResult, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
 } from './exchange.js';
+import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
+import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
 import {getRequestKey} from './request-headers.js';
-import {type RequestQuotas, createRequestQuotas} from './request-quotas.js';
+import type {RequestQuotas} from './request-quotas.js';
 import {createRetryBudgets} from './retry-budgets.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
-import {createSlotQuota} from './slot-quota.js';
 import {createTargetPools} from './target-pools.js';
 import {createTargetSelector} from './target-selector.js';
 import {createVersionChooser} from './version-chooser.js';
@@ -25,6 +26,7 @@
 
 type EntryState = Omit<EntryParts, 'routing'> & {
 	routing: RoutingTable | undefined;
+	validity: KnowledgeValidity;
 	readonly quotas: RequestQuotas;
 	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
 };
@@ -35,12 +37,15 @@
 	order: startOrder,
 	async start(context) {
 		const {bus, settings} = context;
-		const slots = createSlotQuota(settings.node.name);
+		const {requests, slots} = getNodeQuotas(context);
 		const state: EntryState = {
 			context,
 			routing: undefined,
-			quotas: createRequestQuotas(settings.node.name, context.clock),
-			selector: createTargetSelector(slots),
+			validity: noValidity,
+			quotas: requests,
+			selector: createTargetSelector({
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			retries: createRetryBudgets(),
@@ -49,14 +54,11 @@
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				state.routing = createRoutingTable(configuration);
-				state.quotas.setCustomers(configuration.customers);
 				state.versions.setConfiguration(configuration);
-				slots.setTargets(configuration.targets);
 				state.pools.setTargets(configuration.targets);
 			}),
-			bus.subscribe('membership-changed', ({members}) => {
-				state.quotas.setMembers(members);
-				slots.setMembers(members);
+			bus.subscribe('freshness-changed', ({validity}) => {
+				state.validity = validity;
 			}),
 			bus.subscribe('version-share-changed', ({share}) => {
 				state.versions.setShare(share);
@@ -81,7 +83,7 @@
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
 	const requestId = createIdentifier();
-	const checked = checkRequest(request, state.routing, state.quotas);
+	const checked = await checkRequest(request, state.routing, state.quotas, isKnowledgeCurrent(state.validity, state.context.clock));
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -84,7 +84,7 @@
  */
 export async function runExchange(parts: EntryParts, exchange: Exchange, body: CallerBody, signal: AbortSignal): Promise<ExchangeResult> {
 	const {route, customer} = exchange;
-	const version = parts.versions.choose(route.service) ?? '';
+	let version = parts.versions.choose(route.service) ?? '';
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
 	for (;;) {
@@ -93,7 +93,7 @@
 			customer: customer?.name ?? openCustomer,
 			class: route.class,
 			deadlineAt: exchange.deadlineAt,
-			candidates: parts.routing.getTargets(route.service, version),
+			candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 			excluded,
 			signal,
 		});
@@ -107,6 +107,8 @@
 		if (!mayRetry(parts, exchange, body, records)) {
 			return getResult(parts, exchange, records);
 		}
+
+		version = parts.versions.chooseForRetry(route.service) ?? '';
 	}
 }
 
--- a/packages/node/tests/entry-helpers.ts
+++ b/packages/node/tests/entry-helpers.ts
@@ -104,6 +104,7 @@
 		platform: {table: {address: table.address}, objects: {address: objects.address}, machines: {address: machines.address}},
 		secrets: {peer: 'entry-test-peer-secret', operatorToken},
 		limits,
+		timing: {lookupHoldMilliseconds: 0},
 	}), {logger: createSilentLogger()});
 	const url = `http://${node.addresses.caller}`;
 	const open = (): Socket => {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,14 +1,23 @@
 /** All messages that nodes exchange, as one discriminated union. */
 import {z} from 'zod';
 import {type Result, fail, succeed} from '@catkindale/common';
-import {configurationMessageSchema} from './configuration-messages.js';
+import {
+	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
+} from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
+import {rolloutReportMessageSchema} from './rollout-messages.js';
+import {quotaMessageSchemas} from './quota-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
 	proofMessageSchema,
 	heartbeatMessageSchema,
 	configurationMessageSchema,
+	rolloutReportMessageSchema,
+	restrictionsMessageSchema,
+	knownMembersMessageSchema,
+	targetLeavingMessageSchema,
+	...quotaMessageSchemas,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
