Run a request with an Idempotency-Key at most once across entries

Cause: a caller that repeats a non-idempotent request blindly at another entry had it run again.

A look-up now gives a ticket prefix for each entry, signed with the fleet's secret. Only the entry and incarnation that it names runs the ticket and remembers the outcome; others ask it over one signed hop or say `unknown`. Any other key is claimed by a compare-and-set row before dispatch; rows go from claimed to finished or released and are never deleted, so that a late write can't hit a newer claim. A repetition waits for the first attempt and gets its answer, or its status if the answer was too large to keep. Once a target has such a request, it runs on without its caller. A planned stop hands the remembered outcomes to a neighbour, which then can also say that a ticket never ran.

--- a/packages/node/src/answer.ts
+++ b/packages/node/src/answer.ts
@@ -1,12 +1,15 @@
 /** Answers of targets: held whole while they are small, else passed on as they come. */
 import {type Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import type {RequestOutcome} from '@catkindale/common';
 import {headerNames} from './constants.js';
 
 export type AnswerHead = {
 	readonly status: number;
 	/** A flat list of names and values, without those of the connection. */
 	readonly headers: readonly string[];
+	/** What another entry said of the request; a target's answer says that it ran. */
+	readonly outcome?: RequestOutcome | undefined;
 };
 
 export type WholeAnswer = AnswerHead & {readonly body: Buffer};
@@ -20,22 +23,22 @@
 
 /** Begins a streamed answer. */
 export function writeAnswerHead(response: ServerResponse, head: AnswerHead, requestId: string): void {
-	response.writeHead(head.status, [...head.headers, headerNames.outcome, 'ran', headerNames.requestId, requestId]);
+	response.writeHead(head.status, [...head.headers, headerNames.outcome, head.outcome ?? 'ran', headerNames.requestId, requestId]);
 }
 
 /** Sends an answer that is held whole. */
-export function sendWholeAnswer(response: ServerResponse, answer: WholeAnswer, requestId: string, extraHeaders: readonly string[] = []): void {
+export function sendWholeAnswer(response: ServerResponse, answer: WholeAnswer, requestId: string): void {
 	if (response.destroyed || response.headersSent) {
 		return;
 	}
 
-	const headers = [...answer.headers, ...extraHeaders];
+	const headers = [...answer.headers];
 	const needsLength = !isBodyless(response.req.method ?? '', answer.status) && !hasHeader(headers, 'content-length');
 	if (needsLength) {
 		headers.push('content-length', String(answer.body.length));
 	}
 
-	writeAnswerHead(response, {status: answer.status, headers}, requestId);
+	writeAnswerHead(response, {status: answer.status, headers, outcome: answer.outcome}, requestId);
 	response.end(answer.body);
 }
 
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -4,6 +4,7 @@
 import type {Member} from '@catkindale/policy';
 import {nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
+import {createTicketPrefix} from './ticket-prefix.js';
 
 const startOrder = 40;
 const answerSeconds = 10;
@@ -28,6 +29,10 @@
 			}),
 		];
 
+		const getTicketPrefix = (member: Member): string => createTicketPrefix(context.settings.secrets.peer, {
+			home: member.id, incarnation: member.incarnation, issuedAt: context.clock.wall(),
+		});
+
 		context.callerHandlers.directory = (request: IncomingMessage, response: ServerResponse): void => {
 			const query = new URL(request.url ?? '/', 'http://directory').searchParams;
 			const service = query.get('service') ?? '';
@@ -42,7 +47,9 @@
 			const ranked = rankMembers(request.socket.remoteAddress ?? '', live);
 			const {region} = context.settings.node;
 			const ordered = [...ranked.filter(member => member.region === region), ...ranked.filter(member => member.region !== region)];
-			const entries = ordered.map((member, index) => ({address: member.callerAddress, region: member.region, weight: ordered.length - index}));
+			const entries = ordered.map((member, index) => ({
+				address: member.callerAddress, region: member.region, weight: ordered.length - index, ticketPrefix: getTicketPrefix(member),
+			}));
 			response.setHeader('content-type', 'application/json');
 			response.setHeader('cache-control', `private, max-age=${answerSeconds}`);
 			response.end(JSON.stringify({entries, timeToLiveSeconds: answerSeconds}));
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -6,9 +6,13 @@
 import {Histogram} from 'prom-client';
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type EntryParts, type Exchange, type ExchangeResult, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
+	type EntryParts, type Exchange, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
 } from './exchange.js';
+import type {ExchangeResult} from './exchange-result.js';
+import {headerNames} from './constants.js';
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
+import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
+import {type Idempotency, createIdempotency} from './idempotency-parts.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
@@ -27,6 +31,7 @@
 type EntryState = Omit<EntryParts, 'routing'> & {
 	routing: RoutingTable | undefined;
 	validity: KnowledgeValidity;
+	readonly idempotency: Idempotency;
 	readonly quotas: RequestQuotas;
 	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
 };
@@ -42,6 +47,7 @@
 			context,
 			routing: undefined,
 			validity: noValidity,
+			idempotency: createIdempotency(context),
 			quotas: requests,
 			selector: createTargetSelector({
 				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
@@ -74,6 +80,7 @@
 					end();
 				}
 
+				await state.idempotency.stop();
 				await state.pools.close();
 			},
 		};
@@ -82,8 +89,11 @@
 
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
-	const requestId = createIdentifier();
-	const checked = await checkRequest(request, state.routing, state.quotas, isKnowledgeCurrent(state.validity, state.context.clock));
+	const isHop = isSignedHop(state.context.settings.secrets.peer, request);
+	const requestId = isHop ? String(request.headers[headerNames.requestId]) : createIdentifier();
+	const checked = await checkRequest(request, {
+		routing: state.routing, quotas: state.quotas, isCurrent: isKnowledgeCurrent(state.validity, state.context.clock), isHop,
+	});
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
@@ -103,12 +113,12 @@
 		customer,
 		key: getRequestKey(request),
 	};
-	const result = await runForCaller({...state, routing: state.routing}, exchange);
+	const result = await runForCaller({...state, routing: state.routing}, exchange, isHop);
 	tellResult(exchange, result);
 	observe(state, exchange, result);
 }
 
-async function runForCaller(parts: EntryParts, exchange: Exchange): Promise<ExchangeResult> {
+async function runForCaller(parts: EntryParts & Pick<EntryState, 'idempotency'>, exchange: Exchange, isHop: boolean): Promise<ExchangeResult> {
 	const body = await readExchangeBody(parts, exchange);
 	if ('status' in body) {
 		return {kind: 'problem', problem: body};
@@ -118,7 +128,16 @@
 	exchange.response.once('close', () => {
 		caller.abort();
 	});
-	return runExchange(parts, exchange, body, caller.signal);
+	const {signal} = caller;
+	if (exchange.route.idempotent || getIdempotencyKey(exchange.request) === '') {
+		return runExchange(parts, exchange, body, {selection: signal, attempt: signal});
+	}
+
+	// Once a target has a request whose outcome is remembered, it runs on without its caller, who may repeat it.
+	const attempt = body.isWhole ? new AbortController().signal : signal;
+	return parts.idempotency.runOnce({
+		exchange, body, isHop, signal, run: async () => runExchange(parts, exchange, body, {selection: signal, attempt}),
+	});
 }
 
 function observe(state: EntryState, {customer, route, startedAt}: Exchange, result: ExchangeResult): void {
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -7,9 +7,10 @@
 import {
 	type AttemptEnd, type Customer, type Route, type Target, isRetriable, isRetriableStatus,
 } from '@catkindale/policy';
-import {type WholeAnswer, sendWholeAnswer} from './answer.js';
+import {sendWholeAnswer} from './answer.js';
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
+import type {ExchangeResult} from './exchange-result.js';
 import {type Attempt, type ForwardOutcome, startAttempt} from './forward.js';
 import type {NodeContext} from './node-context.js';
 import {type Problem, sendProblem} from './problem.js';
@@ -44,14 +45,6 @@
 	readonly key: string | undefined;
 };
 
-/** What became of the request, before it is told to the caller unless it was streamed. */
-export type ExchangeResult
-	= | {readonly kind: 'answered'; readonly answer: WholeAnswer}
-		| {readonly kind: 'streamed'; readonly status: number}
-	/** The beginning of an answer is with the caller, the rest is lost; the connection is reset. */
-		| {readonly kind: 'cut'}
-		| {readonly kind: 'problem'; readonly problem: Problem};
-
 type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
 
 const openCustomer = 'open';
@@ -78,11 +71,11 @@
 	return body.ok ? body.value : getBodyProblem(body.error, 'not-run');
 }
 
-/**
- * Runs the request. The signal cancels it when the caller goes away; a request
- * whose outcome is remembered passes one that stays silent.
- */
-export async function runExchange(parts: EntryParts, exchange: Exchange, body: CallerBody, signal: AbortSignal): Promise<ExchangeResult> {
+/** What ends a request early: before a target has it, and after. */
+export type ExchangeSignals = {readonly selection: AbortSignal; readonly attempt: AbortSignal};
+
+/** Runs the request at a target, and at others where that is safe. */
+export async function runExchange(parts: EntryParts, exchange: Exchange, body: CallerBody, signals: ExchangeSignals): Promise<ExchangeResult> {
 	const {route, customer} = exchange;
 	let version = parts.versions.choose(route.service) ?? '';
 	const excluded = new Set<string>();
@@ -95,13 +88,13 @@
 			deadlineAt: exchange.deadlineAt,
 			candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 			excluded,
-			signal,
+			signal: signals.selection,
 		});
 		if (selection.kind === 'refused') {
 			return getRefusal(selection, records);
 		}
 
-		const outcome = await runAttempt(parts, exchange, {selection, body, signal});
+		const outcome = await runAttempt(parts, exchange, {selection, body, signals});
 		records.push({target: selection.target, outcome});
 		excluded.add(selection.target.name);
 		if (!mayRetry(parts, exchange, body, records)) {
@@ -135,21 +128,21 @@
 type AttemptParts = {
 	readonly selection: Selection & {readonly kind: 'selected'};
 	readonly body: CallerBody;
-	readonly signal: AbortSignal;
+	readonly signals: ExchangeSignals;
 };
 
-async function runAttempt(parts: EntryParts, exchange: Exchange, {selection, body, signal}: AttemptParts): Promise<ForwardOutcome> {
+async function runAttempt(parts: EntryParts, exchange: Exchange, {selection, body, signals}: AttemptParts): Promise<ForwardOutcome> {
 	const {clock, bus} = parts.context;
 	const {target} = selection;
 	const startedAt = clock.monotonic();
-	const attempt = signal.aborted ? undefined : start(parts, exchange, target, body);
+	const attempt = signals.selection.aborted ? undefined : start(parts, exchange, target, body);
 	const cancel = (): void => {
 		attempt?.abort('caller-gone');
 	};
 
-	signal.addEventListener('abort', cancel);
+	signals.attempt.addEventListener('abort', cancel);
 	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller went away'};
-	signal.removeEventListener('abort', cancel);
+	signals.attempt.removeEventListener('abort', cancel);
 	if ((outcome.kind === 'answered' || outcome.kind === 'streamed') && outcome.isEchoed) {
 		parts.pools.setEchoing(target);
 	}
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -6,7 +6,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
-import {getErrorMessage} from '@catkindale/common';
+import {getErrorMessage, requestOutcomes} from '@catkindale/common';
 import {
 	type AnswerHead, type WholeAnswer, abortAnswer, isBodyless, writeAnswerHead,
 } from './answer.js';
@@ -24,6 +24,8 @@
 	readonly deadlineMilliseconds: number;
 	/** Whether an answer without the request's identifier is refused. */
 	readonly requiresEcho: boolean;
+	/** Whether another entry answers, whose word on the outcome is passed on. */
+	readonly isPeer?: boolean;
 	/** Gives the caller's response for a streamed answer; undefined if another attempt has it. */
 	readonly claimResponse: () => ServerResponse | undefined;
 };
@@ -150,7 +152,8 @@
 		}
 
 		// Only an answer that is surely this request's own may say that it didn't run.
-		if (read(headerNames.outcome) === 'not-run' && echoed !== undefined) {
+		const outcome = read(headerNames.outcome);
+		if (outcome === 'not-run' && echoed !== undefined && !options.isPeer) {
 			answer = {kind: 'discarded'};
 			settle({kind: 'shed'});
 			return;
@@ -163,7 +166,8 @@
 			return;
 		}
 
-		const head = {status, headers: getAnswerHeaders(rawHeaders, read('connection'))};
+		const headers = getAnswerHeaders(rawHeaders, read('connection'));
+		const head: AnswerHead = options.isPeer ? {status, headers, outcome: requestOutcomes.find(known => known === outcome) ?? 'unknown'} : {status, headers};
 		answer = {
 			kind: 'held', head, isEchoed: echoed !== undefined, chunks: [], bytes: 0,
 		};
--- /dev/null
+++ b/packages/node/src/idempotency-claims.ts
@@ -0,0 +1,250 @@
+/**
+ * Claims of opaque idempotency keys as rows of the platform's table. A row
+ * goes from claimed to finished, or to released if the request provably never
+ * ran. Rows are never deleted, so that their versions only rise and an old
+ * write can't hit a newer claim.
+ */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {createIdentifier, hashText} from '@catkindale/common';
+import type {Row, TableService} from '@catkindale/platform';
+import type {RememberedOutcome} from '@catkindale/policy';
+
+const claimSchema = z.object({
+	state: z.enum(['claimed', 'finished', 'released']),
+	fingerprint: z.string(),
+	node: z.string(),
+	incarnation: z.string(),
+	claimedAt: z.string(),
+	outcome: z.enum(['ran', 'unknown']).optional(),
+	status: z.int().optional(),
+	headers: z.array(z.string()).optional(),
+	/** Base64; left out if the body is too large for a row. */
+	body: z.string().optional(),
+});
+
+export type ClaimValue = z.infer<typeof claimSchema>;
+
+/** A claim that this node holds. */
+export type HeldClaim = {readonly key: string; readonly version: number; readonly changeId: string; readonly value: ClaimValue};
+
+export type ClaimResult
+	= | {readonly kind: 'claimed'; readonly claim: HeldClaim}
+	/** Another attempt has it, or it has ended already. */
+		| {readonly kind: 'existing'; readonly value: ClaimValue}
+	/** Nothing is claimed for certain; the request must not run. */
+		| {readonly kind: 'unavailable'};
+
+export type IdempotencyClaims = {
+	claim: (customer: string, key: string, fingerprint: string) => Promise<ClaimResult>;
+	/** Records the outcome; tried again until it is written. Resolves with whether it is. */
+	finish: (claim: HeldClaim, outcome: RememberedOutcome) => Promise<boolean>;
+	/** Gives the claim back; resolves after the first try, later ones go on by themselves. */
+	release: (claim: HeldClaim) => Promise<void>;
+	/** Waits for writes under way and ends later tries. */
+	stop: () => Promise<void>;
+};
+
+export type ClaimsOptions = {
+	readonly table: TableService;
+	readonly node: string;
+	readonly incarnation: string;
+	/** ISO 8601 time, for operators. */
+	readonly getTime: () => string;
+	readonly retryMilliseconds?: number;
+};
+
+const rowPrefix = 'idempotency/';
+const maximumClaimTries = 3;
+const maximumLaterTries = 120;
+const defaultRetryMilliseconds = 1000;
+const maximumRowBodyBytes = 4096;
+
+type WriteResult
+	= | {readonly kind: 'written'; readonly row: Row}
+		| {readonly kind: 'other'; readonly row: Row}
+	/** The row is as it was, as far as is known; the write may take effect later. */
+		| {readonly kind: 'open'; readonly changeId: string};
+
+export function createIdempotencyClaims(options: ClaimsOptions): IdempotencyClaims {
+	const {table, node, incarnation} = options;
+	const retryMilliseconds = options.retryMilliseconds ?? defaultRetryMilliseconds;
+	/** Changes of this node that may have claimed a row for a request that won't run. */
+	const abandoned = new Set<string>();
+	const underWay = new Set<Promise<unknown>>();
+	const sleeping = new Set<() => void>();
+	const state = {isStopping: false};
+
+	const write = async (key: string, expectedVersion: number, value: ClaimValue): Promise<WriteResult> => {
+		const changeId = createIdentifier();
+		const outcome = await table.transact(changeId, [{key, expectedVersion, value}]);
+		switch (outcome.kind) {
+			case 'done': {
+				return {
+					kind: 'written', row: {
+						key, version: expectedVersion + 1, changeId, value,
+					},
+				};
+			}
+
+			case 'conflict': {
+				const [row] = outcome.rows;
+				return row ? getSeenResult(row, changeId) : {kind: 'open', changeId};
+			}
+
+			case 'not-done': {
+				return {kind: 'open', changeId};
+			}
+
+			case 'unknown': {
+				return readBack(key, expectedVersion, changeId);
+			}
+		}
+	};
+
+	/** Resolves a lost answer by the change identifier of the row. */
+	const readBack = async (key: string, expectedVersion: number, changeId: string): Promise<WriteResult> => {
+		const read = await table.get(key);
+		const row = read.kind === 'done' ? read.value : undefined;
+		return row && row.version > expectedVersion ? getSeenResult(row, changeId) : {kind: 'open', changeId};
+	};
+
+	/** Makes sure that a claim which may have been written stands in nobody's way. */
+	const releaseLater = async (key: string, expectedVersion: number, value: ClaimValue, changeId: string): Promise<void> => {
+		abandoned.add(changeId);
+		let version = expectedVersion;
+		for (let tries = 0; tries < maximumLaterTries && !state.isStopping; tries++) {
+			const result = await write(key, version, {...value, state: 'released'});
+			if (result.kind === 'written' || (result.kind === 'other' && result.row.changeId !== changeId)) {
+				break;
+			}
+
+			if (result.kind === 'other') {
+				version = result.row.version;
+			} else {
+				await pause();
+			}
+		}
+
+		abandoned.delete(changeId);
+	};
+
+	const pause = async (): Promise<void> => {
+		if (state.isStopping) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const wake = (): void => {
+				clearTimeout(timer);
+				sleeping.delete(wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, retryMilliseconds);
+			timer.unref();
+			sleeping.add(wake);
+		});
+	};
+
+	const track = async <Value>(work: Promise<Value>): Promise<Value> => {
+		underWay.add(work);
+		const value = await work;
+		underWay.delete(work);
+		return value;
+	};
+
+	const finish = async (claim: HeldClaim, outcome: RememberedOutcome): Promise<boolean> => {
+		const value = getFinishedValue(claim.value, outcome);
+		for (let tries = 0; tries < maximumLaterTries; tries++) {
+			const result = await write(claim.key, claim.version, value);
+			if (result.kind !== 'open') {
+				return true;
+			}
+
+			if (state.isStopping) {
+				return false;
+			}
+
+			await pause();
+		}
+
+		return false;
+	};
+
+	return {
+		async claim(customer, key, fingerprint) {
+			const rowKey = `${rowPrefix}${customer}/${hashText(key)}`;
+			const value: ClaimValue = {
+				state: 'claimed', fingerprint, node, incarnation, claimedAt: options.getTime(),
+			};
+			let version = 0;
+			for (let tries = 0; tries < maximumClaimTries; tries++) {
+				const result = await write(rowKey, version, value);
+				if (result.kind === 'written') {
+					const {version: claimedVersion, changeId} = result.row;
+					return {
+						kind: 'claimed', claim: {
+							key: rowKey, version: claimedVersion, changeId, value,
+						},
+					};
+				}
+
+				if (result.kind === 'open') {
+					void track(releaseLater(rowKey, version, value, result.changeId));
+					return {kind: 'unavailable'};
+				}
+
+				const existing = claimSchema.parse(result.row.value);
+				if (existing.state !== 'released' && !abandoned.has(result.row.changeId)) {
+					return {kind: 'existing', value: existing};
+				}
+
+				version = result.row.version;
+			}
+
+			return {kind: 'unavailable'};
+		},
+		finish: async (claim, outcome) => track(finish(claim, outcome)),
+		async release({key, version, changeId, value}) {
+			const result = await write(key, version, {...value, state: 'released'});
+			if (result.kind === 'open') {
+				void track(releaseLater(key, version, value, changeId));
+			}
+		},
+		async stop() {
+			state.isStopping = true;
+			for (const wake of sleeping) {
+				wake();
+			}
+
+			await Promise.all(underWay);
+		},
+	};
+}
+
+/** The outcome that a finished row records; unknown if it holds none. */
+export function getClaimOutcome(value: ClaimValue): RememberedOutcome {
+	if (value.outcome !== 'ran' || value.status === undefined) {
+		return {kind: 'unknown'};
+	}
+
+	const body = value.body === undefined ? undefined : Buffer.from(value.body, 'base64');
+	return {kind: 'ran', answer: {status: value.status, headers: value.headers ?? [], body}};
+}
+
+function getSeenResult(row: Row, changeId: string): WriteResult {
+	return {kind: row.changeId === changeId ? 'written' : 'other', row};
+}
+
+function getFinishedValue(value: ClaimValue, outcome: RememberedOutcome): ClaimValue {
+	if (outcome.kind === 'unknown') {
+		return {...value, state: 'finished', outcome: 'unknown'};
+	}
+
+	const {status, headers, body} = outcome.answer;
+	const kept = body && body.length <= maximumRowBodyBytes ? Buffer.from(body).toString('base64') : undefined;
+	return {
+		...value, state: 'finished', outcome: 'ran', status, headers: [...headers], ...(kept !== undefined && {body: kept}),
+	};
+}
--- /dev/null
+++ b/packages/node/src/idempotency-hop.ts
@@ -0,0 +1,125 @@
+/**
+ * Sends a repeated request one hop on to the entry that may know its outcome.
+ * The hop is signed with the fleet's secret, so that it is admitted only once
+ * and goes no further.
+ */
+import {Buffer} from 'node:buffer';
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Pool} from 'undici';
+import type {CallerBody} from './caller-body.js';
+import {headerNames} from './constants.js';
+import type {ExchangeResult} from './exchange-result.js';
+import {startAttempt} from './forward.js';
+import {getForwardHeaders, idempotencyKeyHeader} from './request-headers.js';
+
+export type HopRequest = {
+	readonly address: string;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly requestId: string;
+	readonly key: string | undefined;
+	readonly body: CallerBody;
+	readonly deadlineMilliseconds: number;
+	readonly signal: AbortSignal;
+};
+
+export type PeerEntries = {
+	/** Undefined if the entry couldn't be asked or its answer was lost. */
+	ask: (hop: HopRequest) => Promise<ExchangeResult | undefined>;
+	close: () => Promise<void>;
+};
+
+export const hopHeader = 'catkindale-hop';
+const maximumPools = 64;
+
+export function createPeerEntries(secret: string): PeerEntries {
+	const pools = new Map<string, Pool>();
+	const getPool = (address: string): Pool => {
+		const known = pools.get(address);
+		if (known) {
+			return known;
+		}
+
+		const [oldest] = pools;
+		if (oldest && pools.size >= maximumPools) {
+			pools.delete(oldest[0]);
+			void oldest[1].close();
+		}
+
+		const pool = new Pool(`http://${address}`, {pipelining: 1});
+		pools.set(address, pool);
+		return pool;
+	};
+
+	return {
+		async ask(hop) {
+			const {request, response, requestId, deadlineMilliseconds, body, signal} = hop;
+			const headers = getForwardHeaders(request, {
+				key: hop.key, requestId, customer: undefined, deadlineMilliseconds,
+			});
+			headers.push('x-api-key', hop.key ?? '', hopHeader, signHop(secret, requestId, getIdempotencyKey(request)));
+			const attempt = startAttempt({
+				pool: getPool(hop.address),
+				method: request.method ?? 'POST',
+				path: request.url ?? '/',
+				headers,
+				body: body.open() ?? null,
+				requestId,
+				deadlineMilliseconds,
+				requiresEcho: true,
+				isPeer: true,
+				claimResponse: () => response.headersSent || response.destroyed ? undefined : response,
+			});
+			const cancel = (): void => {
+				attempt.abort('caller-gone');
+			};
+
+			signal.addEventListener('abort', cancel);
+			const outcome = await attempt.outcome;
+			signal.removeEventListener('abort', cancel);
+			switch (outcome.kind) {
+				case 'answered': {
+					return {kind: 'answered', answer: outcome.answer};
+				}
+
+				case 'streamed': {
+					return {kind: 'streamed', status: outcome.status};
+				}
+
+				case 'lost': {
+					return outcome.isStreaming ? {kind: 'cut'} : undefined;
+				}
+
+				case 'shed':
+				case 'not-sent': {
+					return undefined;
+				}
+			}
+		},
+		async close() {
+			await Promise.all([...pools.values()].map(async pool => pool.destroy()));
+		},
+	};
+}
+
+/** Whether another entry of the fleet has admitted the request and sent it here. */
+export function isSignedHop(secret: string, request: IncomingMessage): boolean {
+	const given = request.headers[hopHeader];
+	const requestId = request.headers[headerNames.requestId];
+	if (typeof given !== 'string' || typeof requestId !== 'string') {
+		return false;
+	}
+
+	const expected = Buffer.from(signHop(secret, requestId, getIdempotencyKey(request)));
+	const actual = Buffer.from(given);
+	return expected.length === actual.length && timingSafeEqual(expected, actual);
+}
+
+export function getIdempotencyKey(request: IncomingMessage): string {
+	return String(request.headers[idempotencyKeyHeader] ?? '');
+}
+
+function signHop(secret: string, requestId: string, idempotencyKey: string): string {
+	return createHmac('sha256', secret).update(JSON.stringify(['hop', requestId, idempotencyKey])).digest('base64url');
+}
--- /dev/null
+++ b/packages/node/src/idempotency-parts.ts
@@ -0,0 +1,96 @@
+/** Puts together what an entry needs to run requests at most once. */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {type Member, createTicketMemory} from '@catkindale/policy';
+import {type CallerBody, maximumBufferedBodyBytes} from './caller-body.js';
+import type {ExchangeResult} from './exchange-result.js';
+import type {Exchange} from './exchange.js';
+import {createIdempotencyClaims} from './idempotency-claims.js';
+import {createIdempotencyGuard, createTicketClock} from './idempotency-guard.js';
+import {createPeerEntries, getIdempotencyKey} from './idempotency-hop.js';
+import type {NodeContext} from './node-context.js';
+import {startTicketHandover} from './ticket-handover.js';
+import {createTicketHeirs} from './ticket-heirs.js';
+
+export type OnceExchange = {
+	readonly exchange: Exchange;
+	readonly body: CallerBody;
+	readonly isHop: boolean;
+	/** Aborted when the caller goes away. */
+	readonly signal: AbortSignal;
+	readonly run: () => Promise<ExchangeResult>;
+};
+
+export type Idempotency = {
+	runOnce: (once: OnceExchange) => Promise<ExchangeResult>;
+	/** Waits for rows being written and hands the remembered outcomes over. */
+	stop: () => Promise<void>;
+};
+
+const openCustomer = 'open';
+
+export function createIdempotency(context: NodeContext): Idempotency {
+	const {bus, clock, incarnation, logger, settings} = context;
+	const {name: node, region} = settings.node;
+	let members: readonly Member[] = [];
+	const endMembers = bus.subscribe('membership-changed', message => {
+		members = message.members;
+	});
+	const ticketClock = createTicketClock(clock);
+	const memory = createTicketMemory();
+	const heirs = createTicketHeirs(clock);
+	const peers = createPeerEntries(settings.secrets.peer);
+	const claims = createIdempotencyClaims({
+		table: context.platform.table, node, incarnation, getTime: () => new Date(clock.wall()).toISOString(),
+	});
+	const guard = createIdempotencyGuard({
+		node, incarnation, secret: settings.secrets.peer, clock, memory, claims, heirs,
+	}, ticketClock);
+	const handover = startTicketHandover({
+		bus, node, region, incarnation, memory, heirs, ticketClock, getMembers: () => members,
+	});
+
+	const hop = async ({exchange, body, signal}: OnceExchange, id: string, wanted: string | undefined): Promise<ExchangeResult | undefined> => {
+		const member = members.find(candidate => candidate.id === id && (wanted === undefined || candidate.incarnation === wanted));
+		if (!member || id === node) {
+			return undefined;
+		}
+
+		const {request, response, requestId, key} = exchange;
+		return peers.ask({
+			address: member.callerAddress, request, response, requestId, key, body, signal, deadlineMilliseconds: exchange.deadlineAt - clock.monotonic(),
+		});
+	};
+
+	return {
+		async runOnce(once) {
+			const {exchange, body, isHop, run} = once;
+			return guard.runOnce({
+				key: getIdempotencyKey(exchange.request),
+				customer: exchange.customer?.name ?? openCustomer,
+				fingerprint: getFingerprint(exchange, body),
+				waitMilliseconds: exchange.deadlineAt - clock.monotonic(),
+				isHop,
+				run,
+				hop: async (id, wanted) => hop(once, id, wanted),
+			});
+		},
+		async stop() {
+			await claims.stop();
+			const heir = await handover.handOver();
+			logger.info('tickets_handed_over', {heir: heir ?? 'none', remembered: memory.getSize()});
+			handover.end();
+			endMembers();
+			await peers.close();
+		},
+	};
+}
+
+/** A hash of what is asked for; of a large body only the beginning and the declared length count. */
+function getFingerprint({request}: Exchange, body: CallerBody): string {
+	const hash = createHash('sha256');
+	const {method, url, headers} = request;
+	hash.update(JSON.stringify([method, url, headers['content-type'], headers['content-length'], body.isWhole]));
+	hash.update(Buffer.from(body.prefix.subarray(0, maximumBufferedBodyBytes)));
+	return hash.digest('base64url');
+}
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -3,7 +3,7 @@
 import type {Customer, Route} from '@catkindale/policy';
 import {isPlainPath} from './path-check.js';
 import type {Problem} from './problem.js';
-import {getRequestKey, hasSeveralKeys} from './request-headers.js';
+import {getRequestKey, hasSeveralIdempotencyKeys, hasSeveralKeys} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
 import type {RoutingTable} from './routing-table.js';
 
@@ -14,7 +14,17 @@
 	= | {readonly kind: 'admitted'; readonly route: Route; readonly customer: Customer | undefined}
 		| {readonly kind: 'refused'; readonly problem: Problem};
 
-export async function checkRequest(request: IncomingMessage, routing: RoutingTable | undefined, quotas: RequestQuotas, isCurrent: boolean): Promise<CheckedRequest> {
+export type RequestCheckParts = {
+	readonly routing: RoutingTable | undefined;
+	readonly quotas: RequestQuotas;
+	/** Whether this node's knowledge of keys and rates is current. */
+	readonly isCurrent: boolean;
+	/** Whether another entry has taken the token already. */
+	readonly isHop: boolean;
+};
+
+export async function checkRequest(request: IncomingMessage, parts: RequestCheckParts): Promise<CheckedRequest> {
+	const {routing, quotas, isCurrent, isHop} = parts;
 	if (!routing) {
 		return refuse(503, 'not-configured', 'this VM has no configuration yet');
 	}
@@ -27,6 +37,10 @@
 		return refuse(400, 'several-keys', 'a key may come once, in one header');
 	}
 
+	if (hasSeveralIdempotencyKeys(request)) {
+		return refuse(400, 'several-idempotency-keys', 'an Idempotency-Key may come once');
+	}
+
 	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 	const route = routing.findRoute(request.method ?? 'GET', path);
 	if (!route) {
@@ -47,6 +61,10 @@
 		return refuse(401, 'unknown-key', 'the route needs the key of a customer');
 	}
 
+	if (isHop) {
+		return {kind: 'admitted', route, customer};
+	}
+
 	const admission = await quotas.admitSoon(customer.name);
 	if (admission.kind === 'refused') {
 		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
--- a/packages/node/src/request-headers.ts
+++ b/packages/node/src/request-headers.ts
@@ -17,6 +17,8 @@
 ]);
 const keyHeaders = new Set(['authorization', 'x-api-key']);
 const cookieHeader = 'cookie';
+export const idempotencyKeyHeader = 'idempotency-key';
+const idempotencyKeyHeaders = new Set([idempotencyKeyHeader]);
 
 export type ForwardIdentity = {
 	/** The key that came with the request; no header that holds it is forwarded. */
@@ -39,12 +41,20 @@
 
 /** Whether keys came in more than one place, so that it isn't clear whose request it is. */
 export function hasSeveralKeys(request: IncomingMessage): boolean {
+	return countHeaders(request, keyHeaders) > 1;
+}
+
+export function hasSeveralIdempotencyKeys(request: IncomingMessage): boolean {
+	return countHeaders(request, idempotencyKeyHeaders) > 1;
+}
+
+function countHeaders(request: IncomingMessage, names: ReadonlySet<string>): number {
 	let count = 0;
 	for (let index = 0; index < request.rawHeaders.length; index += 2) {
-		count += keyHeaders.has(request.rawHeaders[index]?.toLowerCase() ?? '') ? 1 : 0;
+		count += names.has(request.rawHeaders[index]?.toLowerCase() ?? '') ? 1 : 0;
 	}
 
-	return count > 1;
+	return count;
 }
 
 /** The headers for the target as a flat list of names and values. */
@@ -53,7 +63,7 @@
 	const {key} = identity;
 	const headers = copyHeaders(request.rawHeaders, (name, value) =>
 		dropped.has(name) || hopByHopHeaders.has(name) || keyHeaders.has(name) || name.startsWith(reservedHeaderPrefix)
-		|| (key !== undefined && name !== cookieHeader && value.includes(key)));
+		|| (key !== undefined && key !== '' && name !== cookieHeader && value.includes(key)));
 	const deadline = Math.max(0, Math.floor(identity.deadlineMilliseconds));
 	headers.push(headerNames.requestId, identity.requestId, headerNames.deadline, String(deadline));
 	if (identity.customer !== undefined) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,3 +6,4 @@
 export * from './messages.js';
 export * from './rollout-messages.js';
 export * from './quota-messages.js';
+export * from './ticket-messages.js';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -7,6 +7,7 @@
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 import {rolloutReportMessageSchema} from './rollout-messages.js';
 import {quotaMessageSchemas} from './quota-messages.js';
+import {ticketMessageSchemas} from './ticket-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
@@ -18,6 +19,7 @@
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
 	...quotaMessageSchemas,
+	...ticketMessageSchemas,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
