Prove by randomised runs that no request runs twice under kills and table faults

`catkindale verify at-most-once`: five blind attempts for each of twelve tickets and opaque keys at three entries, with kills, lost, refused and late table writes, lost hops, shed requests and lost answers. `verify retry-budget`: retries <= saved + a tenth of the successes, attempts <= 1.2 x requests while targets fail and recover.

--- /dev/null
+++ b/packages/cli/src/verification-retry-budget.ts
@@ -0,0 +1,46 @@
+/** Randomised run: retries never exceed what was saved plus a tenth of the successes. */
+import {assertInvariant, createRandom} from '@catkindale/common';
+import {
+	createRetryBudget, maximumSavedRetries, retriesPerSuccess, takeRetry, updateRetryBudgetOnSuccess,
+} from '@catkindale/policy';
+import {registerVerification} from './verification-registry.js';
+
+const requests = 2000;
+const maximumAttempts = 3;
+const largestAmplification = 1.2;
+const roundingTolerance = 1e-6;
+
+registerVerification({
+	name: 'retry-budget',
+	describe: 'retries of one service while its targets fail and recover',
+	run(seed) {
+		const random = createRandom(seed);
+		let budget = createRetryBudget();
+		let failureShare = random.fraction();
+		let attempts = 0;
+		let successes = 0;
+		for (let index = 0; index < requests; index++) {
+			failureShare = random.integer(0, 99) === 0 ? random.integer(0, 4) / 4 : failureShare;
+			for (let attempt = 1; attempt <= maximumAttempts; attempt++) {
+				attempts += 1;
+				if (random.fraction() >= failureShare) {
+					successes += 1;
+					budget = updateRetryBudgetOnSuccess(budget);
+					break;
+				}
+
+				const left = takeRetry(budget);
+				if (!left) {
+					break;
+				}
+
+				budget = left;
+			}
+		}
+
+		const retries = attempts - requests;
+		const limit = maximumSavedRetries + (retriesPerSuccess * successes);
+		assertInvariant(retries <= limit + roundingTolerance, 'retries <= saved + earned', {seed, retries, limit});
+		assertInvariant(attempts <= requests * largestAmplification, 'attempts <= 1.2 x requests', {seed, attempts, requests});
+	},
+});
--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -2,3 +2,5 @@
 import './verification-token-bucket.js';
 import './verification-fairness.js';
 import './verification-target-choice.js';
+import './verification-at-most-once.js';
+import './verification-retry-budget.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,3 +6,10 @@
 export * from './start-node.js';
 export {createMembership} from './membership.js';
 export {createNodeQuotas} from './node-quotas.js';
+export {createIdempotencyClaims} from './idempotency-claims.js';
+export {
+	type IdempotencyGuard, type OnceRequest, createIdempotencyGuard, createTicketClock,
+} from './idempotency-guard.js';
+export {type ExchangeResult, createProblemResult} from './exchange-result.js';
+export {type HandoverPart, createTicketHeirs} from './ticket-heirs.js';
+export {createTicketPrefix, parseIdempotencyKey} from './ticket-prefix.js';
--- a/packages/node/tests/entry-exchange.test.ts
+++ b/packages/node/tests/entry-exchange.test.ts
@@ -11,6 +11,8 @@
 
 const ok = 'HTTP/1.1 200 OK\r\n';
 const largeBytes = 200_000;
+const crossedRefusal = 'HTTP/1.1 503 No\r\ncatkindale-request-id: other\r\ncatkindale-outcome: not-run\r\ncontent-length: 0\r\n\r\n';
+const unknown502 = /HTTP\/1.1 502 .*"outcome":"unknown"/vs;
 const bodyLimitBytes = 100_000;
 const idleMilliseconds = 300;
 let entry: TestEntry | undefined;
@@ -39,22 +41,22 @@
 describe('an answer that isn\'t whole or isn\'t the request\'s own', () => {
 	test.each([
 		{
-			name: 'cut small answer', path: '/open-orders', answer: (id: string) => `${ok}catkindale-request-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`, seen: /HTTP\/1.1 502 .*"outcome":"unknown"/vs,
+			name: 'cut small answer', path: '/open-orders', answer: (id: string) => `${ok}catkindale-request-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`, seen: unknown502,
 		},
 		{
-			name: 'crossed answer', path: '/open-orders', answer: () => `${ok}catkindale-request-id: other\r\ncontent-length: 5\r\n\r\nwhole`, seen: /HTTP\/1.1 502 .*"outcome":"unknown"/vs,
+			name: 'crossed answer', path: '/open-orders', answer: () => `${ok}catkindale-request-id: other\r\ncontent-length: 5\r\n\r\nwhole`, seen: unknown502,
 		},
 		{
-			name: 'answer without an end', path: '/open-orders', answer: () => `${ok}\r\nwhole?`, seen: /HTTP\/1.1 502 .*"outcome":"unknown"/vs,
+			name: 'answer without an end', path: '/open-orders', answer: () => `${ok}\r\nwhole?`, seen: unknown502,
 		},
 		{
-			name: 'no answer', path: '/open-orders', answer: () => '', seen: /HTTP\/1.1 502 .*"outcome":"unknown"/vs,
+			name: 'no answer', path: '/open-orders', answer: () => '', seen: unknown502,
 		},
 		{
-			name: 'crossed claim not to have run', path: '/open-orders', answer: () => 'HTTP/1.1 503 No\r\ncatkindale-request-id: other\r\ncatkindale-outcome: not-run\r\ncontent-length: 0\r\n\r\n', seen: /HTTP\/1.1 502 .*"outcome":"unknown"/vs,
+			name: 'crossed claim not to have run', path: '/open-orders', answer: () => crossedRefusal, seen: unknown502,
 		},
 		{
-			name: 'claim not to have run', path: '/open-orders', answer: (id: string) => `HTTP/1.1 503 No\r\ncatkindale-request-id: ${id}\r\ncatkindale-outcome: not-run\r\ncontent-length: 0\r\n\r\n`, seen: /HTTP\/1.1 503 .*"outcome":"not-run"/vs,
+			name: 'claim not to have run', path: '/open-orders', answer: (id: string) => crossedRefusal.replace('other', id), seen: /HTTP\/1.1 503 .*"outcome":"not-run"/vs,
 		},
 	])('is told as what it is: $name', async ({path, answer, seen}) => {
 		const {sendRaw} = await start(({socket, requestId}) => {
--- /dev/null
+++ b/packages/policy/tests/ticket-memory.test.ts
@@ -0,0 +1,82 @@
+/** What an entry remembers of requests that may run only once. */
+import {describe, expect, test} from 'vitest';
+import {
+	type OnceClaim, type RememberedOutcome, createTicketMemory,
+} from '@catkindale/policy';
+
+const claim: OnceClaim = {
+	id: 'one', customer: 'wideroe', fingerprint: 'order', forgetAt: 1000,
+};
+const ran: RememberedOutcome = {kind: 'ran', answer: {status: 200, headers: [], body: new Uint8Array(10)}};
+const limits = {requests: 3, requestsPerCustomer: 2, bodyBytes: 15};
+
+describe('a repeated request', () => {
+	test.each([
+		{
+			name: 'while the first runs', outcome: undefined, repeated: claim, expected: {kind: 'running'},
+		},
+		{
+			name: 'after the first ran', outcome: ran, repeated: claim, expected: {kind: 'finished', outcome: ran},
+		},
+		{
+			name: 'after a lost answer', outcome: {kind: 'unknown'} as const, repeated: claim, expected: {kind: 'finished', outcome: {kind: 'unknown'}},
+		},
+		{
+			name: 'of another customer', outcome: ran, repeated: {...claim, customer: 'other'}, expected: {kind: 'mismatch'},
+		},
+		{
+			name: 'with another body', outcome: ran, repeated: {...claim, fingerprint: 'other'}, expected: {kind: 'mismatch'},
+		},
+		{
+			name: 'under another identifier', outcome: ran, repeated: {...claim, id: 'two'}, expected: {kind: 'begun'},
+		},
+	])('$name', ({outcome, repeated, expected}) => {
+		const memory = createTicketMemory(limits);
+		expect(memory.begin(claim, 0)).toEqual({kind: 'begun'});
+		if (outcome) {
+			memory.finish(claim.id, outcome);
+		}
+
+		expect(memory.begin(repeated, 1)).toEqual(expected);
+	});
+
+	test('may run after it provably didn\'t', () => {
+		const memory = createTicketMemory(limits);
+		memory.begin(claim, 0);
+		memory.forget(claim.id);
+		expect(memory.begin(claim, 1)).toEqual({kind: 'begun'});
+	});
+});
+
+describe('a full memory', () => {
+	test.each([
+		{
+			name: 'for one customer', customers: ['a', 'a'], next: 'a', expected: 'full',
+		},
+		{
+			name: 'but not for another', customers: ['a', 'a'], next: 'b', expected: 'begun',
+		},
+		{
+			name: 'for all', customers: ['a', 'b', 'c'], next: 'd', expected: 'full',
+		},
+	])('refuses $name', ({customers, next, expected}) => {
+		const memory = createTicketMemory(limits);
+		for (const [index, customer] of customers.entries()) {
+			memory.begin({...claim, id: `${index}`, customer}, 0);
+		}
+
+		expect(memory.begin({...claim, id: 'next', customer: next}, 0).kind).toBe(expected);
+		expect(memory.begin({...claim, id: 'next', customer: next}, claim.forgetAt).kind).toBe('begun');
+	});
+
+	test('keeps outcomes without bodies beyond its bytes', () => {
+		const memory = createTicketMemory(limits);
+		for (const id of ['one', 'two']) {
+			memory.begin({...claim, id}, 0);
+			memory.finish(id, ran);
+		}
+
+		const kept = memory.getRemembered(0).map(({outcome}) => outcome.kind === 'ran' && outcome.answer.body?.length);
+		expect(kept).toEqual([10, undefined]);
+	});
+});
