--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -6,13 +6,20 @@
 import {Histogram} from 'prom-client';
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
+	type EntryParts, type Exchange, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
 } from './exchange.js';
+import type {ExchangeResult} from './exchange-result.js';
+import {headerNames} from './constants.js';
+import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
+import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
+import {type Idempotency, createIdempotency} from './idempotency-parts.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
+import {getRequestKey} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
+import {createRetryBudgets} from './retry-budgets.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
 import {createTargetPools} from './target-pools.js';
 import {createTargetSelector} from './target-selector.js';
@@ -23,6 +30,8 @@
 
 type EntryState = Omit<EntryParts, 'routing'> & {
 	routing: RoutingTable | undefined;
+	validity: KnowledgeValidity;
+	readonly idempotency: Idempotency;
 	readonly quotas: RequestQuotas;
 	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
 };
@@ -37,10 +46,15 @@
 		const state: EntryState = {
 			context,
 			routing: undefined,
+			validity: noValidity,
+			idempotency: createIdempotency(context),
 			quotas: requests,
-			selector: createTargetSelector(slots),
+			selector: createTargetSelector({
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
+			retries: createRetryBudgets(),
 			latency: createLatencyHistogram(context),
 		};
 		const endings = [
@@ -49,6 +63,12 @@
 				state.versions.setConfiguration(configuration);
 				state.pools.setTargets(configuration.targets);
 			}),
+			bus.subscribe('freshness-changed', ({validity}) => {
+				state.validity = validity;
+			}),
+			bus.subscribe('slots-gained', ({target}) => {
+				state.selector.refresh(target);
+			}),
 			bus.subscribe('version-share-changed', ({share}) => {
 				state.versions.setShare(share);
 			}),
@@ -63,6 +83,7 @@
 					end();
 				}
 
+				await state.idempotency.stop();
 				await state.pools.close();
 			},
 		};
@@ -71,8 +92,11 @@
 
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
-	const requestId = createIdentifier();
-	const checked = await checkRequest(request, state.routing, state.quotas);
+	const isHop = isSignedHop(state.context.settings.secrets.peer, request);
+	const requestId = isHop ? String(request.headers[headerNames.requestId]) : createIdentifier();
+	const checked = await checkRequest(request, {
+		routing: state.routing, quotas: state.quotas, isCurrent: isKnowledgeCurrent(state.validity, state.context.clock), isHop,
+	});
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, checked.problem, requestId);
@@ -83,14 +107,45 @@
 
 	const {route, customer} = checked;
 	const exchange: Exchange = {
-		request, response, requestId, startedAt, route, customer,
+		request,
+		response,
+		requestId,
+		startedAt,
+		deadlineAt: startedAt + getDeadlineMilliseconds(request, route),
+		route,
+		customer,
+		key: getRequestKey(request),
 	};
-	const outcome = await runExchange({...state, routing: state.routing}, exchange);
-	observe(state, exchange, outcome);
+	const result = await runForCaller({...state, routing: state.routing}, exchange, isHop);
+	tellResult(exchange, result);
+	observe(state, exchange, result);
+}
+
+async function runForCaller(parts: EntryParts & Pick<EntryState, 'idempotency'>, exchange: Exchange, isHop: boolean): Promise<ExchangeResult> {
+	const body = await readExchangeBody(parts, exchange);
+	if ('status' in body) {
+		return {kind: 'problem', problem: body};
+	}
+
+	const caller = new AbortController();
+	exchange.response.once('close', () => {
+		caller.abort();
+	});
+	const {signal} = caller;
+	if (exchange.route.idempotent || getIdempotencyKey(exchange.request) === '') {
+		return runExchange(parts, exchange, body, {selection: signal, attempt: signal});
+	}
+
+	// Once a target has a request whose outcome is remembered, it runs on without its caller, who may repeat it.
+	const attempt = body.isWhole ? new AbortController().signal : signal;
+	return parts.idempotency.runOnce({
+		exchange, body, isHop, signal, run: async () => runExchange(parts, exchange, body, {selection: signal, attempt}),
+	});
 }
 
-function observe(state: EntryState, {customer, route, startedAt}: Exchange, outcome: ExchangeOutcome): void {
+function observe(state: EntryState, {customer, route, startedAt}: Exchange, result: ExchangeResult): void {
 	const seconds = (state.context.clock.monotonic() - startedAt) / millisecondsPerSecond;
+	const outcome = result.kind === 'problem' ? result.problem.outcome : result.kind;
 	state.latency.observe({customer: customer?.name ?? 'open', class: route.class, outcome}, seconds);
 }
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,4 +4,6 @@
 export * from './link-messages.js';
 export * from './membership-proof.js';
 export * from './messages.js';
+export * from './rollout-messages.js';
 export * from './quota-messages.js';
+export * from './ticket-messages.js';
