--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -10,7 +10,6 @@
 export {createMembership} from './membership.js';
 export {type NodeQuotas, createNodeQuotas} from './node-quotas.js';
 export type {NodeMessage} from './node-messages.js';
-export {createNodeQuotas} from './node-quotas.js';
 export {createRoutingTable} from './routing-table.js';
 export {createIdempotencyClaims} from './idempotency-claims.js';
 export {
--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -208,7 +208,7 @@
 		},
 		getHeld(target) {
 			const entry = entries.get(target);
-			return entry ? getHeldSlots(getSlots(entry), clock.monotonic()) : 0;
+			return entry ? getHeldSlots(getUsable(entry), clock.monotonic()) : 0;
 		},
 		getInUse(target) {
 			const entry = entries.get(target);
