Admit a customer's whole rate also where all its callers sit at one member

A customer of 50/s was spread over 12 members, so its local members ran short while remote floors stood idle. It now sits on as many members as its rate needs (two for 50/s); a member whose demand outgrows its floor borrows the rate that the others can spare for 2 s at a time, and single tokens for waiting requests, which it gives back once used. A request waits up to 3 s for its token.

--- a/packages/cli/src/verification-quota-node.ts
+++ b/packages/cli/src/verification-quota-node.ts
@@ -67,6 +67,19 @@
 		bus,
 		leaseMilliseconds: timing.leaseMilliseconds,
 		pauseLimitMilliseconds: timing.pauseLimitMilliseconds,
+		schedule(run, milliseconds) {
+			let isWanted = true;
+			world.after(milliseconds, () => {
+				node.run(() => {
+					if (isWanted) {
+						run();
+					}
+				});
+			});
+			return () => {
+				isWanted = false;
+			};
+		},
 	});
 	let deferred: Array<() => void> = [];
 	const node: SimulatedNode = {
--- a/packages/node/src/node-quotas.ts
+++ b/packages/node/src/node-quotas.ts
@@ -20,7 +20,9 @@
 	end: () => void;
 };
 
-export type NodeQuotasOptions = Pick<RequestQuotasOptions, 'ownId' | 'zone' | 'region' | 'schedule' | 'isBorrowing'> & {
+export type NodeQuotasOptions = Pick<RequestQuotasOptions, 'ownId' | 'zone' | 'region' | 'isBorrowing'> & {
+	/** Timers by default. */
+	readonly schedule?: RequestQuotasOptions['schedule'];
 	readonly incarnation: string;
 	readonly clock: Clock;
 	readonly bus: MessageBus<NodeMessage>;
@@ -62,7 +64,7 @@
 
 	const lease = createQuotaLease(clock, options.leaseMilliseconds);
 	const requests = createRequestQuotas({
-		...options, clock, lease, send,
+		schedule: scheduleTimer, ...options, clock, lease, send,
 	});
 	const slots = createSlotQuota({
 		...options,
@@ -92,3 +94,10 @@
 		},
 	};
 }
+
+function scheduleTimer(run: () => void, milliseconds: number): () => void {
+	const timer = setTimeout(run, milliseconds);
+	return () => {
+		clearTimeout(timer);
+	};
+}
--- a/packages/node/src/request-loans.ts
+++ b/packages/node/src/request-loans.ts
@@ -1,7 +1,7 @@
 /** The loans of request tokens between this node and the customers' other members. */
 import {createIdentifier} from '@catkindale/common';
 import {
-	type LoanReserve, borrowTokens, fillCustomerQuota, getCapacity, getCustomerMembers, getFillRate, lendTokens, requestLoanMilliseconds,
+	borrowTokens, fillCustomerQuota, getCustomerMembers, getFillRate, getUsedLoans, lendTokens, requestLoanMilliseconds, returnLoan, takeBackLoan,
 } from '@catkindale/policy';
 import type {PeerMessage, RequestLoanMessage, RequestLoanWishMessage} from '@catkindale/protocol';
 import type {CustomerEntry, RequestQuotasOptions} from './request-quotas.js';
@@ -12,6 +12,8 @@
 	/** Renews what the customer's demand at this node still needs. */
 	renew: (entry: CustomerEntry) => void;
 	receive: (from: string, message: PeerMessage, entry: CustomerEntry) => void;
+	/** Gives back what was borrowed for requests that have been admitted since. */
+	giveBack: (entry: CustomerEntry) => void;
 	/** Frees the memory of loans that are over. */
 	forgetEnded: () => void;
 	/** The entries of which something is lent. */
@@ -20,6 +22,8 @@
 
 type Wish = {readonly id: string; readonly attempt: number; readonly askedAt: number; readonly to: string};
 
+const leastWish = 0.05;
+
 type LoanAmount = {readonly rate: number; readonly burst: number};
 
 /** From whom a loan came, until it may have ended. */
@@ -29,16 +33,16 @@
 
 const wishTimeoutMilliseconds = 500;
 /** A lender that had nothing is left alone for so long. */
-const dryMilliseconds = 150;
+const dryMilliseconds = 100;
 /** Renewal starts when a loan has less than this left. */
 const renewalMilliseconds = 1200;
 /** A node that ran short of its own so recently renews no loan to others. */
 const shortMemoryMilliseconds = 1000;
 /** What a node keeps or asks for above the demand that it has seen. */
-const demandMargin = 1.3;
+const demandMargin = 1.2;
 
 export function createRequestLoans(options: RequestQuotasOptions, entries: ReadonlyMap<string, CustomerEntry>): RequestLoans {
-	const {clock, send} = options;
+	const {clock, send, schedule} = options;
 	const wishes = new Map<string, Wish>();
 	const loanLenders = new Map<string, LoanLender>();
 	const dryUntil = new Map<string, number>();
@@ -67,10 +71,10 @@
 		const now = clock.monotonic();
 		const isRenewal = entry.quota.lent.some(loan => loan.id === message.id);
 		const isShort = now - entry.shortAt < shortMemoryMilliseconds || entry.waiters.length > 0;
-		const isRefused = !options.lease.isValid() || (isRenewal && isShort);
+		const isRefused = !options.lease.isValid() || (isShort && (isRenewal || entry.waiters.length > 0));
 		const result = isRefused
 			? {quota: entry.quota, grant: {rate: 0, burst: 0, tokens: 0}}
-			: lendTokens(entry.quota, message, getReserve(entry, now), now);
+			: lendTokens(entry.quota, message, getSpareRate(entry, now), now);
 		entry.quota = result.quota;
 		if (result.grant.burst > 0) {
 			lending.add(entry.customer.name);
@@ -94,6 +98,9 @@
 		wishes.delete(entry.customer.name);
 		if (message.burst === 0) {
 			dryUntil.set(`${from} ${entry.customer.name}`, now + dryMilliseconds);
+			schedule(() => {
+				askForWaiters(entry);
+			}, dryMilliseconds);
 		}
 
 		entry.quota = borrowTokens(entry.quota, {id: message.id, grant: message, askedAt}, now);
@@ -101,8 +108,11 @@
 			loanLenders.set(message.id, {to: from, attempt: wish.attempt, endsAt: now + requestLoanMilliseconds});
 		}
 
-		const isStillShort = entry.waiters.length > Math.floor(entry.quota.tokens);
-		if (isStillShort) {
+		askForWaiters(entry);
+	};
+
+	const askForWaiters = (entry: CustomerEntry): void => {
+		if (entry.waiters.length > entry.quota.tokens) {
 			askFor(entry);
 		}
 	};
@@ -114,14 +124,14 @@
 
 		const lender = findLender(entry);
 		const wish = getWish(entry);
-		if (lender && wish.burst > 0) {
+		if (lender) {
 			sendWish(entry, {id: createIdentifier(), attempt: 1, to: lender.id}, wish);
 		}
 	};
 
 	const renew = (entry: CustomerEntry): void => {
 		const now = clock.monotonic();
-		const ending = entry.quota.borrowed.find(loan => loan.until - now < renewalMilliseconds);
+		const ending = entry.quota.borrowed.find(loan => loan.rate > 0 && loan.until - now < renewalMilliseconds);
 		const isNeeded = entry.demand * demandMargin > entry.quota.floor.rate || now - entry.shortAt < requestLoanMilliseconds;
 		const known = ending && loanLenders.get(ending.id);
 		if (!ending || !known || !isNeeded || isWishing(entry)) {
@@ -141,6 +151,22 @@
 				lend(from, message, entry);
 			} else if (message.type === 'request-loan') {
 				borrow(from, message, entry);
+			} else if (message.type === 'request-return') {
+				entry.quota = takeBackLoan(entry.quota, message.id);
+			}
+		},
+		giveBack(entry) {
+			if (entry.quota.borrowed.length === 0) {
+				return;
+			}
+
+			for (const {id} of getUsedLoans(entry.quota)) {
+				const lender = loanLenders.get(id);
+				if (lender) {
+					entry.quota = returnLoan(entry.quota, id);
+					loanLenders.delete(id);
+					send(lender.to, {type: 'request-return', id, customer: entry.customer.name});
+				}
 			}
 		},
 		forgetEnded() {
@@ -185,23 +211,17 @@
 	return lender.region === options.region ? 1 : 2;
 }
 
-function getWish(entry: CustomerEntry): LoanAmount {
-	const {customer, demand, quota, waiters} = entry;
+/** Tokens for what waits now; all of the rate that others can spare if the demand outgrows this node's. */
+function getWish({customer, demand, quota, waiters}: CustomerEntry): LoanAmount {
+	const fillRate = getFillRate(quota);
 	return {
-		rate: Math.min(customer.rate, Math.max(0, ((demand + waiters.length + 1) * demandMargin) - getFillRate(quota))),
-		burst: customer.burst - getCapacity(quota),
+		rate: demand * demandMargin > fillRate ? customer.rate - fillRate : 0,
+		burst: Math.max(leastWish, waiters.length + 1 - quota.tokens),
 	};
 }
 
-/** A node keeps what its own callers have asked for lately. */
-function getReserve(entry: CustomerEntry, now: number): LoanReserve {
-	const {demand, quota} = entry;
-	const {rate, burst} = quota.floor;
-	const isIdle = demand < 0.01 && now - entry.shortAt >= shortMemoryMilliseconds;
-	if (isIdle || rate === 0) {
-		return {rate: 0, burst: 0};
-	}
-
-	const share = Math.min(1, demand * demandMargin / rate);
-	return {rate: rate * share, burst: Math.ceil(burst * share)};
+/** What the node's own callers haven't asked for lately. */
+function getSpareRate({demand, quota, shortAt}: CustomerEntry, now: number): number {
+	const isShort = now - shortAt < shortMemoryMilliseconds;
+	return isShort ? 0 : Math.max(0, quota.floor.rate - (demand * demandMargin));
 }
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -48,7 +48,7 @@
 	readonly lease: QuotaLease;
 	readonly send: (to: string, message: PeerMessage) => void;
 	/** Runs the function after so many milliseconds; returns how to call it off. */
-	readonly schedule?: (run: () => void, milliseconds: number) => () => void;
+	readonly schedule: (run: () => void, milliseconds: number) => () => void;
 	/** Off in trials that show what borrowing is worth. */
 	readonly isBorrowing?: boolean;
 };
@@ -73,18 +73,17 @@
 	readonly callOff: () => void;
 };
 
-/** How long a request may wait for a token: longer than an exchange with the farthest region. */
-const patienceMilliseconds = 300;
+/** How long a request may wait for a token. */
+const patienceMilliseconds = 3000;
 /** How long it may wait while the members haven't agreed on the shares. */
 const agreementPatienceMilliseconds = 2000;
 const leastWaiters = 4;
-const demandSmoothing = 0.3;
+const demandSmoothing = 0.1;
 const forgottenDemand = 0.01;
 const millisecondsPerSecond = 1000;
 
 export function createRequestQuotas(options: RequestQuotasOptions): RequestQuotas {
-	const {clock, lease} = options;
-	const schedule = options.schedule ?? scheduleTimer;
+	const {clock, lease, schedule} = options;
 	const entries = new Map<string, CustomerEntry>();
 	const active = new Set<CustomerEntry>();
 	let customers = new Map<string, Customer>();
@@ -129,6 +128,8 @@
 			waiter?.callOff();
 			waiter?.resolve({kind: 'admitted'});
 		}
+
+		loans.giveBack(entry);
 	};
 
 	const refuse = (entry: CustomerEntry): Admission => {
@@ -256,6 +257,10 @@
 				serveWaiters(entry);
 				endWaiters(entry, now);
 				loans.renew(entry);
+				if (entry.waiters.length > 0) {
+					loans.askFor(entry);
+				}
+
 				if (entry.demand < forgottenDemand && entry.waiters.length === 0) {
 					active.delete(entry);
 				}
@@ -298,10 +303,3 @@
 		waiter?.resolve({kind: 'refused', retryAfterMilliseconds: getRequestTokenDelay(entry.quota)});
 	}
 }
-
-function scheduleTimer(run: () => void, milliseconds: number): () => void {
-	const timer = setTimeout(run, milliseconds);
-	return () => {
-		clearTimeout(timer);
-	};
-}
--- a/packages/policy/src/customer-floors.ts
+++ b/packages/policy/src/customer-floors.ts
@@ -13,7 +13,8 @@
 type Place = {readonly id: string; readonly region: string};
 
 const leastBurstPerMember = 8;
-const leastRatePerMember = 4;
+/** A customer is spread no further than its rate needs, so that its tokens stay where its callers are. */
+const leastRatePerMember = 50;
 const leastMembers = 2;
 
 export const emptyFloor: RequestFloor = {rate: 0, burst: 0};
@@ -42,7 +43,8 @@
 	}
 
 	const burst = getWholeShare(customer.burst, chosen.length, rank);
-	return {rate: customer.rate * burst / customer.burst, burst};
+	const sharers = Math.min(chosen.length, customer.burst);
+	return {rate: burst > 0 ? customer.rate / sharers : 0, burst};
 }
 
 /** The whole-number share of a rank; the first ranks take what is left over. */
--- a/packages/policy/src/token-transfer.ts
+++ b/packages/policy/src/token-transfer.ts
@@ -15,48 +15,72 @@
 /** How much longer the lender counts it, for clocks that run at different rates. */
 export const requestLoanMarginMilliseconds = 100;
 
-/** What a borrower asks for; the identifier of a loan renews it. */
+/** What a borrower asks for: tokens for waiting requests, and a lasting rate. The identifier of a loan renews it. */
 export type LoanWish = {readonly id: string; readonly rate: number; readonly burst: number};
 
-/** What a lender keeps for its own callers. */
-export type LoanReserve = {readonly rate: number; readonly burst: number};
-
 export type RequestGrant = {
 	readonly rate: number;
 	readonly burst: number;
-	/** Whole tokens that go with it; at most the burst. */
+	/** Tokens that go with it, in parts too; at most the burst. */
 	readonly tokens: number;
 };
 
 export type LendResult = {readonly quota: CustomerQuota; readonly grant: RequestGrant};
 
+/** Less than this part of a token isn't worth a loan. */
+const leastLoan = 0.05;
+
 const nothing: RequestGrant = {rate: 0, burst: 0, tokens: 0};
 
-/** Lends from a filled quota; the grant's burst is 0 if there is nothing to spare. */
-export function lendTokens(quota: CustomerQuota, wish: LoanWish, reserve: LoanReserve, now: number): LendResult {
-	const {id} = wish;
-	const known = quota.lent.find(loan => loan.id === id);
+/**
+ * Lends from a filled quota: tokens that are there for the requests that wait
+ * at the borrower, and up to `spareRate` of the rate with its part of the
+ * capacity. The grant's burst is 0 if there is nothing to spare.
+ */
+export function lendTokens(quota: CustomerQuota, wish: LoanWish, spareRate: number, now: number): LendResult {
+	const known = quota.lent.find(loan => loan.id === wish.id);
 	if (known) {
 		return renewLoan(quota, known, now);
 	}
 
-	const ownBurst = quota.floor.burst - getLent(quota, 'burst');
-	const ownRate = quota.floor.rate - getLent(quota, 'rate');
-	const spareBurst = Math.min(ownBurst, getCapacity(quota)) - reserve.burst;
-	const burst = Math.max(0, Math.floor(Math.min(wish.burst, spareBurst)));
-	if (burst === 0) {
+	const ownBurst = Math.min(quota.floor.burst - getLent(quota, 'burst'), getCapacity(quota));
+	const ownRate = Math.min(quota.floor.rate - getLent(quota, 'rate'), getFillRate(quota));
+	const rate = Math.max(0, Math.min(wish.rate, spareRate, ownRate));
+	const share = rate > 0 ? rate / ownRate : 0;
+	const waiting = Math.min(wish.burst, ownBurst, quota.tokens);
+	const burst = Math.max(0, waiting, ownBurst * share);
+	if (burst < leastLoan) {
 		return {quota, grant: nothing};
 	}
 
-	const rate = Math.max(0, Math.min(wish.rate, ownRate - reserve.rate, getFillRate(quota) - reserve.rate));
-	const tokens = Math.max(0, Math.min(burst, Math.floor(quota.tokens)));
+	const tokens = Math.max(0, waiting, Math.min(burst, quota.tokens * share));
 	const loan: RequestLoan = {
-		id, rate, burst, until: getLenderEnd(now),
+		id: wish.id, rate, burst, until: getLenderEnd(now),
 	};
 	const lent = clamp({...quota, tokens: quota.tokens - tokens, lent: [...quota.lent, loan]});
 	return {quota: lent, grant: {rate, burst, tokens}};
 }
 
+/** The loans without a rate whose tokens have been used; their capacity may go back early. */
+export function getUsedLoans(quota: CustomerQuota): RequestLoan[] {
+	let free = getCapacity(quota) - quota.tokens;
+	return quota.borrowed.filter(loan => {
+		const isUsed = loan.rate === 0 && loan.burst <= free;
+		free -= isUsed ? loan.burst : 0;
+		return isUsed;
+	});
+}
+
+/** The borrower gives a loan up for good. */
+export function returnLoan(quota: CustomerQuota, id: string): CustomerQuota {
+	return clamp({...quota, borrowed: quota.borrowed.filter(loan => loan.id !== id)});
+}
+
+/** The lender takes back what the borrower has given up. */
+export function takeBackLoan(quota: CustomerQuota, id: string): CustomerQuota {
+	return {...quota, lent: quota.lent.filter(loan => loan.id !== id)};
+}
+
 /** A grant as it came in; `askedAt` is when its request was sent. */
 export type ReceivedGrant = {readonly id: string; readonly grant: RequestGrant; readonly askedAt: number};
 
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -46,6 +46,13 @@
 	tokens: amount,
 });
 
+/** The borrower uses the loan no more. */
+export const requestReturnMessageSchema = z.object({
+	type: z.literal('request-return'),
+	id: z.string(),
+	customer: z.string(),
+});
+
 export const slotLoanWishMessageSchema = z.object({
 	type: z.literal('slot-loan-wish'),
 	id: z.string(),
@@ -72,6 +79,7 @@
 	ledgerRowMessageSchema,
 	requestLoanWishMessageSchema,
 	requestLoanMessageSchema,
+	requestReturnMessageSchema,
 	slotLoanWishMessageSchema,
 	slotLoanMessageSchema,
 	slotReturnMessageSchema,
@@ -81,6 +89,7 @@
 export type LedgerRowMessage = z.infer<typeof ledgerRowMessageSchema>;
 export type RequestLoanWishMessage = z.infer<typeof requestLoanWishMessageSchema>;
 export type RequestLoanMessage = z.infer<typeof requestLoanMessageSchema>;
+export type RequestReturnMessage = z.infer<typeof requestReturnMessageSchema>;
 export type SlotLoanWishMessage = z.infer<typeof slotLoanWishMessageSchema>;
 export type SlotLoanMessage = z.infer<typeof slotLoanMessageSchema>;
 export type SlotReturnMessage = z.infer<typeof slotReturnMessageSchema>;
