Serve waiting requests of all members about in the order they came

With a burst of 5 and callers in all regions, one member's requests timed out while another's younger ones got tokens.

--- /dev/null
+++ b/packages/cli/src/bench-quota-costs.ts
@@ -0,0 +1,126 @@
+/** Time and memory of one admission and one slot by number of customers and targets, and of one change of the shares. */
+import process from 'node:process';
+import {nanosecondsPerMillisecond, systemClock} from '@catkindale/common';
+import {createMessageBus} from '@catkindale/kernel';
+import {type NodeMessage, type NodeQuotas, createNodeQuotas} from '@catkindale/node';
+import {
+	type Configuration, type Ledger, configurationSchema, emptyLedger, joinLedger,
+} from '@catkindale/policy';
+import {type Bench, registerBench} from './bench-registry.js';
+
+type Size = {readonly customers: number; readonly targets: number; readonly members: number};
+
+const sizes: readonly Size[] = [
+	{customers: 8, targets: 44, members: 12},
+	{customers: 10_000, targets: 4000, members: 12},
+	{customers: 10_000, targets: 4000, members: 96},
+];
+const rounds = 400_000;
+const warmUpRounds = 50_000;
+const targetNanoseconds = 20_000;
+const rate = 1_000_000;
+const ownId = 'node-0';
+
+const bench: Bench = {
+	name: 'quota-costs',
+	describe: 'nanoseconds of one admission and one slot, by number of customers, targets and members',
+	async run({print}) {
+		print('customers  targets  members  admission ns  bytes  slot ns  bytes  change of shares ms');
+		let isOnTarget = true;
+		for (const size of sizes) {
+			const quotas = createQuotas(size);
+			const admission = measure(index => {
+				quotas.requests.admit(`customer-${index % size.customers}`);
+			});
+			const slot = measure(index => {
+				const target = `target-${index % size.targets}`;
+				if (quotas.slots.take(target)) {
+					quotas.slots.release(target);
+				}
+			});
+			const change = measureChange(quotas, size);
+			isOnTarget &&= admission.nanoseconds < targetNanoseconds && slot.nanoseconds < targetNanoseconds;
+			print([
+				String(size.customers).padStart(9),
+				String(size.targets).padStart(8),
+				String(size.members).padStart(8),
+				admission.nanoseconds.toFixed(0).padStart(13),
+				admission.bytes.toFixed(0).padStart(6),
+				slot.nanoseconds.toFixed(0).padStart(8),
+				slot.bytes.toFixed(0).padStart(6),
+				change.toFixed(1).padStart(20),
+			].join(' '));
+		}
+
+		return isOnTarget;
+	},
+};
+
+registerBench(bench);
+
+function createQuotas(size: Size): NodeQuotas {
+	const bus = createMessageBus<NodeMessage>();
+	const quotas = createNodeQuotas({
+		ownId, region: 'ost', zone: 'ost-a', incarnation: ownId, clock: systemClock, bus, leaseMilliseconds: Number.POSITIVE_INFINITY, pauseLimitMilliseconds: Number.POSITIVE_INFINITY,
+	});
+	// Alone first, so that it has floors; the others only make the ranking longer afterwards.
+	bus.publish({type: 'configuration-changed', version: 1, configuration: createConfiguration(size)});
+	quotas.ledger.setLedger(createLedger(1), quotas.clock.own());
+	return quotas;
+}
+
+function createLedger(members: number): Ledger {
+	let ledger = emptyLedger;
+	for (let index = 0; index < members; index++) {
+		const id = `node-${index}`;
+		ledger = joinLedger(ledger, {
+			id, incarnation: id, region: 'ost', zone: 'ost-a', callerAddress: '', peerAddress: '', state: 'live',
+		});
+	}
+
+	return ledger;
+}
+
+function createConfiguration({customers, targets}: Size): Configuration {
+	return configurationSchema.parse({
+		regions: [{name: 'ost', zones: ['ost-a']}],
+		customers: Array.from({length: customers}, (_, index) => ({name: `customer-${index}`, rate, burst: rate})),
+		targets: Array.from({length: targets}, (_, index) => ({
+			name: `target-${index}`, service: 'status', version: '1', region: 'ost', zone: 'ost-a', address: '127.0.0.1:1', slots: 4,
+		})),
+	});
+}
+
+type Cost = {readonly nanoseconds: number; readonly bytes: number};
+
+function measure(run: (index: number) => void): Cost {
+	for (let index = 0; index < warmUpRounds; index++) {
+		run(index);
+	}
+
+	const heapBefore = process.memoryUsage().heapUsed;
+	let bytes = 0;
+	let heap = heapBefore;
+	const startedAt = performance.now();
+	const step = rounds / 100;
+	for (let index = 0; index < rounds; index++) {
+		run(index);
+		if (index % step === 0) {
+			const used = process.memoryUsage().heapUsed;
+			// A collection in between shows as a fall and is left out.
+			bytes += Math.max(0, used - heap);
+			heap = used;
+		}
+	}
+
+	const milliseconds = performance.now() - startedAt;
+	return {nanoseconds: milliseconds * nanosecondsPerMillisecond / rounds, bytes: bytes / rounds};
+}
+
+/** Milliseconds to lower all floors to the shares of a new epoch. */
+function measureChange(quotas: NodeQuotas, {members}: Size): number {
+	const ledger = createLedger(members);
+	const startedAt = performance.now();
+	quotas.ledger.setLedger(ledger, quotas.clock.own());
+	return performance.now() - startedAt;
+}
--- a/packages/cli/src/bench-quotas.ts
+++ b/packages/cli/src/bench-quotas.ts
@@ -4,7 +4,9 @@
  * code on every node, the latencies of both deployments; beside it a static
  * equal split and the product without borrowing, on the same arrivals.
  */
-import {type Random, createManualClock, createRandom, millisecondsPerSecond} from '@catkindale/common';
+import {
+	type Random, createManualClock, createRandom, millisecondsPerSecond,
+} from '@catkindale/common';
 import {createMessageBus} from '@catkindale/kernel';
 import {type NodeMessage, type NodeQuotas, createNodeQuotas} from '@catkindale/node';
 import {
@@ -33,7 +35,7 @@
 const startMilliseconds = 3000;
 const tickMilliseconds = 250;
 const warmUpMilliseconds = 30_000;
-const measuredRequests = 4000;
+const measuredRequests = 10_000;
 const wrongfulTarget = 1 / 1000;
 
 const deployments: readonly Deployment[] = [
@@ -76,7 +78,9 @@
 		for (const deployment of deployments) {
 			for (const scenario of scenarios) {
 				for (const method of methods) {
-					const outcome = await runScenario({deployment, scenario, method, seed});
+					const outcome = await runScenario({
+						deployment, scenario, method, seed,
+					});
 					isOnTarget &&= method.isStatic || !method.isBorrowing || outcome.wrongful / outcome.requests < wrongfulTarget;
 					print(formatOutcome(deployment, scenario, {method, outcome}));
 				}
@@ -240,7 +244,6 @@
 
 		world.after(0, tick);
 	}
-
 }
 
 type Line = {readonly method: Method; readonly outcome: Outcome};
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -1,6 +1,7 @@
 /** Loads every bench, so that it registers itself. */
 import './bench-capacity.js';
 import './bench-client-blocks.js';
+import './bench-quota-costs.js';
 import './bench-quotas.js';
 import './bench-rendezvous.js';
 import './bench-rollouts.js';
--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -216,7 +216,9 @@
 	const target = targets[random.integer(0, targets.length - 1)] ?? '';
 	const bunch = random.fraction() < 0.1 ? 20 : 1;
 	for (let index = 0; node?.isAlive && !node.isPaused && index < bunch; index++) {
-		if (node.quotas.requests.admit(customer).kind === 'admitted') {
+		if (random.fraction() < 0.5) {
+			void waitForToken(fleet, node, customer);
+		} else if (node.quotas.requests.admit(customer).kind === 'admitted') {
 			fleet.count.admit(customer);
 		}
 
@@ -224,6 +226,13 @@
 	}
 }
 
+async function waitForToken(fleet: Fleet, node: SimulatedNode, customer: string): Promise<void> {
+	const admission = await node.quotas.requests.admitSoon(customer);
+	if (admission.kind === 'admitted') {
+		fleet.count.admit(customer);
+	}
+}
+
 /** A request runs at the target until it ends, whatever becomes of the node. */
 function startRequest(fleet: Fleet, node: SimulatedNode, target: string, startedAt: number): void {
 	const {random, after, now} = fleet.world;
--- a/packages/node/src/request-loans.ts
+++ b/packages/node/src/request-loans.ts
@@ -3,7 +3,7 @@
 import {
 	borrowTokens, fillCustomerQuota, getCustomerMembers, getFillRate, getUsedLoans, lendTokens, requestLoanMilliseconds, returnLoan, takeBackLoan,
 } from '@catkindale/policy';
-import type {PeerMessage, RequestLoanMessage, RequestLoanWishMessage} from '@catkindale/protocol';
+import type {RequestLoanMessage, RequestLoanWishMessage, RequestReturnMessage} from '@catkindale/protocol';
 import type {CustomerEntry, RequestQuotasOptions} from './request-quotas.js';
 
 export type RequestLoans = {
@@ -11,7 +11,7 @@
 	askFor: (entry: CustomerEntry) => void;
 	/** Renews what the customer's demand at this node still needs. */
 	renew: (entry: CustomerEntry) => void;
-	receive: (from: string, message: PeerMessage, entry: CustomerEntry) => void;
+	receive: (from: string, message: LoanMessage, entry: CustomerEntry) => void;
 	/** Gives back what was borrowed for requests that have been admitted since. */
 	giveBack: (entry: CustomerEntry) => void;
 	/** Frees the memory of loans that are over. */
@@ -20,6 +20,8 @@
 	getLenders: () => CustomerEntry[];
 };
 
+export type LoanMessage = RequestLoanWishMessage | RequestLoanMessage | RequestReturnMessage;
+
 type Wish = {readonly id: string; readonly attempt: number; readonly askedAt: number; readonly to: string};
 
 const leastWish = 0.05;
@@ -51,7 +53,7 @@
 	const sendWish = (entry: CustomerEntry, wish: Omit<Wish, 'askedAt'>, amount: LoanAmount): void => {
 		wishes.set(entry.customer.name, {...wish, askedAt: clock.own()});
 		send(wish.to, {
-			type: 'request-loan-wish', id: wish.id, attempt: wish.attempt, customer: entry.customer.name, ...amount,
+			type: 'request-loan-wish', id: wish.id, attempt: wish.attempt, customer: entry.customer.name, ...amount, waitedMilliseconds: getWaited(entry, clock.monotonic()),
 		});
 	};
 
@@ -71,7 +73,7 @@
 		const now = clock.monotonic();
 		const isRenewal = entry.quota.lent.some(loan => loan.id === message.id);
 		const isShort = now - entry.shortAt < shortMemoryMilliseconds || entry.waiters.length > 0;
-		const isRefused = !options.lease.isValid() || (isShort && (isRenewal || entry.waiters.length > 0));
+		const isRefused = !options.lease.isValid() || (isRenewal ? isShort : hasWaitedLonger(entry, message.waitedMilliseconds, now));
 		const result = isRefused
 			? {quota: entry.quota, grant: {rate: 0, burst: 0, tokens: 0}}
 			: lendTokens(entry.quota, message, getSpareRate(entry, now), now);
@@ -147,12 +149,20 @@
 		askFor,
 		renew,
 		receive(from, message, entry) {
-			if (message.type === 'request-loan-wish') {
-				lend(from, message, entry);
-			} else if (message.type === 'request-loan') {
-				borrow(from, message, entry);
-			} else if (message.type === 'request-return') {
-				entry.quota = takeBackLoan(entry.quota, message.id);
+			switch (message.type) {
+				case 'request-loan-wish': {
+					lend(from, message, entry);
+					break;
+				}
+
+				case 'request-loan': {
+					borrow(from, message, entry);
+					break;
+				}
+
+				case 'request-return': {
+					entry.quota = takeBackLoan(entry.quota, message.id);
+				}
 			}
 		},
 		giveBack(entry) {
@@ -211,6 +221,15 @@
 	return lender.region === options.region ? 1 : 2;
 }
 
+/** Requests of all members are served about in the order of their arrival. */
+function hasWaitedLonger(entry: CustomerEntry, waitedMilliseconds: number, now: number): boolean {
+	return entry.waiters.length > 0 && getWaited(entry, now) >= waitedMilliseconds;
+}
+
+function getWaited({waiters}: CustomerEntry, now: number): number {
+	return waiters[0] ? Math.max(0, now - waiters[0].since) : 0;
+}
+
 /** Tokens for what waits now; all of the rate that others can spare if the demand outgrows this node's. */
 function getWish({customer, demand, quota, waiters}: CustomerEntry): LoanAmount {
 	const fillRate = getFillRate(quota);
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -10,7 +10,7 @@
 import type {PeerMessage} from '@catkindale/protocol';
 import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLease} from './quota-lease.js';
-import {createRequestLoans} from './request-loans.js';
+import {type LoanMessage, createRequestLoans} from './request-loans.js';
 
 export type Admission
 	= | {readonly kind: 'admitted'}
@@ -68,6 +68,7 @@
 };
 
 export type Waiter = {
+	readonly since: number;
 	readonly endsAt: number;
 	readonly resolve: (admission: Admission) => void;
 	readonly callOff: () => void;
@@ -228,9 +229,12 @@
 				return admission;
 			}
 
-			const endsAt = clock.monotonic() + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
+			const since = clock.monotonic();
+			const endsAt = since + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
 			return new Promise(resolve => {
-				entry.waiters.push({endsAt, resolve, callOff: wakeLater(entry, endsAt)});
+				entry.waiters.push({
+					since, endsAt, resolve, callOff: wakeLater(entry, endsAt),
+				});
 			});
 		},
 		getUsable(name) {
@@ -239,8 +243,8 @@
 			return isUsable ? {rate: getFillRate(entry.quota), burst: getCapacity(entry.quota)} : emptyFloor;
 		},
 		receive(from, message) {
-			const entry = 'customer' in message ? findEntry(message.customer) : undefined;
-			if (entry) {
+			const entry = isLoanMessage(message) ? findEntry(message.customer) : undefined;
+			if (entry && isLoanMessage(message)) {
 				loans.receive(from, message, entry);
 				serveWaiters(entry);
 			}
@@ -269,6 +273,10 @@
 	};
 }
 
+function isLoanMessage(message: PeerMessage): message is LoanMessage {
+	return message.type === 'request-loan-wish' || message.type === 'request-loan' || message.type === 'request-return';
+}
+
 function createEntry(customer: Customer, unheldSince: number | undefined, now: number): CustomerEntry {
 	return {
 		customer, unheldSince, quota: createCustomerQuota(now), shares: undefined, arrivals: 0, demand: 0, shortAt: Number.NEGATIVE_INFINITY, waiters: [],
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -33,6 +33,8 @@
 	customer: z.string(),
 	rate: amount,
 	burst: amount,
+	/** How long the first of the requests that wait has waited. */
+	waitedMilliseconds: amount,
 });
 
 /** Answers a wish; a burst of 0 lends nothing. */
