--- a/packages/policy/src/entry-ranking.ts
+++ b/packages/policy/src/entry-ranking.ts
@@ -7,11 +7,12 @@
 import type {Customer} from './configuration.js';
 import {getCustomerMembers} from './customer-floors.js';
 import type {Member} from './member.js';
-import {rankByName} from './name-rank.js';
+import {rankByName, rankFirstByName} from './name-rank.js';
 
 /** The members of one epoch, prepared for many look-ups. */
 export type EntryDirectory = {
 	readonly members: readonly Member[];
+	readonly regions: ReadonlyArray<{readonly id: string}>;
 	readonly membersByRegion: ReadonlyMap<string, readonly Member[]>;
 	readonly membersByCustomer: Map<string, readonly Member[]>;
 };
@@ -27,11 +28,16 @@
 	readonly unavailable: ReadonlySet<string>;
 };
 
+const noMembers: readonly Member[] = [];
 const mostEntries = 8;
 const mostLocalEntries = 6;
 
 export function createEntryDirectory(members: readonly Member[]): EntryDirectory {
-	return {members, membersByRegion: groupByRegion(members), membersByCustomer: new Map()};
+	const membersByRegion = groupByRegion(members);
+	const regions = [...membersByRegion.keys()].map(id => ({id}));
+	return {
+		members, regions, membersByRegion, membersByCustomer: new Map(),
+	};
 }
 
 /** At most eight members, best first; empty only if no member may be named. */
@@ -39,27 +45,28 @@
 	const isNamed = (member: Member): boolean => member.state === 'live' && !question.unavailable.has(member.id);
 	const holders = getHoldersOf(directory, question.customer).filter(member => isNamed(member));
 	const chosen = new Set(preferRegion(holders, question.region).slice(0, mostEntries));
-	for (const member of getLocalMembers(directory, question)) {
-		if (chosen.size >= mostLocalEntries) {
+	const local = (directory.membersByRegion.get(question.region) ?? noMembers).filter(member => isNamed(member));
+	addEntries(chosen, rankFirstByName(question.caller, local, mostLocalEntries), mostLocalEntries);
+	for (const region of getOtherRegions(directory, question)) {
+		if (chosen.size >= mostEntries) {
 			break;
 		}
 
-		if (isNamed(member)) {
-			chosen.add(member);
-		}
+		const remote = (directory.membersByRegion.get(region) ?? noMembers).filter(member => isNamed(member));
+		addEntries(chosen, rankFirstByName(question.caller, remote, mostEntries), mostEntries);
 	}
 
-	for (const member of getRemoteMembers(directory, question)) {
-		if (chosen.size >= mostEntries) {
-			break;
-		}
+	return [...chosen];
+}
 
-		if (isNamed(member)) {
-			chosen.add(member);
+function addEntries(chosen: Set<Member>, members: readonly Member[], most: number): void {
+	for (const member of members) {
+		if (chosen.size >= most) {
+			return;
 		}
-	}
 
-	return [...chosen];
+		chosen.add(member);
+	}
 }
 
 /** Ranked once for each customer and epoch. */
@@ -77,14 +84,9 @@
 	return [...members.filter(member => member.region === region), ...members.filter(member => member.region !== region)];
 }
 
-function getLocalMembers({membersByRegion}: EntryDirectory, {region, caller}: EntryQuestion): Member[] {
-	return rankByName(caller, membersByRegion.get(region) ?? []);
-}
-
-/** One region after the other, the first one chosen by the caller. */
-function getRemoteMembers({membersByRegion}: EntryDirectory, {region, caller}: EntryQuestion): Member[] {
-	const regions = [...membersByRegion.keys()].filter(name => name !== region).map(id => ({id}));
-	return rankByName(caller, regions).flatMap(({id}) => membersByRegion.get(id) ?? []);
+/** All regions but the caller's, in an order that differs between callers. */
+function getOtherRegions({regions}: EntryDirectory, {region, caller}: EntryQuestion): string[] {
+	return rankByName(caller, regions).map(({id}) => id).filter(id => id !== region);
 }
 
 function groupByRegion(members: readonly Member[]): Map<string, Member[]> {
--- a/packages/policy/src/name-rank.ts
+++ b/packages/policy/src/name-rank.ts
@@ -35,6 +35,32 @@
 	return order.map(index => members[index]!);
 }
 
+/** The first members of {@link rankByName} in one pass, for look-ups among many. */
+export function rankFirstByName<Member extends {readonly id: string}>(name: string, members: readonly Member[], count: number): Member[] {
+	const hashes = getMemberHashes(members);
+	const nameHash = hashName(name);
+	const best: Array<{readonly member: Member; readonly score: number}> = [];
+	for (const [index, member] of members.entries()) {
+		const score = combine(nameHash, hashes[index]!);
+		const last = best.at(-1);
+		if (last && best.length >= count && !isRankedBefore({member, score}, last)) {
+			continue;
+		}
+
+		const position = best.findIndex(other => isRankedBefore({member, score}, other));
+		best.splice(position === -1 ? best.length : position, 0, {member, score});
+		best.length = Math.min(best.length, count);
+	}
+
+	return best.map(({member}) => member);
+}
+
+type Scored = {readonly member: {readonly id: string}; readonly score: number};
+
+function isRankedBefore(left: Scored, right: Scored): boolean {
+	return left.score === right.score ? left.member.id < right.member.id : left.score > right.score;
+}
+
 function getMemberHashes(members: ReadonlyArray<{readonly id: string}>): readonly number[] {
 	const known = hashesOfMembers.get(members) ?? members.map(member => hashName(member.id));
 	hashesOfMembers.set(members, known);
--- a/packages/policy/tests/entry-ranking.test.ts
+++ b/packages/policy/tests/entry-ranking.test.ts
@@ -1,7 +1,7 @@
 /** Which entries a look-up names. */
 import {describe, expect, test} from 'vitest';
 import {
-	type Customer, type Member, createEntryDirectory, getCustomerMembers, getEntries,
+	type Customer, type Member, createEntryDirectory, getCustomerMembers, getEntries, rankByName, rankFirstByName,
 } from '@catkindale/policy';
 
 const regions = ['oslo', 'bergen', 'tromso'];
@@ -54,6 +54,13 @@
 		}
 	});
 
+	test.each([1, 6, 40])('takes the first %i of a ranking in one pass', count => {
+		const members = createMembers(10);
+		for (const name of ['10.0.0.1', '10.0.0.2', 'wideroe']) {
+			expect(rankFirstByName(name, members, count)).toEqual(rankByName(name, members).slice(0, count));
+		}
+	});
+
 	test('spreads callers over the region', () => {
 		const members = createMembers(4);
 		const first = Array.from({length: 400}, (_, index) => ask(members, {caller: `10.0.0.${index}`})[0]!.id);
