Hand remembered outcomes to a neighbour that is there, and prove at most once with processes

at-most-once.test.ts: nine nodes, three targets, one table, each its own process. Blind repetitions with both forms of key, together and after each other, callers that leave, lost answers of targets and table, a table outage, home entries killed before dispatch, after it and after the answer, and a planned stop. The targets' own counts of runs decide.

Found on the way: a stopping entry offered its outcomes to members that had died but were still listed, and gave up after two. It now offers them to members that have a link to it.

--- a/packages/cli/src/verification-at-most-once.ts
+++ b/packages/cli/src/verification-at-most-once.ts
@@ -20,6 +20,7 @@
 const longestTurns = 12;
 const secret = 'secret-of-the-verified-fleet';
 const customer = 'wideroe';
+const neverCalled = new WeakSet<() => void>();
 
 type Entry = {
 	readonly id: string;
@@ -227,7 +228,7 @@
 
 /** What a killed process never answers. */
 async function forever(): Promise<never> {
-	return new Promise(resolve => {
-		resolve;
+	return new Promise((_resolve, reject) => {
+		neverCalled.add(reject);
 	});
 }
--- a/packages/node/src/ticket-handover.ts
+++ b/packages/node/src/ticket-handover.ts
@@ -5,6 +5,7 @@
 import {rankMembers} from '@catkindale/common';
 import type {MessageBus} from '@catkindale/kernel';
 import type {Member, RememberedRequest, TicketMemory} from '@catkindale/policy';
+import type {PeerMessage} from '@catkindale/protocol';
 import type {TicketClock} from './idempotency-guard.js';
 import type {NodeMessage} from './node-messages.js';
 import type {TicketHeirs} from './ticket-heirs.js';
@@ -35,7 +36,19 @@
 export function startTicketHandover(options: TicketHandoverOptions): TicketHandover {
 	const {bus, node, incarnation, memory, heirs, ticketClock} = options;
 	let onAccepted: ((heir: string) => void) | undefined;
-	const ending = bus.subscribe('peer-received', ({from, message}) => {
+	/** The members that have a link to this node; others may be dead though they are listed. */
+	const connected = new Set<string>();
+	const endings = [
+		bus.subscribe('peer-disconnected', ({id}) => {
+			connected.delete(id);
+		}),
+		bus.subscribe('peer-received', ({from, message}) => {
+			connected.add(from);
+			receive(from, message);
+		}),
+	];
+
+	const receive = (from: string, message: PeerMessage): void => {
 		if (message.type === 'ticket-handover') {
 			const isWhole = heirs.receive({...message, requests: message.requests.map(request => toRemembered(request))});
 			if (isWhole) {
@@ -47,7 +60,7 @@
 				onAccepted?.(from);
 			}
 		}
-	});
+	};
 
 	const offer = async (neighbour: string, parts: readonly RememberedRequest[][]): Promise<boolean> => {
 		const accepted = new Promise<boolean>(resolve => {
@@ -76,7 +89,7 @@
 		async handOver() {
 			const remembered = memory.getRemembered(ticketClock()).filter(request => request.id.startsWith(ticketIdPrefix));
 			const parts = splitIntoParts(remembered);
-			const neighbours = getNeighbours(options).slice(0, maximumNeighboursAsked);
+			const neighbours = getNeighbours(options).filter(member => connected.has(member.id)).slice(0, maximumNeighboursAsked);
 			for (const neighbour of neighbours) {
 				const isAccepted = await offer(neighbour.id, parts);
 				if (isAccepted) {
@@ -86,7 +99,11 @@
 
 			return undefined;
 		},
-		end: ending,
+		end() {
+			for (const end of endings) {
+				end();
+			}
+		},
 	};
 }
 
