--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,6 +1,7 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-token-bucket.js';
 import './verification-fairness.js';
+import './verification-rollouts.js';
 import './verification-target-choice.js';
 import './verification-at-most-once.js';
 import './verification-retry-budget.js';
