Measure what the entry adds to a request

`catkindale bench overhead`: the same load through an entry on one thread and straight to a minimal target, slice by slice in one run, latency counted from the time a request was due.

--- /dev/null
+++ b/packages/cli/src/bench-overhead-worker.ts
@@ -0,0 +1,75 @@
+/**
+ * The threads of `catkindale bench overhead`: a minimal target, and an entry
+ * with its platform stand-ins, each on an event loop of its own.
+ */
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {type MessagePort, parentPort, workerData} from 'node:worker_threads';
+import {createSilentLogger} from '@catkindale/common';
+import {settingsSchema, startNode} from '@catkindale/node';
+import {startMachineListStandin, startObjectStoreStandin, startTableStandin} from '@catkindale/standins';
+
+export type WorkerRole = 'target' | 'entry';
+export type WorkerStart = {readonly role: WorkerRole; readonly operatorToken: string};
+/** The entry's heap and buffers after a collection, and the thread's busy share since the last question. */
+export type WorkerReport = {readonly memoryBytes: number; readonly busyShare: number};
+export type WorkerReady = {readonly caller: string; readonly admin: string};
+
+const loopback = {host: '127.0.0.1', port: 0};
+const connectionsPerTarget = 128;
+const answerBody = '{"airfield":"ENGM","price":1234,"currency":"NOK"}';
+
+async function startTarget(): Promise<WorkerReady> {
+	const server = createServer((request, response) => {
+		response.writeHead(200, {
+			'content-type': 'application/json', 'content-length': answerBody.length, 'catkindale-request-id': request.headers['catkindale-request-id'] ?? '',
+		});
+		response.end(answerBody);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(loopback.port, loopback.host, resolve);
+	});
+	return {caller: `${loopback.host}:${(server.address() as AddressInfo).port}`, admin: ''};
+}
+
+async function startEntry(operatorToken: string): Promise<WorkerReady> {
+	const [table, objects, machines] = await Promise.all([startTableStandin(loopback), startObjectStoreStandin(loopback), startMachineListStandin(loopback)]);
+	const listen = '127.0.0.1:0';
+	const node = await startNode(settingsSchema.parse({
+		node: {name: 'oslo-1', region: 'oslo', zone: 'oslo-a'},
+		listen: {
+			caller: listen, peer: listen, admin: listen, metrics: listen,
+		},
+		platform: {table: {address: table.address}, objects: {address: objects.address}, machines: {address: machines.address}},
+		secrets: {peer: 'bench-peer-secret-of-the-fleet', operatorToken},
+		limits: {connectionsPerTarget, idleTimeoutMilliseconds: 600_000},
+	}), {logger: createSilentLogger()});
+	return {caller: node.addresses.caller, admin: node.addresses.admin};
+}
+
+function collectGarbage(): void {
+	setFlagsFromString('--expose-gc');
+	const collect = runInNewContext('gc') as () => void;
+	collect();
+}
+
+async function run(port: MessagePort, {role, operatorToken}: WorkerStart): Promise<void> {
+	port.postMessage(role === 'target' ? await startTarget() : await startEntry(operatorToken));
+	let utilization = performance.eventLoopUtilization();
+	port.on('message', () => {
+		const current = performance.eventLoopUtilization();
+		const busyShare = performance.eventLoopUtilization(current, utilization).utilization;
+		utilization = current;
+		collectGarbage();
+		const {heapUsed, external, arrayBuffers} = process.memoryUsage();
+		const report: WorkerReport = {memoryBytes: heapUsed + external + arrayBuffers, busyShare};
+		port.postMessage(report);
+	});
+}
+
+if (parentPort) {
+	await run(parentPort, workerData as WorkerStart);
+}
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -4,3 +4,4 @@
 import './bench-rendezvous.js';
 import './bench-rollouts.js';
 import './bench-costs.js';
+import './bench-overhead.js';
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -143,6 +143,16 @@
 		}
 	};
 
+	/** Only an answer that is surely this request's own may say that it didn't run. */
+	const receiveRefusal = (isEchoed: boolean): void => {
+		if (isEchoed) {
+			answer = {kind: 'discarded'};
+			settle({kind: 'shed'});
+		} else {
+			abort('target', 'a refusal doesn\'t tell which request it refuses');
+		}
+	};
+
 	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
 		const read = (name: string): string | undefined => getRawHeader(rawHeaders, name);
 		const echoed = read(headerNames.requestId);
@@ -151,11 +161,9 @@
 			return;
 		}
 
-		// Only an answer that is surely this request's own may say that it didn't run.
 		const outcome = read(headerNames.outcome);
-		if (outcome === 'not-run' && echoed !== undefined && !options.isPeer) {
-			answer = {kind: 'discarded'};
-			settle({kind: 'shed'});
+		if (outcome === 'not-run' && !options.isPeer) {
+			receiveRefusal(echoed !== undefined);
 			return;
 		}
 
