--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,4 +1,5 @@
 /** Loads every randomised run, so that it registers itself. */
+import './verification-quotas.js';
 import './verification-token-bucket.js';
 import './verification-fairness.js';
 import './verification-rollouts.js';
