Stop nodes without cutting off or refusing a request

Cause: a stopping node closed its port while callers still held look-ups that named it, its peers went on naming it, and a node that started while a configuration existed had none in force until the next change: its plug-ins published before later ones listened.

A planned stop now tells the peers first, serves on with Connection: close for the life of a look-up, and then drains. Tasks begin only once all have started.

--- a/packages/cli/tests/helpers.ts
+++ b/packages/cli/tests/helpers.ts
@@ -225,8 +225,8 @@
 }
 
 /** Starts nodes that can be cut off, and waits until they know each other. */
-export async function startFleet(platform: TestPlatform, places: readonly TestNodePlace[], timing = ''): Promise<TestNode[]> {
-	const settings = `testing = {allowCuts = true}\ntiming = {lookupHoldMilliseconds = 300${timing}}`;
+export async function startFleet(platform: TestPlatform, places: readonly TestNodePlace[], timing = 'lookupHoldMilliseconds = 300'): Promise<TestNode[]> {
+	const settings = `testing = {allowCuts = true}\ntiming = {${timing}}`;
 	await listMachines(platform, places.map(({name}) => name));
 	const nodes = await Promise.all(places.map(async place => startNodeProcess(platform, place, settings)));
 	await waitForServing(nodes, nodes.length);
@@ -273,3 +273,13 @@
 		name: `pricing-${zone}`, address: await startStandinProcess('target', ['--slots', String(targetSlots)]), region, zone, slots: targetSlots,
 	})));
 }
+
+/** Applies a manifest as part of the set-up and waits until all nodes have it, however slow the machine is. */
+export async function applyManifest(nodes: readonly TestNode[], manifest: string): Promise<void> {
+	const applied = await callAdmin(nodes[0]!, 'POST', '/v1/configuration', manifest);
+	if (typeof applied.body.version !== 'number') {
+		throw new TypeError(`the manifest wasn't applied: ${JSON.stringify(applied.body)}`);
+	}
+
+	await waitForVersion(nodes, applied.body.version);
+}
--- a/packages/cli/tests/keys.test.ts
+++ b/packages/cli/tests/keys.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {hashText} from '@catkindale/common';
 import {
-	type TestNode, type TestPlatform, callAdmin, cutNode, endProcesses, getManifest, getPeerAddress, sendRequest, setTableFaults, startFleet,
+	type TestNode, type TestPlatform, applyManifest, callAdmin, cutNode, endProcesses, getManifest, getPeerAddress, sendRequest, setTableFaults, startFleet,
 	startNodeProcess, startPlatformProcesses, startTargets, waitForServing, waitForStatus, waitUntil,
 } from './helpers.js';
 
@@ -24,7 +24,7 @@
 	nodes = await startFleet(platform, places);
 	prices = nodes.map(node => `${node.caller}/prices/ENGM`);
 	const manifest = getManifest(regions, targets, 'another-key');
-	expect(await callAdmin(nodes[0]!, 'POST', '/v1/configuration', manifest)).toMatchObject({status: 200});
+	await applyManifest(nodes, manifest);
 });
 
 beforeEach(async () => {
--- a/packages/cli/tests/outage.test.ts
+++ b/packages/cli/tests/outage.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {request} from 'undici';
 import {
-	type TestNode, type TestPlatform, callAdmin, cutNode, endProcesses, getManifest, sendRequest, setTableFaults, startFleet,
+	type TestNode, type TestPlatform, applyManifest, callAdmin, cutNode, endProcesses, getManifest, sendRequest, setTableFaults, startFleet,
 	startPlatformProcesses, startTargets, waitForServing, waitForStatus, waitUntil,
 } from './helpers.js';
 
@@ -26,7 +26,7 @@
 	nodes = await startFleet(platform, places);
 	const openRoute = '[[routes]]\nservice = "pricing"\nmethod = "GET"\npath = "/airfields"\nidempotent = true\nopen = true\n';
 	manifest = getManifest(regions, targets, key) + openRoute;
-	expect(await callAdmin(nodes[0]!, 'POST', '/v1/configuration', manifest)).toMatchObject({status: 200});
+	await applyManifest(nodes, manifest);
 });
 
 beforeEach(async () => {
--- a/packages/kernel/src/life-cycle.ts
+++ b/packages/kernel/src/life-cycle.ts
@@ -1,6 +1,7 @@
 /**
- * Life cycle of a process: plug-ins start in order, drain in reverse order
- * and stop in reverse order. If one fails to start, those before it stop.
+ * Life cycle of a process: plug-ins start in order, begin in order once all
+ * have started, drain in reverse order and stop in reverse order. If one fails
+ * to start or to begin, those that started stop.
  */
 import {type Logger, millisecondsPerSecond} from '@catkindale/common';
 import type {Plugin, Task} from './plugin-registry.js';
@@ -14,16 +15,19 @@
 
 export async function startPlugins<Context>(plugins: ReadonlyArray<Plugin<Context>>, context: Context, logger: Logger): Promise<LifeCycle> {
 	const running: RunningTask[] = [];
-	for (const plugin of plugins) {
-		try {
+	try {
+		for (const plugin of plugins) {
 			const task = await plugin.start(context);
 			running.push({name: plugin.name, task});
-		} catch (error) {
-			await stopTasks(running, logger);
-			throw error;
+			logger.debug('plugin_started', {plugin: plugin.name});
 		}
 
-		logger.debug('plugin_started', {plugin: plugin.name});
+		for (const {task} of running) {
+			await task.begin?.();
+		}
+	} catch (error) {
+		await stopTasks(running, logger);
+		throw error;
 	}
 
 	let stopping: Promise<void> | undefined;
--- a/packages/kernel/src/plugin-registry.ts
+++ b/packages/kernel/src/plugin-registry.ts
@@ -6,10 +6,12 @@
 
 /**
  * A running part of the process that owns its sockets, timers and state.
- * `drain` stops taking new work and resolves once the work in hand is done;
+ * `begin` runs once all tasks have started and can hear each other; `drain`
+ * stops taking new work and resolves once the work in hand is done;
  * `stop` then frees what the task owns.
  */
 export type Task = {
+	begin?: () => Promise<void>;
 	drain?: () => Promise<void>;
 	stop: () => Promise<void>;
 };
--- a/packages/node/src/caller-server-plugin.ts
+++ b/packages/node/src/caller-server-plugin.ts
@@ -36,17 +36,20 @@
 		server.maxConnections = limits.callerConnections;
 		server.on('clientError', refuseMalformed);
 		context.bound.caller = await listenOn(server, listen.caller);
+		const ending = context.bus.subscribe('drain-started', () => {
+			isDraining = true;
+		});
 		return {
 			async drain() {
-				isDraining = true;
-				context.bus.publish({type: 'drain-started'});
 				const force = setTimeout(() => {
+					context.logger.warn('requests_cut_off', {reason: 'the grace time is over'});
 					server.closeAllConnections();
 				}, timing.graceMilliseconds);
 				await closeGracefully(server);
 				clearTimeout(force);
 			},
 			async stop() {
+				ending();
 				server.closeAllConnections();
 			},
 		};
--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -99,8 +99,8 @@
 				putInForce();
 			}),
 		];
-		await poll();
 		return {
+			begin: poll,
 			async stop() {
 				for (const end of endings) {
 					end();
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -52,13 +52,15 @@
 			quotas.ledger.tick();
 		};
 
-		await poll();
-		await poll();
 		const works = [
 			startPeriodicWork(poll, settings.timing.tablePollMilliseconds),
 			startPeriodicWork(tick, settings.timing.heartbeatMilliseconds / 2),
 		];
 		return {
+			async begin() {
+				await poll();
+				await poll();
+			},
 			async stop() {
 				await Promise.all(works.map(async work => work.stop()));
 				for (const end of endings) {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -24,6 +24,7 @@
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
+import './planned-stop-plugin.js';
 import './restriction-plugin.js';
 import './rollout-plugin.js';
 
