--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -1,3 +1,6 @@
 /** Loads every bench, so that it registers itself. */
+import './bench-capacity.js';
 import './bench-client-blocks.js';
 import './bench-rendezvous.js';
+import './bench-rollouts.js';
+import './bench-costs.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,5 +4,16 @@
 export * from './errors.js';
 export * from './settings.js';
 export * from './start-node.js';
+export * from './rollout-task.js';
+export type {AttemptResult} from './target-selector.js';
+export * from './version-chooser.js';
 export {createMembership} from './membership.js';
 export {createNodeQuotas} from './node-quotas.js';
+export {createRoutingTable} from './routing-table.js';
+export {createIdempotencyClaims} from './idempotency-claims.js';
+export {
+	type IdempotencyGuard, type OnceRequest, createIdempotencyGuard, createTicketClock,
+} from './idempotency-guard.js';
+export {type ExchangeResult, createProblemResult} from './exchange-result.js';
+export {type HandoverPart, createTicketHeirs} from './ticket-heirs.js';
+export {createTicketPrefix, parseIdempotencyKey} from './ticket-prefix.js';
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -48,10 +48,10 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
-	/** The sites of client blocks, for the directory. */
-		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
 	/** An operator wants a rollout halted at once. */
 		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
+	/** The sites of client blocks, for the directory. */
+		| {readonly type: 'client-blocks-changed'; readonly table: ClientBlockTable}
 	/** One attempt at a target has ended. */
 		| {readonly type: 'attempt-finished'; readonly route: Route; readonly target: Target; readonly result: AttemptResult}
 	/** Slots at the target were borrowed just now. */
