--- a/packages/node/src/caller-server-plugin.ts
+++ b/packages/node/src/caller-server-plugin.ts
@@ -4,7 +4,6 @@
  */
 import type {Duplex} from 'node:stream';
 import {type ServerResponse, createServer} from 'node:http';
-import {setTimeout as delay} from 'node:timers/promises';
 import {abortAnswer} from './answer.js';
 import {type CallerHandler, type NodeContext, nodePlugins} from './node-context.js';
 import {drainServer, listenOn} from './http-server.js';
@@ -53,12 +52,12 @@
 		server.maxConnections = limits.callerConnections;
 		server.on('clientError', refuseMalformed);
 		context.bound.caller = await listenOn(server, listen.caller);
+		// Callers that hold an older look-up are served for a while, each answer ending its connection.
+		const ending = context.bus.subscribe('drain-started', () => {
+			isDraining = true;
+		});
 		return {
-			// Callers that hold an older look-up are served for a while, each answer ending its connection.
 			async drain() {
-				isDraining = true;
-				context.bus.publish({type: 'drain-started'});
-				await delay(timing.lookupHoldMilliseconds);
 				for (const response of running) {
 					announceClose(response);
 				}
@@ -66,6 +65,7 @@
 				await drainServer(server, timing.graceMilliseconds);
 			},
 			async stop() {
+				ending();
 				server.closeAllConnections();
 			},
 		};
