Shift callers between regions within a cap per window

A shift's row says from which share and when it moves; every directory works out the share of the moment from it, at a pace that leaves room for cached look-ups and skewed clocks. A withdrawn shift goes back at the same pace; after an outage of the table all go on from where they stood. A look-up asks getRegionForCaller.

--- /dev/null
+++ b/packages/cli/src/verification-shifts.ts
@@ -0,0 +1,99 @@
+/**
+ * Randomised run of a shift between regions: directories with skewed clocks
+ * that learn of rows late, an outage of the table, changed wishes, and callers
+ * that keep their look-ups. No window sees more than the cap move.
+ */
+import {assertInvariant, createRandom, millisecondsPerSecond} from '@catkindale/common';
+import {
+	type HeldShift, type Shift, type ShiftRow, changeShift, followShift, resumeShift, startShift,
+} from '@catkindale/policy';
+import {registerVerification} from './verification-registry.js';
+
+const callerCount = 400;
+const nodeCount = 4;
+const stepMilliseconds = 500;
+const steps = 1200;
+const timeToLiveMilliseconds = 10_000;
+const longestReadLag = 2000;
+const largestClockOffset = 200;
+/** Callers at the very edge whom two directories place differently. */
+const tolerance = 3 / callerCount;
+
+type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined; confirmedAt: number; held: HeldShift | undefined};
+type Caller = {readonly place: number; isMoved: boolean; asksAt: number};
+
+registerVerification({
+	name: 'shifts',
+	describe: 'a shift between regions under table outages, changed wishes, skewed clocks and cached look-ups',
+	run(seed) {
+		const random = createRandom(seed);
+		const windowSeconds = random.integer(10, 120);
+		let shift: Shift | undefined = {
+			name: 'west', service: 'pricing', from: 'oslo', to: 'bergen', share: random.integer(2, 10) / 10, cap: random.integer(1, 4) / 10, windowSeconds,
+		};
+		const {cap} = shift;
+		let row: ShiftRow = startShift(shift, {configurationVersion: 1, timeToLiveMilliseconds}, 0);
+		const directories = Array.from({length: nodeCount}, (): Directory => ({
+			offset: random.integer(-largestClockOffset, largestClockOffset), lag: random.integer(0, longestReadLag), row: undefined, confirmedAt: -Infinity, held: undefined,
+		}));
+		const callers = Array.from({length: callerCount}, (_, index): Caller => ({
+			place: (index + 0.5) / callerCount, isMoved: false, asksAt: random.integer(0, timeToLiveMilliseconds),
+		}));
+		const outageFrom = random.integer(0, steps) * stepMilliseconds;
+		const outageUntil = outageFrom + random.integer(0, 120 * millisecondsPerSecond);
+		const moved: number[] = [];
+		const windowSteps = Math.floor(windowSeconds * millisecondsPerSecond / stepMilliseconds);
+		for (let step = 0; step < steps; step++) {
+			const now = step * stepMilliseconds;
+			const isTableDown = now >= outageFrom && now < outageUntil;
+			if (!isTableDown && random.fraction() < 0.005) {
+				shift = shift && random.fraction() < 0.3
+					? undefined
+					: {
+						name: 'west', service: 'pricing', from: 'oslo', to: 'bergen', share: random.integer(0, 10) / 10, cap, windowSeconds,
+					};
+				row = changeShift(row, shift, row.configurationVersion + 1, now) ?? row;
+			}
+
+			for (const directory of directories) {
+				row = isTableDown ? row : readRow(directory, row, now);
+			}
+
+			for (const caller of callers) {
+				askDirectory(caller, directories[random.integer(0, nodeCount - 1)]!, now);
+			}
+
+			moved.push(callers.filter(caller => caller.isMoved).length / callerCount);
+			const before = moved[Math.max(0, step - windowSteps)] ?? 0;
+			const change = Math.abs(moved[step]! - before);
+			assertInvariant(change <= cap + tolerance, 'a shift moves at most its cap per window', {
+				seed, now, change, cap,
+			});
+		}
+	},
+});
+
+/** A directory reads the row, some time after it was written, and resumes it after a standstill. */
+function readRow(directory: Directory, row: ShiftRow, now: number): ShiftRow {
+	if (now % (1 + directory.lag) > stepMilliseconds) {
+		return row;
+	}
+
+	const wall = now + directory.offset;
+	const held = directory.row && directory.held ? followShift(directory.held, directory.row, directory.confirmedAt, wall) : undefined;
+	const resumed = (held && resumeShift(row, held, wall)) ?? row;
+	directory.held = followShift(held, resumed, wall, wall);
+	directory.row = resumed;
+	directory.confirmedAt = wall;
+	return resumed;
+}
+
+function askDirectory(caller: Caller, directory: Directory, now: number): void {
+	if (now < caller.asksAt || !directory.row) {
+		return;
+	}
+
+	const {share} = followShift(directory.held, directory.row, directory.confirmedAt, now + directory.offset);
+	caller.isMoved = caller.place < share;
+	caller.asksAt = now + timeToLiveMilliseconds;
+}
--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -3,3 +3,4 @@
 import './verification-fairness.js';
 import './verification-rollouts.js';
 import './verification-target-choice.js';
+import './verification-shifts.js';
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -18,3 +18,6 @@
 	rolloutPrefix: 'rollout/',
 	shiftPrefix: 'shift/',
 } as const;
+
+/** The longest time for which a caller may keep the answer of a look-up. */
+export const longestLookupMilliseconds = 30_000;
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -4,6 +4,7 @@
 import type {Member} from '@catkindale/policy';
 import {nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
+import {type KnownShift, getRegionForCaller} from './shift-regions.js';
 
 const startOrder = 40;
 const answerSeconds = 10;
@@ -16,7 +17,11 @@
 		let members: readonly Member[] = [];
 		let unavailable: ReadonlySet<string> = new Set();
 		let services = new Set<string>();
+		let shifts: readonly KnownShift[] = [];
 		const endings = [
+			context.bus.subscribe('shifts-changed', message => {
+				shifts = message.shifts;
+			}),
 			context.bus.subscribe('membership-changed', message => {
 				members = message.members;
 			}),
@@ -39,8 +44,9 @@
 			}
 
 			const live = members.filter(member => member.state === 'live' && !unavailable.has(member.id));
-			const ranked = rankMembers(request.socket.remoteAddress ?? '', live);
-			const {region} = context.settings.node;
+			const caller = request.socket.remoteAddress ?? '';
+			const ranked = rankMembers(caller, live);
+			const region = getRegionForCaller(shifts, {service, region: context.settings.node.region, caller}, context.clock);
 			const ordered = [...ranked.filter(member => member.region === region), ...ranked.filter(member => member.region !== region)];
 			const entries = ordered.map((member, index) => ({address: member.callerAddress, region: member.region, weight: ordered.length - index}));
 			response.setHeader('content-type', 'application/json');
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -5,6 +5,7 @@
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
 import type {KnowledgeValidity} from './freshness-validity.js';
+import type {KnownShift} from './shift-regions.js';
 import type {AttemptResult} from './target-selector.js';
 import type {VersionShare} from './version-chooser.js';
 
@@ -48,6 +49,8 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
+	/** The shifts between regions as the table's rows show them. */
+		| {readonly type: 'shifts-changed'; readonly shifts: readonly KnownShift[]}
 	/** An operator wants a rollout halted at once. */
 		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** The sites of client blocks, for the directory. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -25,6 +25,7 @@
 import './mesh-plugin.js';
 import './metrics-plugin.js';
 import './rollout-plugin.js';
+import './shift-plugin.js';
 import './restriction-plugin.js';
 
 export type NodeHandle = {
--- a/packages/policy/src/shift.ts
+++ b/packages/policy/src/shift.ts
@@ -18,6 +18,8 @@
 export const shiftRowSchema = z.object({
 	name: z.string(),
 	service: z.string(),
+	/** The version of the configuration that asked for this move. */
+	configurationVersion: z.int(),
 	from: z.string(),
 	to: z.string(),
 	cap: z.number(),
@@ -33,47 +35,77 @@
 
 export type ShiftRow = z.infer<typeof shiftRowSchema>;
 
-/** The first row of a shift. */
-export function startShift(shift: Shift, timeToLiveMilliseconds: number, now: number): ShiftRow {
+type ShiftOptions = {readonly configurationVersion: number; readonly timeToLiveMilliseconds: number};
+
+/** The first row of a shift; it moves once every node can have read it. */
+export function startShift(shift: Shift, options: ShiftOptions, now: number): ShiftRow {
 	const {name, service, from, to, cap, windowSeconds} = shift;
 	return {
-		name, service, from, to, cap, windowSeconds, timeToLiveMilliseconds, baseShare: 0, wantedShare: shift.share, movedAt: now,
+		...options, name, service, from, to, cap, windowSeconds, baseShare: 0, wantedShare: shift.share, movedAt: now,
 	};
 }
 
 /**
  * The row for a changed wish; undefined if nothing changes. A withdrawn shift
- * (`undefined`) goes back as slowly as it came.
+ * (`undefined`) goes back as slowly as it came, and so does one that now names
+ * other regions; the new move starts once the old one is back.
  */
-export function changeShift(row: ShiftRow, shift: Shift | undefined, now: number): ShiftRow | undefined {
+export function changeShift(row: ShiftRow, shift: Shift | undefined, configurationVersion: number, now: number): ShiftRow | undefined {
+	const baseShare = getShiftedShare(row, now, now);
 	const isSameMove = shift?.service === row.service && shift.from === row.from && shift.to === row.to;
+	if (shift && !isSameMove && baseShare === 0) {
+		return startShift(shift, {configurationVersion, timeToLiveMilliseconds: row.timeToLiveMilliseconds}, now);
+	}
+
 	const wantedShare = isSameMove ? shift.share : 0;
-	const cap = isSameMove ? shift.cap : row.cap;
-	const windowSeconds = isSameMove ? shift.windowSeconds : row.windowSeconds;
+	const {cap, windowSeconds} = isSameMove ? shift : row;
 	if (wantedShare === row.wantedShare && cap === row.cap && windowSeconds === row.windowSeconds) {
 		return undefined;
 	}
 
-	// Nodes that follow the former row until they learn of this one keep within the skew.
+	const isReplaced = shift !== undefined && !isSameMove;
 	return {
-		...row, cap, windowSeconds, wantedShare, baseShare: getShiftedShare(row, now, now), movedAt: now,
+		...row, cap, windowSeconds, wantedShare, baseShare, movedAt: now, configurationVersion: isReplaced ? row.configurationVersion : configurationVersion,
 	};
 }
 
+/** The share that a node's look-ups use, and since when, in wall milliseconds. */
+export type HeldShift = {readonly share: number; readonly at: number};
+
 /**
- * The share of the callers that look-ups send to the new region. Moves of a
- * window plus the look-ups' time to live can show within one window, so the
- * share moves slowly enough that even these stay within the cap. A node whose
- * knowledge of the row is old lets the share stand.
+ * The share of the callers that look-ups send to the new region by the row.
+ * Moves of a window plus the look-ups' time to live can show within one
+ * window, so the share moves slowly enough that even these stay within the
+ * cap. A node whose knowledge of the row is old lets the share stand.
  * @param confirmedAt wall time in milliseconds at which the row was last known to be current
  * @param now wall time in milliseconds
  */
 export function getShiftedShare(row: ShiftRow, confirmedAt: number, now: number): number {
-	const spread = (row.windowSeconds * millisecondsPerSecond) + row.timeToLiveMilliseconds + (2 * shiftSkewMilliseconds);
 	const elapsed = Math.max(0, Math.min(now, confirmedAt + shiftSkewMilliseconds) - row.movedAt);
-	const largestMove = elapsed * row.cap / spread;
-	const wantedMove = row.wantedShare - row.baseShare;
-	return row.baseShare + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), largestMove));
+	return moveTowards(row.baseShare, row.wantedShare, elapsed * getPace(row));
+}
+
+/** The share that a node uses next: the row's, but no faster than the pace, so that what stood still doesn't jump. */
+export function followShift(held: HeldShift | undefined, row: ShiftRow, confirmedAt: number, now: number): HeldShift {
+	const share = getShiftedShare(row, confirmedAt, now);
+	const elapsed = Math.max(0, now - (held?.at ?? now));
+	return {share: held ? moveTowards(held.share, share, elapsed * getPace(row)) : share, at: now};
+}
+
+/** The row from which all nodes go on together after a standstill; undefined while they keep up. */
+export function resumeShift(row: ShiftRow, held: HeldShift, now: number): ShiftRow | undefined {
+	const behind = Math.abs(getShiftedShare(row, now, now) - held.share);
+	return behind > 2 * shiftSkewMilliseconds * getPace(row) ? {...row, baseShare: held.share, movedAt: now} : undefined;
+}
+
+/** The most by which the share moves, per millisecond. */
+function getPace(row: ShiftRow): number {
+	const spread = (row.windowSeconds * millisecondsPerSecond) + row.timeToLiveMilliseconds + (2 * shiftSkewMilliseconds);
+	return row.cap / spread;
+}
+
+function moveTowards(from: number, to: number, largestMove: number): number {
+	return from + (Math.sign(to - from) * Math.min(Math.abs(to - from), largestMove));
 }
 
 /** Whether look-ups of this caller go to the new region at a shifted share. */
