Keep a shift within its cap when a directory starts after an outage

A directory that had no share of its own yet took the row's at once after an outage in which all others stood still.

--- a/packages/cli/src/verification-shifts.ts
+++ b/packages/cli/src/verification-shifts.ts
@@ -5,7 +5,7 @@
  */
 import {assertInvariant, createRandom, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type HeldShift, type Shift, type ShiftRow, changeShift, followShift, resumeShift, startShift,
+	type Shift, type ShiftRow, changeShift, getShiftedShare, renewShift, startShift,
 } from '@catkindale/policy';
 import {registerVerification} from './verification-registry.js';
 
@@ -19,7 +19,7 @@
 /** Callers at the very edge whom two directories place differently. */
 const tolerance = 3 / callerCount;
 
-type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined; confirmedAt: number; held: HeldShift | undefined};
+type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined};
 type Caller = {readonly place: number; isMoved: boolean; asksAt: number};
 
 registerVerification({
@@ -34,7 +34,7 @@
 		const {cap} = shift;
 		let row: ShiftRow = startShift(shift, {configurationVersion: 1, timeToLiveMilliseconds}, 0);
 		const directories = Array.from({length: nodeCount}, (): Directory => ({
-			offset: random.integer(-largestClockOffset, largestClockOffset), lag: random.integer(0, longestReadLag), row: undefined, confirmedAt: -Infinity, held: undefined,
+			offset: random.integer(-largestClockOffset, largestClockOffset), lag: random.integer(0, longestReadLag), row: undefined,
 		}));
 		const callers = Array.from({length: callerCount}, (_, index): Caller => ({
 			place: (index + 0.5) / callerCount, isMoved: false, asksAt: random.integer(0, timeToLiveMilliseconds),
@@ -73,19 +73,14 @@
 	},
 });
 
-/** A directory reads the row, some time after it was written, and resumes it after a standstill. */
+/** A directory reads the row, some time after it was written, and renews it. */
 function readRow(directory: Directory, row: ShiftRow, now: number): ShiftRow {
 	if (now % (1 + directory.lag) > stepMilliseconds) {
 		return row;
 	}
 
-	const wall = now + directory.offset;
-	const held = directory.row && directory.held ? followShift(directory.held, directory.row, directory.confirmedAt, wall) : undefined;
-	const resumed = (held && resumeShift(row, held, wall)) ?? row;
-	directory.held = followShift(held, resumed, wall, wall);
-	directory.row = resumed;
-	directory.confirmedAt = wall;
-	return resumed;
+	directory.row = renewShift(row, now + directory.offset) ?? row;
+	return directory.row;
 }
 
 function askDirectory(caller: Caller, directory: Directory, now: number): void {
@@ -93,7 +88,6 @@
 		return;
 	}
 
-	const {share} = followShift(directory.held, directory.row, directory.confirmedAt, now + directory.offset);
-	caller.isMoved = caller.place < share;
+	caller.isMoved = caller.place < getShiftedShare(directory.row, now + directory.offset);
 	caller.asksAt = now + timeToLiveMilliseconds;
 }
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -1,10 +1,10 @@
 /** Answers which entries a caller should use: `GET /v1/entries?service=…`. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {rankMembers} from '@catkindale/common';
-import type {Member} from '@catkindale/policy';
+import type {Member, ShiftRow} from '@catkindale/policy';
 import {nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
-import {type KnownShift, getRegionForCaller} from './shift-regions.js';
+import {getRegionForCaller} from './shift-regions.js';
 
 const startOrder = 40;
 const answerSeconds = 10;
@@ -17,7 +17,7 @@
 		let members: readonly Member[] = [];
 		let unavailable: ReadonlySet<string> = new Set();
 		let services = new Set<string>();
-		let shifts: readonly KnownShift[] = [];
+		let shifts: readonly ShiftRow[] = [];
 		const endings = [
 			context.bus.subscribe('shifts-changed', message => {
 				shifts = message.shifts;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,11 +1,10 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	ClientBlockTable, Member, Restriction, Route, Target, VersionedConfiguration, VersionedRecord,
+	ClientBlockTable, Member, Restriction, Route, ShiftRow, Target, VersionedConfiguration, VersionedRecord,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
 import type {KnowledgeValidity} from './freshness-validity.js';
-import type {KnownShift} from './shift-regions.js';
 import type {AttemptResult} from './target-selector.js';
 import type {VersionShare} from './version-chooser.js';
 
@@ -50,7 +49,7 @@
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
 	/** The shifts between regions as the table's rows show them. */
-		| {readonly type: 'shifts-changed'; readonly shifts: readonly KnownShift[]}
+		| {readonly type: 'shifts-changed'; readonly shifts: readonly ShiftRow[]}
 	/** An operator wants a rollout halted at once. */
 		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** The sites of client blocks, for the directory. */
--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -7,12 +7,11 @@
 import {createIdentifier} from '@catkindale/common';
 import type {Row} from '@catkindale/platform';
 import {
-	type HeldShift, type Shift, type ShiftRow, type VersionedConfiguration, changeShift, followShift, resumeShift, shiftRowSchema, startShift,
+	type Shift, type ShiftRow, type VersionedConfiguration, changeShift, getShiftedShare, renewShift, shiftRowSchema, startShift,
 } from '@catkindale/policy';
 import {longestLookupMilliseconds, rowKeys} from './constants.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import type {KnownShift} from './shift-regions.js';
 
 const startOrder = 56;
 
@@ -21,7 +20,6 @@
 	readonly share: Gauge<'shift'>;
 	wanted: ReadonlyMap<string, Shift>;
 	configurationVersion: number;
-	known: ReadonlyMap<string, KnownShift>;
 };
 
 nodePlugins.register({
@@ -30,7 +28,7 @@
 	order: startOrder,
 	async start(context) {
 		const task: ShiftTask = {
-			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, known: new Map(),
+			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0,
 		};
 		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
 		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
@@ -53,7 +51,6 @@
 		return;
 	}
 
-	const readAt = context.clock.wall();
 	const outcome = await context.platform.table.list(rowKeys.shiftPrefix);
 	if (outcome.kind !== 'done') {
 		context.logger.warn('table_read_failed', {row: rowKeys.shiftPrefix, outcome: outcome.kind});
@@ -65,14 +62,12 @@
 		await writeShift(task, name, rows.get(name));
 	}
 
-	const now = context.clock.wall();
-	task.known = new Map([...rows].map(([name, row]) => {
-		const value = shiftRowSchema.parse(row.value);
-		const held = followShift(task.known.get(name)?.held, value, readAt, now);
-		task.share.set({shift: name}, held.share);
-		return [name, {row: value, confirmedAt: readAt, held}];
-	}));
-	context.bus.publish({type: 'shifts-changed', shifts: [...task.known.values()]});
+	const shifts = [...rows.values()].map(row => shiftRowSchema.parse(row.value));
+	for (const row of shifts) {
+		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
+	}
+
+	context.bus.publish({type: 'shifts-changed', shifts});
 }
 
 /** Writes the row if the configuration asks for another one. A conflict is read at the next poll. */
@@ -80,8 +75,7 @@
 	const {context, configurationVersion} = task;
 	const known = row && shiftRowSchema.parse(row.value);
 	const now = context.clock.wall();
-	const held = task.known.get(name)?.held;
-	const value = getWantedRow(known, task.wanted.get(name), configurationVersion, now) ?? (known && held && getResumedRow(task, known, held, now));
+	const value = getWantedRow(known, task.wanted.get(name), configurationVersion, now) ?? (known && renewShift(known, now));
 	if (!value) {
 		return;
 	}
@@ -98,12 +92,6 @@
 	return configurationVersion > known.configurationVersion ? changeShift(known, shift, configurationVersion, now) : undefined;
 }
 
-/** After a standstill, as in an outage of the table, all nodes go on from where they stood. */
-function getResumedRow(task: ShiftTask, row: ShiftRow, held: HeldShift, now: number): ShiftRow | undefined {
-	const confirmedAt = task.known.get(row.name)?.confirmedAt ?? now;
-	return resumeShift(row, followShift(held, row, confirmedAt, now), now);
-}
-
 function createShareGauge(context: NodeContext): Gauge<'shift'> {
 	return new Gauge({
 		name: 'catkindale_shift_share', help: 'Share of a region\'s callers that look-ups send to the other region', labelNames: ['shift'], registers: [context.metrics],
--- a/packages/node/src/shift-regions.ts
+++ b/packages/node/src/shift-regions.ts
@@ -1,11 +1,6 @@
 /** The region whose entries a caller is given while shifts between regions are under way. */
 import type {Clock} from '@catkindale/common';
-import {
-	type HeldShift, type ShiftRow, followShift, isCallerShifted,
-} from '@catkindale/policy';
-
-/** The row of a shift, the wall time in milliseconds at which it was last known to be current, and the share in use. */
-export type KnownShift = {readonly row: ShiftRow; readonly confirmedAt: number; readonly held: HeldShift};
+import {type ShiftRow, getShiftedShare, isCallerShifted} from '@catkindale/policy';
 
 export type LookupQuestion = {
 	readonly service: string;
@@ -16,10 +11,10 @@
 };
 
 /** Pure: the same for the same shifts and time on every node. */
-export function getRegionForCaller(shifts: readonly KnownShift[], question: LookupQuestion, clock: Clock): string {
+export function getRegionForCaller(shifts: readonly ShiftRow[], question: LookupQuestion, clock: Clock): string {
 	const now = clock.wall();
-	const shift = shifts.find(({row, confirmedAt, held}) =>
+	const shift = shifts.find(row =>
 		row.service === question.service && row.from === question.region
-		&& isCallerShifted(row, question.caller, followShift(held, row, confirmedAt, now).share));
-	return shift?.row.to ?? question.region;
+		&& isCallerShifted(row, question.caller, getShiftedShare(row, now)));
+	return shift?.to ?? question.region;
 }
--- a/packages/policy/src/shift.ts
+++ b/packages/policy/src/shift.ts
@@ -14,6 +14,9 @@
 const fractionRange = 2 ** (8 * fractionBytes);
 /** How far the clocks of nodes and their knowledge of the row may be apart. */
 export const shiftSkewMilliseconds = 5 * millisecondsPerSecond;
+/** A row that moves is renewed this often and moves no further than its validity. */
+const rowRenewalMilliseconds = 5 * millisecondsPerSecond;
+const rowValidityMilliseconds = 10 * millisecondsPerSecond;
 
 export const shiftRowSchema = z.object({
 	name: z.string(),
@@ -51,7 +54,7 @@
  * other regions; the new move starts once the old one is back.
  */
 export function changeShift(row: ShiftRow, shift: Shift | undefined, configurationVersion: number, now: number): ShiftRow | undefined {
-	const baseShare = getShiftedShare(row, now, now);
+	const baseShare = getShiftedShare(row, now);
 	const isSameMove = shift?.service === row.service && shift.from === row.from && shift.to === row.to;
 	if (shift && !isSameMove && baseShare === 0) {
 		return startShift(shift, {configurationVersion, timeToLiveMilliseconds: row.timeToLiveMilliseconds}, now);
@@ -69,33 +72,24 @@
 	};
 }
 
-/** The share that a node's look-ups use, and since when, in wall milliseconds. */
-export type HeldShift = {readonly share: number; readonly at: number};
-
 /**
- * The share of the callers that look-ups send to the new region by the row.
- * Moves of a window plus the look-ups' time to live can show within one
- * window, so the share moves slowly enough that even these stay within the
- * cap. A node whose knowledge of the row is old lets the share stand.
- * @param confirmedAt wall time in milliseconds at which the row was last known to be current
+ * The share of the callers that look-ups send to the new region, the same on
+ * every node. Moves of a window plus the look-ups' time to live can show
+ * within one window, so the share moves slowly enough that even these stay
+ * within the cap. It stands still when the row hasn't been renewed, as in an
+ * outage of the table, and goes on from there.
  * @param now wall time in milliseconds
  */
-export function getShiftedShare(row: ShiftRow, confirmedAt: number, now: number): number {
-	const elapsed = Math.max(0, Math.min(now, confirmedAt + shiftSkewMilliseconds) - row.movedAt);
-	return moveTowards(row.baseShare, row.wantedShare, elapsed * getPace(row));
-}
-
-/** The share that a node uses next: the row's, but no faster than the pace, so that what stood still doesn't jump. */
-export function followShift(held: HeldShift | undefined, row: ShiftRow, confirmedAt: number, now: number): HeldShift {
-	const share = getShiftedShare(row, confirmedAt, now);
-	const elapsed = Math.max(0, now - (held?.at ?? now));
-	return {share: held ? moveTowards(held.share, share, elapsed * getPace(row)) : share, at: now};
+export function getShiftedShare(row: ShiftRow, now: number): number {
+	const elapsed = Math.min(rowValidityMilliseconds, Math.max(0, now - row.movedAt));
+	const wantedMove = row.wantedShare - row.baseShare;
+	return row.baseShare + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), elapsed * getPace(row)));
 }
 
-/** The row from which all nodes go on together after a standstill; undefined while they keep up. */
-export function resumeShift(row: ShiftRow, held: HeldShift, now: number): ShiftRow | undefined {
-	const behind = Math.abs(getShiftedShare(row, now, now) - held.share);
-	return behind > 2 * shiftSkewMilliseconds * getPace(row) ? {...row, baseShare: held.share, movedAt: now} : undefined;
+/** The row renewed from where the share stands; undefined while there is no need. */
+export function renewShift(row: ShiftRow, now: number): ShiftRow | undefined {
+	const isMoving = row.baseShare !== row.wantedShare;
+	return isMoving && now >= row.movedAt + rowRenewalMilliseconds ? {...row, baseShare: getShiftedShare(row, now), movedAt: now} : undefined;
 }
 
 /** The most by which the share moves, per millisecond. */
@@ -104,10 +98,6 @@
 	return row.cap / spread;
 }
 
-function moveTowards(from: number, to: number, largestMove: number): number {
-	return from + (Math.sign(to - from) * Math.min(Math.abs(to - from), largestMove));
-}
-
 /** Whether look-ups of this caller go to the new region at a shifted share. */
 export function isCallerShifted(row: ShiftRow, caller: string, shiftedShare: number): boolean {
 	return getCallerPlace(row.name, caller) < shiftedShare;
--- a/packages/policy/tests/shift.test.ts
+++ b/packages/policy/tests/shift.test.ts
@@ -1,7 +1,7 @@
 /** How the share of a shift moves, one case each. */
 import {describe, expect, test} from 'vitest';
 import {
-	type ShiftRow, changeShift, followShift, getCallerPlace, getShiftedShare, resumeShift, startShift,
+	type ShiftRow, changeShift, getCallerPlace, getShiftedShare, renewShift, startShift,
 } from '../src/index.js';
 
 const shift = {
@@ -14,26 +14,41 @@
 describe('the shifted share', () => {
 	test.each([
 		{
-			name: 'starts at nothing', now: 0, confirmedAt: 0, expected: 0,
+			name: 'starts at nothing', fields: {}, now: 0, expected: 0,
 		},
 		{
-			name: 'moves by the cap in a window with all that may show in it', now: spread, confirmedAt: spread, expected: 0.2,
+			name: 'moves by the cap in a window with all that may show in it', fields: {}, now: 10_000, expected: 0.02,
 		},
 		{
-			name: 'stops at the wanted share', now: 10 * spread, confirmedAt: 10 * spread, expected: 0.5,
+			name: 'stands still when the row isn\'t renewed', fields: {}, now: spread, expected: 0.02,
 		},
 		{
-			name: 'stands still when the row may be old', now: spread, confirmedAt: 45_000, expected: 0.1,
+			name: 'stops at the wanted share', fields: {baseShare: 0.49}, now: 10_000, expected: 0.5,
 		},
-	])('$name', ({now, confirmedAt, expected}) => {
-		expect(getShiftedShare(row, confirmedAt, now)).toBeCloseTo(expected);
+		{
+			name: 'goes back at the same pace', fields: {baseShare: 0.5, wantedShare: 0}, now: 10_000, expected: 0.48,
+		},
+	])('$name', ({fields, now, expected}) => {
+		expect(getShiftedShare({...row, ...fields}, now)).toBeCloseTo(expected);
 	});
 
-	test('doesn\'t jump after a standstill', () => {
-		const held = followShift({share: 0.1, at: 50_000}, row, 2 * spread, 51_000);
-		expect(held.share).toBeCloseTo(0.102);
-		expect(resumeShift(row, held, 2 * spread)).toMatchObject({baseShare: held.share, movedAt: 2 * spread});
-		expect(resumeShift(row, {share: 0.2, at: 0}, spread)).toBeUndefined();
+	test.each([
+		{
+			name: 'isn\'t renewed at once', fields: {}, now: 4000, expected: undefined,
+		},
+		{
+			name: 'is renewed from where it is', fields: {}, now: 5000, expected: {baseShare: expect.closeTo(0.01) as number, movedAt: 5000},
+		},
+		{
+			name: 'goes on from where it stood after an outage', fields: {}, now: spread, expected: {baseShare: expect.closeTo(0.02) as number, movedAt: spread},
+		},
+		{
+			name: 'isn\'t renewed once it is there', fields: {baseShare: 0.5}, now: spread, expected: undefined,
+		},
+	])('a row $name', ({fields, now, expected}) => {
+		const renewed = renewShift({...row, ...fields}, now);
+		expect(renewed === undefined).toBe(expected === undefined);
+		expect(renewed ?? {}).toMatchObject(expected ?? {});
 	});
 });
 
@@ -43,7 +58,7 @@
 		{name: 'larger goes on from where it is', wanted: {...shift, share: 0.9}, expected: {wantedShare: 0.9, baseShare: expect.closeTo(0.2) as number}},
 		{name: 'to another region goes back first', wanted: {...shift, to: 'tromso'}, expected: {to: 'bergen', wantedShare: 0, configurationVersion: 1}},
 	])('$name', ({wanted, expected}) => {
-		expect(changeShift(row, wanted, 2, spread)).toMatchObject(expected);
+		expect(changeShift({...row, baseShare: 0.18}, wanted, 2, 10_000)).toMatchObject(expected);
 	});
 
 	test('to another region starts once the first is back', () => {
