--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -6,3 +6,4 @@
 import './verification-target-choice.js';
 import './verification-at-most-once.js';
 import './verification-retry-budget.js';
+import './verification-shifts.js';
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -5,12 +5,13 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	type ClientBlockTable, type EntryDirectory, type Member, createClientBlockTable, createEntryDirectory, findSites, getEntries,
+	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSites, getEntries,
 } from '@catkindale/policy';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
+import {getRegionForCaller} from './shift-regions.js';
 import {createTicketPrefix} from './ticket-prefix.js';
 
 const startOrder = 40;
@@ -22,6 +23,7 @@
 	services: ReadonlySet<string>;
 	routing: RoutingTable | undefined;
 	blocks: ClientBlockTable;
+	shifts: readonly ShiftRow[];
 };
 
 nodePlugins.register({
@@ -35,11 +37,15 @@
 			services: new Set(),
 			routing: undefined,
 			blocks: createClientBlockTable(),
+			shifts: [],
 		};
 		const endings = [
 			context.bus.subscribe('membership-changed', ({members}) => {
 				state.entries = createEntryDirectory(members);
 			}),
+			context.bus.subscribe('shifts-changed', ({shifts}) => {
+				state.shifts = shifts;
+			}),
 			context.bus.subscribe('unavailable-members-changed', ({ids}) => {
 				state.unavailable = ids;
 			}),
@@ -77,10 +83,11 @@
 	}
 
 	const caller = query.get('client') ?? request.socket.remoteAddress ?? '';
+	const region = findSites(state.blocks, caller)[0]?.site ?? context.settings.node.region;
 	const members = getEntries(state.entries, {
 		caller,
 		customer: findCustomer(state, request),
-		region: findSites(state.blocks, caller)[0]?.site ?? context.settings.node.region,
+		region: getRegionForCaller(state.shifts, {service, region, caller}, context.clock),
 		unavailable: state.unavailable,
 	});
 	const entries = members.map((member, index) => ({
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -27,6 +27,7 @@
 import './planned-stop-plugin.js';
 import './restriction-plugin.js';
 import './rollout-plugin.js';
+import './shift-plugin.js';
 import './restriction-plugin.js';
 
 export type NodeHandle = {
