Keep useful work at overload, and leave shedding and half-failing targets

They now need the mean and four deviations (Jacobson 1988). It now rests for the usual time of a request over its part. It is now cut off by its failure share too, and a relapse pauses longer.

--- a/packages/cli/src/bench-command.ts
+++ b/packages/cli/src/bench-command.ts
@@ -5,7 +5,7 @@
 import {exitCodes} from './constants.js';
 import './benches.js';
 
-type BenchArguments = {name: string; seed: number; seconds: number};
+type BenchArguments = {name: string; seed: number; seconds: number; output: string | undefined};
 
 const defaultSeconds = 10;
 
@@ -16,12 +16,14 @@
 		.positional('name', {choices: getBenches().map(bench => bench.name), demandOption: true, describe: 'what to measure'})
 		.option('seed', {type: 'number', default: 1, describe: 'seed of all random choices'})
 		.option('seconds', {type: 'number', default: defaultSeconds, describe: 'how long each part runs'})
+		.option('output', {type: 'string', describe: 'file for a plot in HTML, where the bench draws one'})
 		.epilogue(getBenches().map(bench => `${bench.name}: ${bench.describe}`).join('\n')),
-	async handler({name, seed, seconds}) {
+	async handler({name, seed, seconds, output}) {
 		const bench = getBenches().find(candidate => candidate.name === name);
 		const isOnTarget = await bench?.run({
 			seed,
 			seconds,
+			output,
 			print(line) {
 				process.stdout.write(`${line}\n`);
 			},
--- /dev/null
+++ b/packages/cli/src/bench-load-simulated.ts
@@ -0,0 +1,69 @@
+/**
+ * `catkindale bench load-simulated`: fairness, headroom and target choice in
+ * simulated time, next to a plain first-come queue, random choice, and the
+ * choice of the target with most free slots.
+ */
+import {writeFile} from 'node:fs/promises';
+import {millisecondsPerSecond} from '@catkindale/common';
+import {type Bar, type BarChart, drawCharts} from './bench-plot.js';
+import {type BenchOptions, registerBench} from './bench-registry.js';
+import {type SteeringKind, steeringKinds} from './bench-load-baselines.js';
+import {measureFlood, measureHeadroom, measureWeights} from './bench-load-fairness.js';
+import {measureFaults} from './bench-load-faults.js';
+import {type DeploymentShape, deploymentShapes} from './bench-load-shapes.js';
+
+export type LoadReport = {
+	readonly options: BenchOptions;
+	readonly shape: DeploymentShape;
+	readonly charts: BarChart[];
+	/** Notes whether a stated target was met. */
+	readonly expect: (isMet: boolean, target: string) => void;
+};
+
+registerBench({
+	name: 'load-simulated',
+	describe: 'fairness, headroom and target choice in simulated time, beside baselines',
+	async run(options) {
+		const missed: string[] = [];
+		const charts: BarChart[] = [];
+		for (const shape of deploymentShapes) {
+			const slots = `${shape.slots.length} targets with ${shape.slots.join('+')} slots`;
+			const processes = `Poisson arrivals, exponential service of mean ${shape.serviceMilliseconds} ms`;
+			options.print(`== ${shape.name}: ${slots}, ${processes}, ${getSimulatedSeconds(options)} simulated seconds`);
+			const report: LoadReport = {
+				options,
+				shape,
+				charts,
+				expect(isMet, target) {
+					options.print(`  ${isMet ? 'met' : 'MISSED'}: ${target}`);
+					missed.push(...isMet ? [] : [target]);
+				},
+			};
+			measureFlood(report);
+			measureHeadroom(report);
+			measureWeights(report);
+			measureFaults(report);
+		}
+
+		if (options.output !== undefined) {
+			await writeFile(options.output, drawCharts('catkindale: load in simulated time', charts));
+			options.print(`plot written to ${options.output}`);
+		}
+
+		return missed.length === 0;
+	},
+});
+
+const simulatedSecondsPerSecond = 20;
+
+export function getSimulatedSeconds(options: BenchOptions): number {
+	return options.seconds * simulatedSecondsPerSecond;
+}
+
+export function toBars(values: ReadonlyMap<SteeringKind, number>): Bar[] {
+	return steeringKinds.filter(kind => values.has(kind)).map(kind => ({label: kind, value: values.get(kind) ?? 0}));
+}
+
+export function formatMilliseconds(microseconds: number): string {
+	return (microseconds / millisecondsPerSecond).toFixed(1);
+}
--- a/packages/cli/src/bench-registry.ts
+++ b/packages/cli/src/bench-registry.ts
@@ -1,6 +1,12 @@
 /** The measurements that `catkindale bench` can run; each module registers its own. */
 
-export type BenchOptions = {readonly seed: number; readonly seconds: number; readonly print: (line: string) => void};
+export type BenchOptions = {
+	readonly seed: number;
+	readonly seconds: number;
+	/** File for a plot, where the bench draws one. */
+	readonly output: string | undefined;
+	readonly print: (line: string) => void;
+};
 
 export type Bench = {
 	readonly name: string;
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -2,3 +2,4 @@
 import './bench-client-blocks.js';
 import './bench-rendezvous.js';
 import './bench-costs.js';
+import './bench-load-simulated.js';
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Histogram} from 'prom-client';
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
+import {createCustomerWeights} from '@catkindale/policy';
 import {
 	type EntryParts, type Exchange, type ExchangeOutcome, runExchange,
 } from './exchange.js';
@@ -36,13 +37,14 @@
 	async start(context) {
 		const {bus, settings} = context;
 		const {requests, slots} = getNodeQuotas(context);
+		let weights = createCustomerWeights([]);
 		const state: EntryState = {
 			context,
 			routing: undefined,
 			validity: noValidity,
 			quotas: requests,
 			selector: createTargetSelector({
-				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics, getWeight: customer => weights.getWeight(customer),
 			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
@@ -51,6 +53,7 @@
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				state.routing = createRoutingTable(configuration);
+				weights = createCustomerWeights(configuration.customers);
 				state.versions.setConfiguration(configuration);
 				state.pools.setTargets(configuration.targets);
 			}),
--- a/packages/node/src/target-pool.ts
+++ b/packages/node/src/target-pool.ts
@@ -29,11 +29,12 @@
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly isRegionOpen?: (region: string) => boolean;
+	/** Weight of the customer in the fair queue; alike for all by default. */
+	readonly getWeight?: (customer: string) => number;
 };
 
 type Waiting = AdmissionRequest & {readonly settle: (selection: Selection) => void};
 
-const customerWeight = 1;
 const heldRefreshMilliseconds = 20;
 const idleRefreshMilliseconds = 1000;
 /** How long a request waits on a node that holds no slot, for one to be lent. */
@@ -176,7 +177,7 @@
 				const {customer, excluded, deadlineAt} = request;
 				const waiting: Waiting = {
 					customer,
-					weight: customerWeight,
+					weight: parts.getWeight?.(customer) ?? 1,
 					class: request.class,
 					excluded,
 					queuedAt: now,
--- a/packages/node/src/target-selector.ts
+++ b/packages/node/src/target-selector.ts
@@ -60,6 +60,8 @@
 	readonly random?: Random;
 	/** Whether the quota of the link to the region allows another request. */
 	readonly isRegionOpen?: (region: string) => boolean;
+	/** Weight of the customer in the fair queue; alike for all by default. */
+	readonly getWeight?: (customer: string) => number;
 };
 
 const retryAfterMilliseconds = 1000;
--- a/packages/policy/src/region-spill.ts
+++ b/packages/policy/src/region-spill.ts
@@ -8,6 +8,8 @@
 	/** The part of the slots held in the other region, above 0 up to 1. */
 	readonly part: number;
 	readonly changedAt: number;
+	/** When a request last went to the other region. */
+	readonly usedAt: number;
 	/** Whether the limit was reached since the last change. */
 	readonly wasReached: boolean;
 };
@@ -19,7 +21,9 @@
 const illFailureShare = 0.3;
 
 export function createRegionSpill(now: number): RegionSpill {
-	return {part: firstPart, changedAt: now, wasReached: false};
+	return {
+		part: firstPart, changedAt: now, usedAt: now, wasReached: false,
+	};
 }
 
 /** Requests that may be in flight to the other region; at least one if a slot is held there. */
@@ -32,6 +36,11 @@
 	return spill.wasReached ? spill : {...spill, wasReached: true};
 }
 
+/** Notes that a request goes to the other region. */
+export function markSpillUse(spill: RegionSpill, now: number): RegionSpill {
+	return {...spill, usedAt: now};
+}
+
 /** Moves the limit once per window by the failures seen in the other region. */
 export function updateRegionSpill(spill: RegionSpill, failureShare: number, now: number): RegionSpill {
 	const elapsed = now - spill.changedAt;
@@ -40,12 +49,16 @@
 	}
 
 	if (failureShare > illFailureShare) {
-		return {part: Math.max(firstPart, spill.part / 2), changedAt: now, wasReached: false};
+		return {
+			...spill, part: Math.max(firstPart, spill.part / 2), changedAt: now, wasReached: false,
+		};
 	}
 
 	if (spill.wasReached && failureShare < wellFailureShare) {
-		return {part: Math.min(1, spill.part * 2), changedAt: now, wasReached: false};
+		return {
+			...spill, part: Math.min(1, spill.part * 2), changedAt: now, wasReached: false,
+		};
 	}
 
-	return elapsed > idleMilliseconds ? createRegionSpill(now) : spill;
+	return now - spill.usedAt > idleMilliseconds ? createRegionSpill(now) : spill;
 }
--- a/packages/policy/src/region-targets.ts
+++ b/packages/policy/src/region-targets.ts
@@ -34,6 +34,8 @@
 	cutOff: number;
 	/** Moving average over the answers of all targets. */
 	usualLatency: number | undefined;
+	/** Moving average of how far the answers are from the usual latency. */
+	latencyDeviation: number;
 	/** Moving average over the attempts at all targets. */
 	failureShare: number;
 	spill: RegionSpill;
@@ -43,7 +45,7 @@
 
 export function createRegionTargets(name: string, spill: RegionSpill): RegionTargets {
 	return {
-		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, failureShare: 0, spill,
+		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, latencyDeviation: 0, failureShare: 0, spill,
 	};
 }
 
@@ -82,6 +84,7 @@
 	region.failureShare += observationWeight * (failed - region.failureShare);
 	if (attempt.kind === 'answered') {
 		const usual = region.usualLatency ?? attempt.milliseconds;
+		region.latencyDeviation += observationWeight * (Math.abs(attempt.milliseconds - usual) - region.latencyDeviation);
 		region.usualLatency = usual + (observationWeight * (attempt.milliseconds - usual));
 	}
 }
--- a/packages/policy/src/target-admission.ts
+++ b/packages/policy/src/target-admission.ts
@@ -69,14 +69,14 @@
 
 		const slots = choice.getUsableSlots();
 		const untilUsable = slots > 0 ? 0 : Math.max(0, (choice.getNextWake() ?? now) - now);
-		return untilUsable + ((ahead + 1) * (choice.getUsualLatency() ?? 0) / Math.max(1, slots));
+		return untilUsable + ((ahead + 1) * choice.getUsualLatency() / Math.max(1, slots));
 	};
 
 	/** Whether the request can still be answered before its deadline, if it starts at the given time. */
-	const isInTime = (request: Request, startAt: number): boolean => startAt + (choice.getUsualLatency() ?? 0) <= request.deadlineAt;
+	const isInTime = (request: Request, startAt: number): boolean => startAt + choice.getSafeLatency() <= request.deadlineAt;
 
 	/** Milliseconds until all requests that wait now are started. */
-	const getDrainTime = (): number => queue.getLength() * (choice.getUsualLatency() ?? 0) / Math.max(1, choice.getUsableSlots());
+	const getDrainTime = (): number => queue.getLength() * choice.getUsualLatency() / Math.max(1, choice.getUsableSlots());
 
 	/** Chooses a target whose slot can be taken; one that turns out to have none is left out until the next `setHeld`. */
 	const takeTarget = (request: Request, now: number): string | undefined => {
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -11,7 +11,7 @@
 import {type Random, assertInvariant} from '@catkindale/common';
 import {createPriorityQueue} from './priority-queue.js';
 import {
-	createRegionSpill, getSpillLimit, markSpillLimit, updateRegionSpill,
+	createRegionSpill, getSpillLimit, markSpillLimit, markSpillUse, updateRegionSpill,
 } from './region-spill.js';
 import {
 	type Attempt, type TargetReport, createTargetHealth, getExpectedLatency, getSlotFactor, isCallable, startAttempt, updateByReport, updateTargetHealth,
@@ -42,12 +42,14 @@
 	readonly report: (target: string, report: TargetReport, now: number) => void;
 	/** Whether a target of the own region has a free slot. */
 	readonly hasFree: (now: number) => boolean;
-	/** Slots that may be in use at once in the own region. */
+	/** Slots that may be in use at once in the own region, or in the others while it has none. */
 	readonly getUsableSlots: () => number;
 	/** Slots that this node holds at all targets. */
 	readonly getHeldSlots: () => number;
-	/** Usual milliseconds of a request in the own region; undefined before the first answer. */
-	readonly getUsualLatency: () => number | undefined;
+	/** Usual milliseconds of a request; 0 before the first answer. */
+	readonly getUsualLatency: () => number;
+	/** Milliseconds within which nearly all requests are answered. */
+	readonly getSafeLatency: () => number;
 	/** When the next target comes back from a pause; undefined if none is in a pause. */
 	readonly getNextWake: () => number | undefined;
 	readonly getState: (target: string) => TargetState | undefined;
@@ -70,6 +72,8 @@
 
 const drawsPerChoice = 4;
 const failingShare = 0.5;
+/** As for retransmissions: Jacobson, "Congestion avoidance and control", ACM SIGCOMM, 1988. */
+const safeDeviations = 4;
 const assumedRemoteMilliseconds = 50;
 const mostCutOffShare = 0.5;
 
@@ -148,6 +152,14 @@
 
 	const getHomeRegion = (): RegionTargets | undefined => regions.get(options.region);
 
+	const sumRegions = (read: (region: RegionTargets) => number): number => [...regions.values()].reduce((sum, region) => sum + read(region), 0);
+
+	/** The region whose latency tells how long a request takes now. */
+	const getServingRegion = (): RegionTargets | undefined => {
+		const home = getHomeRegion();
+		return home && home.usable > 0 ? home : [...regions.values()].find(region => region.usable > 0 && region.usualLatency !== undefined) ?? home;
+	};
+
 	const isSpillUseful = (region: RegionTargets, request: ChoiceRequest): boolean => {
 		const home = getHomeRegion();
 		if (!home || home.usable === 0) {
@@ -251,6 +263,7 @@
 			assertInvariant(candidate.inUse < candidate.held, 'work in flight stays within the slots held', {target, held: candidate.held});
 			candidate.inUse += 1;
 			candidate.region.inUse += 1;
+			candidate.region.spill = markSpillUse(candidate.region.spill, now);
 			candidate.health = startAttempt(candidate.health);
 			refresh(candidate, now);
 		},
@@ -270,7 +283,9 @@
 			observeRegion(region, attempt);
 			region.cutOff += Number(isCutOff(candidate)) - Number(wasCutOff);
 			const duty = candidate.held * getSlotFactor(candidate.health, region.usualLatency ?? 0, now);
-			const rest = duty > 0 && duty < 1 ? attempt.milliseconds * ((1 / duty) - 1) : 0;
+			// What fails or sheds at once must not come back sooner than what works.
+			const worked = Math.max(attempt.milliseconds, region.usualLatency ?? 0);
+			const rest = duty > 0 && duty < 1 ? (worked / duty) - attempt.milliseconds : 0;
 			candidate.restUntil = rest > 0 ? now + rest : 0;
 			refresh(candidate, now);
 		},
@@ -285,9 +300,16 @@
 			wake(now);
 			return [...regions.values()].some(region => isHome(region) && region.free.length > 0);
 		},
-		getUsableSlots: () => [...regions.values()].filter(region => isHome(region)).reduce((sum, region) => sum + region.usable, 0),
-		getHeldSlots: () => [...regions.values()].reduce((sum, region) => sum + region.held, 0),
-		getUsualLatency: () => getHomeRegion()?.usualLatency ?? [...regions.values()][0]?.usualLatency,
+		getUsableSlots() {
+			const atHome = sumRegions(region => isHome(region) ? region.usable : 0);
+			return atHome > 0 ? atHome : sumRegions(region => Math.min(region.usable, getSpillLimit(region.spill, region.held)));
+		},
+		getHeldSlots: () => sumRegions(region => region.held),
+		getUsualLatency: () => getServingRegion()?.usualLatency ?? 0,
+		getSafeLatency() {
+			const region = getServingRegion();
+			return (region?.usualLatency ?? 0) + ((region?.latencyDeviation ?? 0) * safeDeviations);
+		},
 		getNextWake: () => paused.peek()?.wakeAt,
 		getState(target) {
 			const candidate = candidates.get(target);
--- a/packages/policy/src/target-health.ts
+++ b/packages/policy/src/target-health.ts
@@ -26,6 +26,8 @@
 	/** Attempts in succession that never reached the target or lost the answer. */
 	readonly consecutiveLosses: number;
 	readonly circuit: Circuit;
+	/** Milliseconds of the last pause; 0 before the first. */
+	readonly lastPause: number;
 	/** When the target started cold; its slots grow from then on. */
 	readonly coldSince: number | undefined;
 	/** From 0 to 1; falls when the target sheds load and grows back with time. */
@@ -49,14 +51,15 @@
 const latencyMemoryMilliseconds = 5000;
 const failuresToOpen = 5;
 const lossesToOpen = 2;
+const failureShareToOpen = 0.35;
 const firstPauseMilliseconds = 1000;
 const longestPauseMilliseconds = 30_000;
 const coldMilliseconds = 10_000;
 const coldFactor = 0.1;
 const lowestSuccessShare = 0.05;
-const sheddingStep = 0.7;
-const sheddingFloor = 0.05;
-const sheddingGrowthPerMillisecond = 0.0001;
+const sheddingStep = 0.5;
+const sheddingFloor = 0.02;
+const sheddingGrowthPerMillisecond = 0.000_05;
 const slowRatio = 2;
 const slowFloor = 0.02;
 const reportLifeMilliseconds = 10_000;
@@ -72,6 +75,7 @@
 		consecutiveFailures: 0,
 		consecutiveLosses: 0,
 		circuit: {kind: 'closed'},
+		lastPause: 0,
 		coldSince: isCold ? now : undefined,
 		sheddingFactor: 1,
 		sheddingAt: now,
@@ -173,8 +177,8 @@
 	};
 	switch (health.circuit.kind) {
 		case 'closed': {
-			const isOpening = consecutiveFailures >= failuresToOpen || consecutiveLosses >= lossesToOpen;
-			return isOpening && mayOpen ? openCircuit(next, firstPauseMilliseconds, now) : next;
+			const isOpening = consecutiveFailures >= failuresToOpen || consecutiveLosses >= lossesToOpen || next.failureShare > failureShareToOpen;
+			return isOpening && mayOpen ? openCircuit(next, getFirstPause(health, now), now) : next;
 		}
 
 		case 'open': {
@@ -183,13 +187,23 @@
 		}
 
 		case 'half-open': {
-			return openCircuit(next, Math.min(longestPauseMilliseconds, health.circuit.pause * 2), now);
+			return openCircuit(next, getLongerPause(health.circuit.pause), now);
 		}
 	}
 }
 
 function openCircuit(health: TargetHealth, pause: number, now: number): TargetHealth {
-	return {...health, circuit: {kind: 'open', until: now + pause, pause}};
+	return {...health, circuit: {kind: 'open', until: now + pause, pause}, lastPause: pause};
+}
+
+/** A target that fails again soon after a pause gets a longer one. */
+function getFirstPause(health: TargetHealth, now: number): number {
+	const isSoon = health.coldSince !== undefined && now - health.coldSince < coldMilliseconds;
+	return isSoon ? getLongerPause(health.lastPause) : firstPauseMilliseconds;
+}
+
+function getLongerPause(pause: number): number {
+	return Math.min(longestPauseMilliseconds, Math.max(firstPauseMilliseconds, pause * 2));
 }
 
 function updateByShedding(health: TargetHealth, now: number): TargetHealth {
