--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -1,5 +1,7 @@
 /** Loads every bench, so that it registers itself. */
+import './bench-capacity.js';
 import './bench-client-blocks.js';
 import './bench-rendezvous.js';
+import './bench-rollouts.js';
 import './bench-costs.js';
 import './bench-load-simulated.js';
--- a/packages/node/src/request-headers.ts
+++ b/packages/node/src/request-headers.ts
@@ -15,9 +15,14 @@
 	'upgrade',
 	'expect',
 ]);
-const credentialHeaders = new Set(['authorization', 'x-api-key']);
+const keyHeaders = new Set(['authorization', 'x-api-key']);
+const cookieHeader = 'cookie';
+export const idempotencyKeyHeader = 'idempotency-key';
+const idempotencyKeyHeaders = new Set([idempotencyKeyHeader]);
 
 export type ForwardIdentity = {
+	/** The key that came with the request; no header that holds it is forwarded. */
+	readonly key: string | undefined;
 	readonly requestId: string;
 	readonly customer: string | undefined;
 	readonly deadlineMilliseconds: number;
@@ -34,11 +39,31 @@
 	return typeof key === 'string' ? key : undefined;
 }
 
+/** Whether keys came in more than one place, so that it isn't clear whose request it is. */
+export function hasSeveralKeys(request: IncomingMessage): boolean {
+	return countHeaders(request, keyHeaders) > 1;
+}
+
+export function hasSeveralIdempotencyKeys(request: IncomingMessage): boolean {
+	return countHeaders(request, idempotencyKeyHeaders) > 1;
+}
+
+function countHeaders(request: IncomingMessage, names: ReadonlySet<string>): number {
+	let count = 0;
+	for (let index = 0; index < request.rawHeaders.length; index += 2) {
+		count += names.has(request.rawHeaders[index]?.toLowerCase() ?? '') ? 1 : 0;
+	}
+
+	return count;
+}
+
 /** The headers for the target as a flat list of names and values. */
 export function getForwardHeaders(request: IncomingMessage, identity: ForwardIdentity): string[] {
 	const dropped = getConnectionNames(request.headers.connection);
-	const headers = copyHeaders(request.rawHeaders, name =>
-		dropped.has(name) || hopByHopHeaders.has(name) || credentialHeaders.has(name) || name.startsWith(reservedHeaderPrefix));
+	const {key} = identity;
+	const headers = copyHeaders(request.rawHeaders, (name, value) =>
+		dropped.has(name) || hopByHopHeaders.has(name) || keyHeaders.has(name) || name.startsWith(reservedHeaderPrefix)
+		|| (key !== undefined && key !== '' && name !== cookieHeader && value.includes(key)));
 	const deadline = Math.max(0, Math.floor(identity.deadlineMilliseconds));
 	headers.push(headerNames.requestId, identity.requestId, headerNames.deadline, String(deadline));
 	if (identity.customer !== undefined) {
@@ -54,17 +79,19 @@
 	return copyHeaders(rawHeaders, name => dropped.has(name) || hopByHopHeaders.has(name) || name.startsWith(reservedHeaderPrefix));
 }
 
+/** The headers that `Connection` names; those that frame the body always stay. */
 function getConnectionNames(connection: string | undefined): Set<string> {
 	const names = (connection ?? '').split(',').map(name => name.trim().toLowerCase());
-	return new Set(names);
+	return new Set(names.filter(name => name !== 'content-length' && name !== 'host'));
 }
 
-function copyHeaders(rawHeaders: readonly string[], isDropped: (name: string) => boolean): string[] {
+function copyHeaders(rawHeaders: readonly string[], isDropped: (name: string, value: string) => boolean): string[] {
 	const copied: string[] = [];
 	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index] ?? '';
-		if (!isDropped(name.toLowerCase())) {
-			copied.push(name, rawHeaders[index + 1] ?? '');
+		const value = rawHeaders[index + 1] ?? '';
+		if (!isDropped(name.toLowerCase(), value)) {
+			copied.push(name, value);
 		}
 	}
 
