Run the process tests one file at a time

Cause: test files with 12 to 60 processes each ran side by side; on a busy machine (load 20) three files and one test failed at their start-up limit of 15 s. Ruled out: a fault of the product; each file passes alone. No limit or check was changed.

--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -28,7 +28,6 @@
 import './restriction-plugin.js';
 import './rollout-plugin.js';
 import './shift-plugin.js';
-import './restriction-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -10,9 +10,28 @@
 const configuration: ViteUserConfig = {
 	resolve: {alias},
 	test: {
-		include: ['packages/*/tests/**/*.test.ts'],
 		testTimeout: 30_000,
 		hookTimeout: 30_000,
+		projects: [
+			{
+				extends: true,
+				test: {
+					name: 'units',
+					include: ['packages/*/tests/**/*.test.ts'],
+					exclude: ['packages/cli/tests/**'],
+				},
+			},
+			{
+				extends: true,
+				// These start dozens of processes each; one file at a time leaves them the machine.
+				test: {
+					name: 'processes',
+					include: ['packages/cli/tests/**/*.test.ts'],
+					fileParallelism: false,
+					sequence: {groupOrder: 1},
+				},
+			},
+		],
 	},
 };
 
