--- /dev/null
+++ b/packages/node/src/shift-plugin.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps the rows of the shifts between regions: when each began to move and
+ * from which share. Any node may write them by compare-and-set; the share of a
+ * moment follows from the row alone, so that all directories agree.
+ */
+import {Gauge} from 'prom-client';
+import {createIdentifier} from '@catkindale/common';
+import type {Row} from '@catkindale/platform';
+import {
+	type Shift, type ShiftRow, type VersionedConfiguration, changeShift, getShiftedShare, renewShift, shiftRowSchema, startShift,
+} from '@catkindale/policy';
+import {longestLookupMilliseconds, rowKeys} from './constants.js';
+import {type NodeContext, nodePlugins} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
+
+const startOrder = 56;
+
+type ShiftTask = {
+	readonly context: NodeContext;
+	readonly share: Gauge<'shift'>;
+	wanted: ReadonlyMap<string, Shift>;
+	configurationVersion: number;
+};
+
+nodePlugins.register({
+	name: 'shifts',
+	roles: ['control', 'directory'],
+	order: startOrder,
+	async start(context) {
+		const task: ShiftTask = {
+			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0,
+		};
+		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
+		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
+			task.wanted = new Map(configuration.shifts.map(shift => [shift.name, shift]));
+			task.configurationVersion = version;
+			work.runSoon();
+		});
+		return {
+			async stop() {
+				end();
+				await work.stop();
+			},
+		};
+	},
+});
+
+async function pollShifts(task: ShiftTask): Promise<void> {
+	const {context} = task;
+	if (task.configurationVersion === 0) {
+		return;
+	}
+
+	const outcome = await context.platform.table.list(rowKeys.shiftPrefix);
+	if (outcome.kind !== 'done') {
+		context.logger.warn('table_read_failed', {row: rowKeys.shiftPrefix, outcome: outcome.kind});
+		return;
+	}
+
+	const rows = new Map(outcome.value.map((row: Row) => [row.key.slice(rowKeys.shiftPrefix.length), row]));
+	for (const name of new Set([...rows.keys(), ...task.wanted.keys()])) {
+		await writeShift(task, name, rows.get(name));
+	}
+
+	const shifts = [...rows.values()].map(row => shiftRowSchema.parse(row.value));
+	for (const row of shifts) {
+		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
+	}
+
+	context.bus.publish({type: 'shifts-changed', shifts});
+}
+
+/** Writes the row if the configuration asks for another one. A conflict is read at the next poll. */
+async function writeShift(task: ShiftTask, name: string, row: Row | undefined): Promise<void> {
+	const {context, configurationVersion} = task;
+	const known = row && shiftRowSchema.parse(row.value);
+	const now = context.clock.wall();
+	const value = getWantedRow(known, task.wanted.get(name), configurationVersion, now) ?? (known && renewShift(known, now));
+	if (!value) {
+		return;
+	}
+
+	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.version ?? 0, value}]);
+	context.logger.info('shift_write', {shift: name, share: value.wantedShare, outcome: outcome.kind});
+}
+
+function getWantedRow(known: ShiftRow | undefined, shift: Shift | undefined, configurationVersion: number, now: number): ShiftRow | undefined {
+	if (!known) {
+		return shift && startShift(shift, {configurationVersion, timeToLiveMilliseconds: longestLookupMilliseconds}, now);
+	}
+
+	return configurationVersion > known.configurationVersion ? changeShift(known, shift, configurationVersion, now) : undefined;
+}
+
+function createShareGauge(context: NodeContext): Gauge<'shift'> {
+	return new Gauge({
+		name: 'catkindale_shift_share', help: 'Share of a region\'s callers that look-ups send to the other region', labelNames: ['shift'], registers: [context.metrics],
+	});
+}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -24,7 +24,10 @@
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
+import './planned-stop-plugin.js';
+import './restriction-plugin.js';
 import './rollout-plugin.js';
+import './shift-plugin.js';
 import './restriction-plugin.js';
 
 export type NodeHandle = {
