Ask a second target when the first is slow, on routes that allow hedging

A route with `hedge = true` that is idempotent and whose body is whole asks another target once the first has taken longer than 95% of the route's recent answers. It costs one retry of the service's budget; the first good answer wins, the other attempt is cancelled and its connection closed.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -12,6 +12,7 @@
 import type {ExchangeResult} from './exchange-result.js';
 import {headerNames} from './constants.js';
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
+import {createHedgeDelays} from './hedge-delays.js';
 import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
 import {type Idempotency, createIdempotency} from './idempotency-parts.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
@@ -57,6 +58,7 @@
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			retries: createRetryBudgets(),
+			hedges: createHedgeDelays(),
 			latency: createLatencyHistogram(context),
 		};
 		const endings = [
--- /dev/null
+++ b/packages/node/src/exchange-attempt.ts
@@ -0,0 +1,115 @@
+/** One attempt of an exchange at a selected target, and what later choices learn from it. */
+import type {Target} from '@catkindale/policy';
+import type {CallerBody} from './caller-body.js';
+import type {EntryParts, Exchange, ExchangeSignals} from './exchange.js';
+import {
+	type Attempt, type ForwardOutcome, type LossCause, startAttempt,
+} from './forward.js';
+import {getForwardHeaders} from './request-headers.js';
+import type {AttemptResult, Selection} from './target-selector.js';
+
+export type AttemptParts = {
+	readonly selection: Selection & {readonly kind: 'selected'};
+	readonly body: CallerBody;
+	readonly signals: ExchangeSignals;
+	/** Runs when the answer begins to stream to the caller. */
+	readonly onClaim?: () => void;
+};
+
+export type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
+
+export type RunningAttempt = {
+	readonly done: Promise<AttemptRecord>;
+	readonly abort: (cause: LossCause) => void;
+};
+
+const firstFailureStatus = 500;
+
+export function beginAttempt(parts: EntryParts, exchange: Exchange, attemptParts: AttemptParts): RunningAttempt {
+	const attempt = attemptParts.signals.selection.aborted ? undefined : start(parts, exchange, attemptParts);
+	return {
+		done: finishAttempt(parts, exchange, attemptParts, attempt),
+		abort(cause) {
+			attempt?.abort(cause);
+		},
+	};
+}
+
+async function finishAttempt(parts: EntryParts, exchange: Exchange, {selection, signals}: AttemptParts, attempt: Attempt | undefined): Promise<AttemptRecord> {
+	const {clock, bus} = parts.context;
+	const {target} = selection;
+	const startedAt = clock.monotonic();
+	const cancel = (): void => {
+		attempt?.abort('caller-gone');
+	};
+
+	signals.attempt.addEventListener('abort', cancel);
+	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller went away'};
+	signals.attempt.removeEventListener('abort', cancel);
+	const result: AttemptResult = {kind: getResultKind(outcome), milliseconds: clock.monotonic() - startedAt};
+	learn(parts, exchange, {target, outcome}, result);
+	selection.finish(result);
+	bus.publish({
+		type: 'attempt-finished', route: exchange.route, target, result,
+	});
+	return {target, outcome};
+}
+
+function learn(parts: EntryParts, {route}: Exchange, {target, outcome}: AttemptRecord, result: AttemptResult): void {
+	if ((outcome.kind === 'answered' || outcome.kind === 'streamed') && outcome.isEchoed) {
+		parts.pools.setEchoing(target);
+	}
+
+	if (result.kind === 'answered') {
+		parts.retries.recordSuccess(route.service);
+		parts.hedges.record(route, result.milliseconds);
+	}
+}
+
+function start(parts: EntryParts, exchange: Exchange, {selection, body, onClaim}: AttemptParts): Attempt {
+	const {request, response, requestId, customer, key} = exchange;
+	const {target} = selection;
+	const deadlineMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
+	return startAttempt({
+		pool: parts.pools.getPool(target),
+		method: request.method ?? 'GET',
+		path: request.url ?? '/',
+		headers: getForwardHeaders(request, {
+			key, requestId, customer: customer?.name, deadlineMilliseconds,
+		}),
+		body: body.open() ?? null,
+		requestId,
+		deadlineMilliseconds,
+		requiresEcho: parts.pools.isEchoing(target),
+		claimResponse() {
+			if (response.headersSent || response.destroyed) {
+				return undefined;
+			}
+
+			onClaim?.();
+			return response;
+		},
+	});
+}
+
+function getResultKind(outcome: ForwardOutcome): AttemptResult['kind'] {
+	switch (outcome.kind) {
+		case 'answered': {
+			return outcome.answer.status >= firstFailureStatus ? 'failed' : 'answered';
+		}
+
+		case 'streamed': {
+			return outcome.status >= firstFailureStatus ? 'failed' : 'answered';
+		}
+
+		case 'shed': {
+			return 'shed';
+		}
+
+		case 'not-sent':
+		case 'lost': {
+			const isTargetsFault = outcome.cause === 'target' || outcome.cause === 'deadline';
+			return isTargetsFault ? outcome.kind : 'cancelled';
+		}
+	}
+}
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -5,20 +5,22 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestOutcome} from '@catkindale/common';
 import {
-	type AttemptEnd, type Customer, type Route, type Target, isRetriable, isRetriableStatus,
+	type AttemptEnd, type Customer, type Route, isRetriable, isRetriableStatus,
 } from '@catkindale/policy';
 import {sendWholeAnswer} from './answer.js';
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import {type Attempt, type ForwardOutcome, startAttempt} from './forward.js';
+import type {AttemptRecord} from './exchange-attempt.js';
+import {runHedged} from './exchange-hedge.js';
+import type {ForwardOutcome} from './forward.js';
+import type {HedgeDelays} from './hedge-delays.js';
 import type {NodeContext} from './node-context.js';
 import {type Problem, sendProblem} from './problem.js';
-import {getForwardHeaders} from './request-headers.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {RoutingTable} from './routing-table.js';
 import type {TargetPools} from './target-pools.js';
-import type {AttemptResult, Selection, TargetSelector} from './target-selector.js';
+import type {Selection, TargetSelector} from './target-selector.js';
 import type {VersionChooser} from './version-chooser.js';
 
 /** What the entry's task owns and each exchange uses. */
@@ -29,6 +31,7 @@
 	readonly pools: TargetPools;
 	readonly versions: VersionChooser;
 	readonly retries: RetryBudgets;
+	readonly hedges: HedgeDelays;
 };
 
 export type Exchange = {
@@ -45,10 +48,7 @@
 	readonly key: string | undefined;
 };
 
-type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
-
 const openCustomer = 'open';
-const firstFailureStatus = 500;
 const retryAfterMilliseconds = 1000;
 const maximumAttempts = 3;
 
@@ -80,28 +80,32 @@
 	let version = parts.versions.choose(route.service) ?? '';
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
+	const select = async (signal: AbortSignal): Promise<Selection> => parts.selector.select({
+		service: route.service,
+		customer: customer?.name ?? openCustomer,
+		class: route.class,
+		deadlineAt: exchange.deadlineAt,
+		candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
+		excluded,
+		signal,
+	});
 	for (;;) {
-		const selection = await parts.selector.select({
-			service: route.service,
-			customer: customer?.name ?? openCustomer,
-			class: route.class,
-			deadlineAt: exchange.deadlineAt,
-			candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
-			excluded,
-			signal: signals.selection,
-		});
+		const selection = await select(signals.selection);
 		if (selection.kind === 'refused') {
 			return getRefusal(selection, records);
 		}
 
-		const outcome = await runAttempt(parts, exchange, {selection, body, signals});
-		records.push({target: selection.target, outcome});
 		excluded.add(selection.target.name);
+		version = parts.versions.chooseForRetry(route.service) ?? '';
+		const ended = await runHedged(parts, exchange, {selection, body, signals}, select);
+		for (const record of ended) {
+			records.push(record);
+			excluded.add(record.target.name);
+		}
+
 		if (!mayRetry(parts, exchange, body, records)) {
 			return getResult(parts, exchange, records);
 		}
-
-		version = parts.versions.chooseForRetry(route.service) ?? '';
 	}
 }
 
@@ -125,58 +129,6 @@
 	}
 }
 
-type AttemptParts = {
-	readonly selection: Selection & {readonly kind: 'selected'};
-	readonly body: CallerBody;
-	readonly signals: ExchangeSignals;
-};
-
-async function runAttempt(parts: EntryParts, exchange: Exchange, {selection, body, signals}: AttemptParts): Promise<ForwardOutcome> {
-	const {clock, bus} = parts.context;
-	const {target} = selection;
-	const startedAt = clock.monotonic();
-	const attempt = signals.selection.aborted ? undefined : start(parts, exchange, target, body);
-	const cancel = (): void => {
-		attempt?.abort('caller-gone');
-	};
-
-	signals.attempt.addEventListener('abort', cancel);
-	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller went away'};
-	signals.attempt.removeEventListener('abort', cancel);
-	if ((outcome.kind === 'answered' || outcome.kind === 'streamed') && outcome.isEchoed) {
-		parts.pools.setEchoing(target);
-	}
-
-	const result: AttemptResult = {kind: getResultKind(outcome), milliseconds: clock.monotonic() - startedAt};
-	if (result.kind === 'answered') {
-		parts.retries.recordSuccess(exchange.route.service);
-	}
-
-	selection.finish(result);
-	bus.publish({
-		type: 'attempt-finished', route: exchange.route, target, result,
-	});
-	return outcome;
-}
-
-function start(parts: EntryParts, exchange: Exchange, target: Target, body: CallerBody): Attempt {
-	const {request, response, requestId, customer, key} = exchange;
-	const deadlineMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
-	return startAttempt({
-		pool: parts.pools.getPool(target),
-		method: request.method ?? 'GET',
-		path: request.url ?? '/',
-		headers: getForwardHeaders(request, {
-			key, requestId, customer: customer?.name, deadlineMilliseconds,
-		}),
-		body: body.open() ?? null,
-		requestId,
-		deadlineMilliseconds,
-		requiresEcho: parts.pools.isEchoing(target),
-		claimResponse: () => response.headersSent || response.destroyed ? undefined : response,
-	});
-}
-
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
 	const end = getAttemptEnd(records.at(-1)!.outcome);
 	return isRetriable(end, exchange.route.idempotent)
@@ -211,28 +163,6 @@
 	}
 }
 
-function getResultKind(outcome: ForwardOutcome): AttemptResult['kind'] {
-	switch (outcome.kind) {
-		case 'answered': {
-			return outcome.answer.status >= firstFailureStatus ? 'failed' : 'answered';
-		}
-
-		case 'streamed': {
-			return outcome.status >= firstFailureStatus ? 'failed' : 'answered';
-		}
-
-		case 'shed': {
-			return 'shed';
-		}
-
-		case 'not-sent':
-		case 'lost': {
-			const isTargetsFault = outcome.cause === 'target' || outcome.cause === 'deadline';
-			return isTargetsFault ? outcome.kind : 'cancelled';
-		}
-	}
-}
-
 /** Whether any attempt may have run; an earlier attempt counts even if the last wasn't sent. */
 function getOutcome(records: readonly AttemptRecord[]): RequestOutcome {
 	const mayHaveRun = records.some(({outcome}) => outcome.kind !== 'not-sent' && outcome.kind !== 'shed');
--- a/packages/node/tests/entry-helpers.ts
+++ b/packages/node/tests/entry-helpers.ts
@@ -183,6 +183,7 @@
 		['POST', '/open-orders', false, true],
 		['PUT', '/receipts/:name', true, true],
 		['GET', '/files/*', true, true],
+		['GET', '/hedged/:airfield', true, true],
 	] as const;
 	const routeLines = routes.map(([method, path, isIdempotent, isOpen]) => `[[routes]]
 service = "pricing"
@@ -190,6 +191,7 @@
 path = "${path}"
 idempotent = ${isIdempotent}
 open = ${isOpen}
+hedge = ${path.startsWith('/hedged')}
 deadlineMilliseconds = 1500`);
 	return `[[regions]]
 name = "oslo"
--- a/packages/node/tests/entry-retries.test.ts
+++ b/packages/node/tests/entry-retries.test.ts
@@ -110,3 +110,27 @@
 	expect(requests).toBe(callersAtOnce);
 	expect(countAttempts()).toBeLessThanOrEqual(requests * largestAmplification);
 });
+
+describe('a hedged route', () => {
+	test('asks a second target when the first is slow, and one answer wins whole', async () => {
+		let isSlow = false;
+		let asked = 0;
+		targets = await Promise.all([1, 2, 3].map(async () => startRawTarget(({socket, requestId}) => {
+			asked += 1;
+			const answer = `${ok}catkindale-request-id: ${requestId}\r\ncontent-length: 2\r\n\r\nok`;
+			if (!isSlow || asked > 1) {
+				socket.write(answer);
+			}
+		})));
+		entry = await startEntry(targets.map(target => target.address));
+		for (let index = 0; index < 60; index++) {
+			const answer = await request(`${entry.url}/hedged/a`);
+			await answer.body.dump();
+		}
+
+		isSlow = true;
+		asked = 0;
+		const answer = await request(`${entry.url}/hedged/a`);
+		expect([answer.statusCode, await answer.body.text(), asked]).toEqual([200, 'ok', 2]);
+	});
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -10,6 +10,7 @@
 export * from './evidence.js';
 export * from './evidence-test.js';
 export * from './member.js';
+export * from './latency-quantile.js';
 export * from './retry-budget.js';
 export * from './rollout-decision.js';
 export * from './rollout-follower.js';
