Measure retry budget against fixed attempts, and tickets against rows

catkindale bench retries: attempts per request and share served by share of failing attempts. catkindale bench at-most-once: a ticket's time and memory beside a row for every request at the deployments' distances.

--- /dev/null
+++ b/packages/cli/src/bench-at-most-once.ts
@@ -0,0 +1,118 @@
+/** What at most once costs: a ticket's time and memory, beside a row for every request at both deployments' distances to the table. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import process from 'node:process';
+import {systemClock} from '@catkindale/common';
+import {
+	type ExchangeResult, type IdempotencyGuard, createIdempotencyClaims, createIdempotencyGuard, createTicketClock, createTicketHeirs, createTicketPrefix,
+} from '@catkindale/node';
+import type {Row, TableService} from '@catkindale/platform';
+import {type TicketMemory, createTicketMemory, defaultTicketMemoryLimits} from '@catkindale/policy';
+import {registerBench} from './bench-registry.js';
+
+const secret = 'secret-of-the-measured-fleet';
+const customers = ['wideroe', 'nordavia'];
+const incarnation = 'first';
+const microsecondsPerMillisecond = 1000;
+const rowRequests = 200;
+const tableWritesPerSecond = 300;
+const writesPerClaim = 2;
+const distances = [
+	{name: 'same zone', oneWayMilliseconds: 0.5},
+	{name: 'Fjordvik, other region', oneWayMilliseconds: 12},
+	{name: 'Mahlzeit, other region', oneWayMilliseconds: 55},
+];
+
+registerBench({
+	name: 'at-most-once',
+	describe: 'time and memory of a ticket, beside a row for every request',
+	async run({print}) {
+		const count = defaultTicketMemoryLimits.requests - 1;
+		const memory = createTicketMemory();
+		const guard = createGuard(createDistantTable(0), memory);
+		const prefix = createTicketPrefix(secret, {home: 'oslo-1', incarnation, issuedAt: Date.now()});
+		const before = getHeapBytes();
+		const startedAt = performance.now();
+		for (let index = 0; index < count; index++) {
+			await runOnce(guard, `${prefix}${index}`, index);
+		}
+
+		const microseconds = (performance.now() - startedAt) * microsecondsPerMillisecond / count;
+		const bytes = (getHeapBytes() - before) / count;
+		print(`ticket: ${microseconds.toFixed(1)} microseconds and ${bytes.toFixed(0)} bytes of heap each, ${memory.getSize()} remembered, no table write`);
+		for (const {name, oneWayMilliseconds} of distances) {
+			const added = await measureRows(oneWayMilliseconds);
+			print(`row for every request, ${name}: ${added.toFixed(1)} ms before dispatch, ${writesPerClaim} table writes each`);
+		}
+
+		print(`at ${tableWritesPerSecond} table writes/s, rows allow ${tableWritesPerSecond / writesPerClaim} requests/s in the whole fleet`);
+		return true;
+	},
+});
+
+async function measureRows(oneWayMilliseconds: number): Promise<number> {
+	const guard = createGuard(createDistantTable(oneWayMilliseconds), createTicketMemory());
+	const startedAt = performance.now();
+	const dispatched: number[] = [];
+	await Promise.all(Array.from({length: rowRequests}, async (_, index) => runOnce(guard, `opaque-${index}`, index, () => {
+		dispatched.push(performance.now() - startedAt);
+	})));
+	const sorted = dispatched.toSorted((left, right) => left - right);
+	return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+async function runOnce(guard: IdempotencyGuard, key: string, index: number, onRun?: () => void): Promise<ExchangeResult> {
+	return guard.runOnce({
+		key,
+		customer: customers[index % customers.length] ?? '',
+		fingerprint: 'fingerprint',
+		waitMilliseconds: 1000,
+		isHop: false,
+		async run() {
+			onRun?.();
+			return {kind: 'streamed', status: 200};
+		},
+		hop: async () => undefined,
+	});
+}
+
+function createGuard(table: TableService, memory: TicketMemory): IdempotencyGuard {
+	const claims = createIdempotencyClaims({
+		table, node: 'oslo-1', incarnation, getTime: () => '',
+	});
+	return createIdempotencyGuard({
+		node: 'oslo-1', incarnation, secret, clock: systemClock, memory, claims, heirs: createTicketHeirs(systemClock),
+	}, createTicketClock(systemClock));
+}
+
+/** A table that answers without work of its own after the way there and back. */
+function createDistantTable(oneWayMilliseconds: number): TableService {
+	const rows = new Map<string, Row>();
+	return {
+		async get(key) {
+			await delay(oneWayMilliseconds * 2);
+			return {kind: 'done', value: rows.get(key)};
+		},
+		list: async () => ({kind: 'done', value: []}),
+		async transact(changeId, writes) {
+			await delay(oneWayMilliseconds * 2);
+			const written = writes.map(({key, expectedVersion, value}) => ({
+				key, version: expectedVersion + 1, changeId, value,
+			}));
+			for (const row of written) {
+				rows.set(row.key, row);
+			}
+
+			return {kind: 'done', value: written};
+		},
+		close: async () => undefined,
+	};
+}
+
+function getHeapBytes(): number {
+	setFlagsFromString('--expose-gc');
+	const collect = runInNewContext('gc') as () => void;
+	collect();
+	return process.memoryUsage().heapUsed;
+}
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -6,3 +6,5 @@
 import './bench-costs.js';
 import './bench-overhead.js';
 import './bench-load-simulated.js';
+import './bench-retries.js';
+import './bench-at-most-once.js';
