Give leaving targets no new work, however their leaving is learnt

A target that the platform's list shows as leaving, or that says so in its own answer (Catkindale-Draining: true), counts as drained on every node within 3 s; its word is spread from node to node. Shown failing first with the message to the configuration switched off: both kinds of targets went on getting work; operators' drains passed already. Requests in flight finish.

--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -5,6 +5,7 @@
 export const headerNames = {
 	customer: 'catkindale-customer',
 	deadline: 'catkindale-deadline',
+	draining: 'catkindale-draining',
 	outcome: 'catkindale-outcome',
 	requestId: 'catkindale-request-id',
 } as const;
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -173,6 +173,9 @@
 		requestId,
 		deadlineMilliseconds,
 		requiresEcho: parts.pools.isEchoing(target),
+		onLeaving() {
+			parts.context.bus.publish({type: 'target-leaving-seen', target: target.name});
+		},
 		claimResponse: () => response.headersSent || response.destroyed ? undefined : response,
 	});
 }
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -26,6 +26,8 @@
 	readonly requiresEcho: boolean;
 	/** Whether another entry answers, whose word on the outcome is passed on. */
 	readonly isPeer?: boolean;
+	/** Called when the target's answer says that it is leaving. */
+	readonly onLeaving?: () => void;
 	/** Gives the caller's response for a streamed answer; undefined if another attempt has it. */
 	readonly claimResponse: () => ServerResponse | undefined;
 };
@@ -151,6 +153,10 @@
 			return;
 		}
 
+		if (read(headerNames.draining) === 'true' && echoed !== undefined) {
+			options.onLeaving?.();
+		}
+
 		// Only an answer that is surely this request's own may say that it didn't run.
 		const outcome = read(headerNames.outcome);
 		if (outcome === 'not-run' && echoed !== undefined && !options.isPeer) {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -20,6 +20,7 @@
 import './directory-plugin.js';
 import './entry-plugin.js';
 import './freshness-plugin.js';
+import './leaving-targets-plugin.js';
 import './machine-list-plugin.js';
 import './membership-plugin.js';
 import './mesh-plugin.js';
@@ -27,7 +28,6 @@
 import './planned-stop-plugin.js';
 import './restriction-plugin.js';
 import './rollout-plugin.js';
-import './restriction-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
--- a/packages/standins/src/target-standin.ts
+++ b/packages/standins/src/target-standin.ts
@@ -21,6 +21,8 @@
 	failureShare: z.number().min(0).max(1).default(0),
 	cutShare: z.number().min(0).max(1).default(0),
 	crossedShare: z.number().min(0).max(1).default(0),
+	/** Whether each answer says that the target is leaving. */
+	isDraining: z.boolean().default(false),
 	/** What `/health` reports in place of the truth. */
 	reportedLoad: z.number().min(0).optional(),
 });
@@ -131,6 +133,10 @@
 	const {behaviour, draw, url} = options;
 	const requestId = String(request.headers['catkindale-request-id'] ?? '');
 	response.setHeader('catkindale-request-id', draw() < behaviour.crossedShare ? 'another-request' : requestId);
+	if (behaviour.isDraining) {
+		response.setHeader('catkindale-draining', 'true');
+	}
+
 	if (draw() < behaviour.failureShare) {
 		sendJson(response, statusFailed, {reason: 'internal failure'});
 		return;
