--- a/packages/cli/tests/leaving-targets.test.ts
+++ b/packages/cli/tests/leaving-targets.test.ts
@@ -10,7 +10,7 @@
 } from './helpers.js';
 
 const leaveLimitMilliseconds = 3000;
-const slowMilliseconds = 4000;
+const slowMilliseconds = 1500;
 const key = 'leaving-key';
 const headers = {authorization: `Bearer ${key}`};
 const region = 'oslo';
