--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,8 +1,9 @@
 /** Loads every randomised run, so that it registers itself. */
-import './verification-quotas.js';
-import './verification-token-bucket.js';
+import './verification-at-most-once.js';
+import './verification-configuration.js';
 import './verification-fairness.js';
+import './verification-quotas.js';
+import './verification-retry-budget.js';
 import './verification-rollouts.js';
 import './verification-target-choice.js';
-import './verification-at-most-once.js';
-import './verification-retry-budget.js';
+import './verification-token-bucket.js';
