Take bad versions back sooner: threshold by requests seen, longer first share

The threshold was that of 100,000 requests from the first one on; it now grows with the requests seen. The first share of 1% lasts 16% of the time in place of 8%, so that instances are warm and judged before the share rises.

--- a/packages/policy/src/evidence-test.ts
+++ b/packages/policy/src/evidence-test.ts
@@ -4,18 +4,19 @@
  * ratios per route. The sum forgets good times, so that a version that turns
  * bad late is found as fast as one that is bad at once.
  *
- * Source: Page, "Continuous inspection schemes", Biometrika 41, 1954. With a
- * threshold h the sum passes it by chance within n requests with a
- * probability of at most n x exp(-h) (Lorden, Annals of Statistics 42, 1971).
+ * Source: Page, "Continuous inspection schemes", Biometrika 41, 1954. A sum
+ * that starts anew at request n passes the threshold h by chance with a
+ * probability of at most exp(-h) (Lorden, Annals of Statistics 42, 1971). The
+ * threshold grows as the logarithm of n, so that few requests decide early and
+ * the false alarms of a long rollout stay within the budget x ln(n / first).
  */
 import {
 	type EvidenceCounts, type RouteEvidence, addEvidence, countAnswers, countSlower, createEvidenceCounts, latencyBounds, scaleEvidence,
 } from './evidence.js';
 
-/** The chance of a false alarm per sum over the requests below. */
-const falseAlarmBudget = 0.001;
-const budgetedRequests = 100_000;
-const threshold = Math.log(budgetedRequests / falseAlarmBudget);
+/** The chance of a false alarm per sum and e-fold growth of the number of requests. */
+const falseAlarmBudget = 0.0003;
+const firstRequests = 100;
 
 /** How much of the old version's evidence is kept from slice to slice, once there is enough. */
 const baselineRetention = 0.98;
@@ -48,34 +49,43 @@
 	readonly baseline: EvidenceCounts;
 	/** One sum for each alternative. */
 	readonly sums: readonly number[];
+	/** Requests of the new version so far. */
+	readonly requests: number;
 };
 
 type Trial = {readonly requests: number; readonly bad: number; readonly expectedRate: number};
 
 export function createEvidenceTest(): EvidenceTest {
-	return {baseline: createEvidenceCounts(), sums: alternatives.map(() => 0)};
+	return {baseline: createEvidenceCounts(), sums: alternatives.map(() => 0), requests: 0};
 }
 
 /** Takes in what came in since the last slice. */
 export function updateEvidenceTest(test: EvidenceTest, slice: RouteEvidence): EvidenceTest {
 	const baseline = updateBaseline(test.baseline, slice.from);
 	const trials = {failures: getFailureTrial(baseline, slice.to), slow: getSlowTrial(baseline, slice.to)};
+	const requests = test.requests + slice.to.requests;
+	const threshold = getThreshold(requests);
 	const sums = alternatives.map((alternative, index) => {
 		const step = getLogLikelihoodRatio(trials[alternative.kind], alternative.excess);
 		return Math.max(0, (test.sums[index] ?? 0) + Math.min(step, threshold * alternative.largestPartPerSlice));
 	});
-	return {baseline, sums};
+	return {baseline, sums, requests};
 }
 
 /** Which trouble was found; undefined while there is none. */
 export function getBadness(test: EvidenceTest): Alternative['kind'] | undefined {
+	const threshold = getThreshold(test.requests);
 	const index = test.sums.findIndex(sum => sum >= threshold);
 	return alternatives[index]?.kind;
 }
 
 /** How near the test is to its alarm, from 0 to 1. */
 export function getSuspicion(test: EvidenceTest): number {
-	return Math.min(1, Math.max(...test.sums) / threshold);
+	return Math.min(1, Math.max(...test.sums) / getThreshold(test.requests));
+}
+
+function getThreshold(requests: number): number {
+	return Math.log((requests + firstRequests) / falseAlarmBudget);
 }
 
 function updateBaseline(baseline: EvidenceCounts, added: EvidenceCounts): EvidenceCounts {
--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -14,7 +14,7 @@
 const roundingTolerance = 1e-9;
 
 /** Parts of the time from the start to the deadline. */
-const watchStartsAt = 0.08;
+const watchStartsAt = 0.16;
 const latestRiseStartsAt = 0.6;
 const earliestRiseStartsAt = 0.2;
 const completionAt = 0.85;
