--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,4 +8,13 @@
 export type {AttemptResult} from './target-selector.js';
 export * from './version-chooser.js';
 export {createMembership} from './membership.js';
-export {createNodeQuotas} from './node-quotas.js';
+export {type NodeQuotas, createNodeQuotas} from './node-quotas.js';
+export type {NodeMessage} from './node-messages.js';
+export {createRoutingTable} from './routing-table.js';
+export {createIdempotencyClaims} from './idempotency-claims.js';
+export {
+	type IdempotencyGuard, type OnceRequest, createIdempotencyGuard, createTicketClock,
+} from './idempotency-guard.js';
+export {type ExchangeResult, createProblemResult} from './exchange-result.js';
+export {type HandoverPart, createTicketHeirs} from './ticket-heirs.js';
+export {createTicketPrefix, parseIdempotencyKey} from './ticket-prefix.js';
--- a/packages/policy/src/region-targets.ts
+++ b/packages/policy/src/region-targets.ts
@@ -2,10 +2,11 @@
  * The targets of one pool in one region: which of them have a free slot, in an
  * array from which a random one is drawn in constant time, and sums over all.
  */
+import type {PrioritizedItem} from './priority-queue.js';
 import type {RegionSpill} from './region-spill.js';
 import type {Attempt, TargetHealth} from './target-health.js';
 
-export type Candidate = {
+export type Candidate = PrioritizedItem & {
 	readonly name: string;
 	readonly region: RegionTargets;
 	health: TargetHealth;
@@ -33,6 +34,8 @@
 	cutOff: number;
 	/** Moving average over the answers of all targets. */
 	usualLatency: number | undefined;
+	/** Moving average of how far the answers are from the usual latency. */
+	latencyDeviation: number;
 	/** Moving average over the attempts at all targets. */
 	failureShare: number;
 	spill: RegionSpill;
@@ -42,13 +45,13 @@
 
 export function createRegionTargets(name: string, spill: RegionSpill): RegionTargets {
 	return {
-		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, failureShare: 0, spill,
+		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, latencyDeviation: 0, failureShare: 0, spill,
 	};
 }
 
 export function createCandidate(name: string, region: RegionTargets, health: TargetHealth): Candidate {
 	return {
-		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1,
+		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1, heapPosition: -1,
 	};
 }
 
@@ -81,6 +84,7 @@
 	region.failureShare += observationWeight * (failed - region.failureShare);
 	if (attempt.kind === 'answered') {
 		const usual = region.usualLatency ?? attempt.milliseconds;
+		region.latencyDeviation += observationWeight * (Math.abs(attempt.milliseconds - usual) - region.latencyDeviation);
 		region.usualLatency = usual + (observationWeight * (attempt.milliseconds - usual));
 	}
 }
