Serve a request by the old version where the new one has no free slot

A rollout's first share goes to one instance, of which most nodes hold no slot: such a request was refused although the old version could take it. A refused selection sends nothing, so any request may go on to the settled version; it waits at most 50 ms for the one on trial.

--- a/packages/cli/tests/rollout.test.ts
+++ b/packages/cli/tests/rollout.test.ts
@@ -15,6 +15,7 @@
 const callersPerNode = 3;
 const callPauseMilliseconds = 15;
 const slots = 60;
+const callsAtFirstShare = 1000;
 const testTimeoutMilliseconds = 40_000;
 /** From the halt on sight to the last request of a bad version. */
 const largestTailMilliseconds = 3000;
@@ -43,11 +44,15 @@
 	return {oldTarget, newTarget};
 }
 
-async function applyRollout(name: string, targets: {oldTarget: string; newTarget: string}): Promise<void> {
-	const place = {region: 'oslo', zone: 'oslo-a', slots};
+async function applyRollout(name: string, targets: {oldTarget: string; newTarget: string}, newSlots = slots): Promise<void> {
+	const place = {region: 'oslo', zone: 'oslo-a'};
 	const manifest = getManifest(regions, [
-		{name: `${name}-old`, address: targets.oldTarget, ...place},
-		{name: `${name}-new`, address: targets.newTarget, ...place},
+		{
+			name: `${name}-old`, address: targets.oldTarget, ...place, slots,
+		},
+		{
+			name: `${name}-new`, address: targets.newTarget, ...place, slots: newSlots,
+		},
 	], key).replace(/(name = "\S+-new"\nservice = "pricing"\nversion = )"1"/v, '$1"2"');
 	const deadline = new Date(Date.now() + deadlineMilliseconds).toISOString();
 	const rollout = `[[rollouts]]\nname = "${name}"\nservice = "pricing"\nfrom = "1"\nto = "2"\ndeadline = "${deadline}"\n`;
@@ -131,6 +136,17 @@
 	await load.stop();
 }, testTimeoutMilliseconds);
 
+test('a request finds the old version where the node holds no slot of the new one', async () => {
+	const targets = await startVersions({});
+	await applyRollout('narrow', targets, 1);
+	await waitForPhase('narrow', ['running']);
+	const load = startLoad();
+	await waitForCalls(load, callsAtFirstShare);
+	await load.stop();
+	expect(await countReceived(targets.newTarget)).toBeGreaterThan(0);
+	expect(load.failures()).toBe(0);
+}, testTimeoutMilliseconds);
+
 test('an operator halts and resumes', async () => {
 	const targets = await startVersions({});
 	await applyRollout('stopped', targets);
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -47,6 +47,8 @@
 
 type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
 
+const longestTrialWaitPart = 0.1;
+const longestTrialWaitMilliseconds = 50;
 const openCustomer = 'open';
 const firstFailureStatus = 500;
 const retryAfterMilliseconds = 1000;
@@ -81,15 +83,23 @@
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
 	for (;;) {
+		const settled = parts.versions.chooseForRetry(route.service) ?? '';
+		const isOnTrial = version !== settled;
 		const selection = await parts.selector.select({
 			service: route.service,
 			customer: customer?.name ?? openCustomer,
 			class: route.class,
-			deadlineAt: exchange.deadlineAt,
+			deadlineAt: isOnTrial ? getTrialDeadline(parts, exchange) : exchange.deadlineAt,
 			candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 			excluded,
 			signal: signals.selection,
 		});
+		if (selection.kind === 'refused' && isOnTrial && selection.reason !== 'cancelled') {
+			// Nothing was sent, so that any request may go to the settled version instead.
+			version = settled;
+			continue;
+		}
+
 		if (selection.kind === 'refused') {
 			return getRefusal(selection, records);
 		}
@@ -105,6 +115,12 @@
 	}
 }
 
+/** A request waits for the version on trial only so long that it can still go elsewhere. */
+function getTrialDeadline(parts: EntryParts, exchange: Exchange): number {
+	const now = parts.context.clock.monotonic();
+	return now + Math.min(longestTrialWaitMilliseconds, (exchange.deadlineAt - now) * longestTrialWaitPart);
+}
+
 /** Tells the caller what became of the request; a streamed answer is told already. */
 export function tellResult(exchange: Exchange, result: ExchangeResult): void {
 	switch (result.kind) {
