--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -48,6 +48,8 @@
 	readonly key: string | undefined;
 };
 
+const longestTrialWaitPart = 0.1;
+const longestTrialWaitMilliseconds = 50;
 const openCustomer = 'open';
 const retryAfterMilliseconds = 1000;
 const maximumAttempts = 3;
@@ -80,17 +82,25 @@
 	let version = parts.versions.choose(route.service) ?? '';
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
-	const select = async (signal: AbortSignal): Promise<Selection> => parts.selector.select({
+	const select = async (signal: AbortSignal, deadlineAt = exchange.deadlineAt): Promise<Selection> => parts.selector.select({
 		service: route.service,
 		customer: customer?.name ?? openCustomer,
 		class: route.class,
-		deadlineAt: exchange.deadlineAt,
+		deadlineAt,
 		candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 		excluded,
 		signal,
 	});
 	for (;;) {
-		const selection = await select(signals.selection);
+		const settled = parts.versions.chooseForRetry(route.service) ?? '';
+		const isOnTrial = version !== settled;
+		const selection = await select(signals.selection, isOnTrial ? getTrialDeadline(parts, exchange) : exchange.deadlineAt);
+		if (selection.kind === 'refused' && isOnTrial && selection.reason !== 'cancelled') {
+			// Nothing was sent, so that any request may go to the settled version instead.
+			version = settled;
+			continue;
+		}
+
 		if (selection.kind === 'refused') {
 			return getRefusal(selection, records);
 		}
@@ -109,6 +119,12 @@
 	}
 }
 
+/** A request waits for the version on trial only so long that it can still go elsewhere. */
+function getTrialDeadline(parts: EntryParts, exchange: Exchange): number {
+	const now = parts.context.clock.monotonic();
+	return now + Math.min(longestTrialWaitMilliseconds, (exchange.deadlineAt - now) * longestTrialWaitPart);
+}
+
 /** Tells the caller what became of the request; a streamed answer is told already. */
 export function tellResult(exchange: Exchange, result: ExchangeResult): void {
 	switch (result.kind) {
