--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -6,7 +6,5 @@
 import './verification-retry-budget.js';
 import './verification-rollouts.js';
 import './verification-target-choice.js';
-import './verification-at-most-once.js';
-import './verification-retry-budget.js';
 import './verification-shifts.js';
 import './verification-token-bucket.js';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -31,7 +31,6 @@
 export * from './customer-floors.js';
 export * from './ledger.js';
 export * from './ledger-view.js';
-export * from './member.js';
 export * from './name-rank.js';
 export * from './pause-guard.js';
 export * from './slot-floors.js';
