--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -20,12 +20,15 @@
 import './directory-plugin.js';
 import './entry-plugin.js';
 import './freshness-plugin.js';
+import './leaving-targets-plugin.js';
 import './machine-list-plugin.js';
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
-import './rollout-plugin.js';
+import './planned-stop-plugin.js';
 import './restriction-plugin.js';
+import './rollout-plugin.js';
+import './shift-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
