--- a/packages/policy/src/ledger-view.ts
+++ b/packages/policy/src/ledger-view.ts
@@ -239,16 +239,17 @@
 
 /** Notes since when every live member has known of each fence, and this node of each expiry. */
 function updateFences(view: LedgerView, now: number): LedgerView {
-	if (view.ledger.members.every(member => isLive(member))) {
-		return view.fencesKnownAt.size === 0 ? view : {...view, fencesKnownAt: new Map()};
+	const gone = view.ledger.members.filter(member => !isLive(member));
+	const keys = gone.map(member => `${member.standing.kind} ${member.incarnation}`);
+	if (keys.length === view.fencesKnownAt.size && keys.every(key => view.fencesKnownAt.has(key))) {
+		return view;
 	}
 
-	const fencesKnownAt = new Map<string, number>();
 	const lowestEpoch = Math.min(view.ledger.epoch, ...getLivePeers(view).map(member => view.peers.get(member.incarnation)?.mark.epoch ?? 0));
-	for (const {incarnation, standing} of view.ledger.members) {
-		const isKnown = standing.kind === 'expired' || (standing.kind === 'fenced' && lowestEpoch >= standing.epoch);
-		if (isKnown) {
-			const key = `${standing.kind} ${incarnation}`;
+	const fencesKnownAt = new Map<string, number>();
+	for (const [index, {standing}] of gone.entries()) {
+		if (standing.kind === 'expired' || (standing.kind === 'fenced' && lowestEpoch >= standing.epoch)) {
+			const key = keys[index]!;
 			fencesKnownAt.set(key, view.fencesKnownAt.get(key) ?? now);
 		}
 	}
