--- a/packages/policy/src/customer-floors.ts
+++ b/packages/policy/src/customer-floors.ts
@@ -5,7 +5,7 @@
  */
 import type {Customer} from './configuration.js';
 import type {Holder} from './ledger.js';
-import {rankByName} from './name-rank.js';
+import {findBestByName, rankByName, rankFirstByName} from './name-rank.js';
 
 /** What a node may give out without asking: requests per second, and at once. */
 export type RequestFloor = {readonly rate: number; readonly burst: number};
@@ -21,14 +21,14 @@
 
 /** The members that hold the customer's floors, best first; look-ups send its callers to these. */
 export function getCustomerMembers<Member extends Place>(customer: Customer, members: readonly Member[]): Member[] {
-	const ranked = rankByName(customer.name, members);
 	const wanted = Math.min(customer.burst / leastBurstPerMember, customer.rate / leastRatePerMember);
-	const count = Math.min(ranked.length, Math.max(leastMembers, Math.floor(wanted)));
-	const chosen = ranked.slice(0, count);
-	const first = chosen[0];
-	const other = ranked.find(member => member.region !== first?.region);
-	if (other && chosen.every(member => member.region === first?.region)) {
-		chosen[chosen.length - 1] = other;
+	const count = Math.min(members.length, Math.max(leastMembers, Math.floor(wanted)));
+	const isFew = count * 4 < members.length;
+	const chosen = isFew ? rankFirstByName(customer.name, members, count) : rankByName(customer.name, members).slice(0, count);
+	const region = chosen[0]?.region;
+	if (chosen.length > 1 && chosen.every(member => member.region === region)) {
+		const other = findBestByName(customer.name, members, member => member.region !== region);
+		chosen[chosen.length - 1] = other ?? chosen.at(-1)!;
 	}
 
 	return chosen;
--- a/packages/policy/src/name-rank.ts
+++ b/packages/policy/src/name-rank.ts
@@ -55,6 +55,34 @@
 	return best.map(({member}) => member);
 }
 
+/** The best-ranked member that is wanted. */
+export function findBestByName<Member extends {readonly id: string}>(name: string, members: readonly Member[], isWanted: (member: Member) => boolean): Member | undefined {
+	const hashes = getMemberHashes(members);
+	const nameHash = hashName(name);
+	let best: {readonly member: Member; readonly score: number} | undefined;
+	for (const [index, member] of members.entries()) {
+		const candidate = {member, score: combine(nameHash, hashes[index]!)};
+		if (isWanted(member) && (!best || isRankedBefore(candidate, best))) {
+			best = candidate;
+		}
+	}
+
+	return best?.member;
+}
+
+/** How many members are preferred to the one at the index. */
+export function getRankByName(name: string, members: ReadonlyArray<{readonly id: string}>, index: number): number {
+	const hashes = getMemberHashes(members);
+	const nameHash = hashName(name);
+	const own = {member: members[index]!, score: combine(nameHash, hashes[index]!)};
+	let rank = 0;
+	for (const [other, member] of members.entries()) {
+		rank += isRankedBefore({member, score: combine(nameHash, hashes[other]!)}, own) ? 1 : 0;
+	}
+
+	return rank;
+}
+
 type Scored = {readonly member: {readonly id: string}; readonly score: number};
 
 function isRankedBefore(left: Scored, right: Scored): boolean {
--- a/packages/policy/src/slot-floors.ts
+++ b/packages/policy/src/slot-floors.ts
@@ -5,21 +5,25 @@
 import type {Target} from './configuration.js';
 import {getWholeShare} from './customer-floors.js';
 import type {Holder} from './ledger.js';
-import {rankByName} from './name-rank.js';
+import {getRankByName, rankByName} from './name-rank.js';
 
 const holdersByRegion = new WeakMap<readonly Holder[], Map<string, readonly Holder[]>>();
 
 /** How many of the target's slots the incarnation may use without asking. */
 export function getSlotFloor(target: Target, incarnation: string, holders: readonly Holder[]): number {
-	const ranked = getSlotHolders(target, holders);
-	const rank = ranked.findIndex(holder => holder.incarnation === incarnation);
-	return rank === -1 ? 0 : getWholeShare(target.slots, ranked.length, rank);
+	const sharers = getSharers(target.region, holders);
+	const index = sharers.findIndex(holder => holder.incarnation === incarnation);
+	return index === -1 ? 0 : getWholeShare(target.slots, sharers.length, getRankByName(target.name, sharers, index));
 }
 
 /** The holders of the target's slots, the largest shares first. */
 export function getSlotHolders(target: Target, holders: readonly Holder[]): Holder[] {
-	const local = getRegionHolders(target.region, holders);
-	return rankByName(target.name, local.length > 0 ? local : holders);
+	return rankByName(target.name, getSharers(target.region, holders));
+}
+
+function getSharers(region: string, holders: readonly Holder[]): readonly Holder[] {
+	const local = getRegionHolders(region, holders);
+	return local.length > 0 ? local : holders;
 }
 
 function getRegionHolders(region: string, holders: readonly Holder[]): readonly Holder[] {
--- /dev/null
+++ b/packages/policy/tests/quota-floors.test.ts
@@ -0,0 +1,56 @@
+/** Floors: whole numbers that add up to the limit, on members of two regions. */
+import {expect, test} from 'vitest';
+import {
+	type Customer, type Holder, type Target, getCustomerMembers, getRequestFloor, getSlotFloor,
+} from '../src/index.js';
+
+const regions = ['ost', 'sued', 'west'];
+
+function createHolders(count: number): Holder[] {
+	return Array.from({length: count}, (_, index) => ({
+		id: `node-${index}`, incarnation: `run-${index}`, region: regions[index % regions.length]!, zone: 'a',
+	}));
+}
+
+function createTarget(slots: number, region: string): Target {
+	return {
+		name: 'status-1', service: 'status', version: '1', region, zone: 'a', address: '10.0.0.1:80', slots,
+	};
+}
+
+const holders = createHolders(12);
+
+test.each<Customer & {readonly members: number}>([
+	{
+		name: 'school', rate: 5, burst: 5, members: 2,
+	},
+	{
+		name: 'single', rate: 1, burst: 1, members: 2,
+	},
+	{
+		name: 'kiel', rate: 50, burst: 100, members: 2,
+	},
+	{
+		name: 'kommune', rate: 400, burst: 600, members: 8,
+	},
+	{
+		name: 'all', rate: 10_000, burst: 10_000, members: 12,
+	},
+])('customer $name sits on $members members and its floors add up to its limits', customer => {
+	const members = getCustomerMembers(customer, holders);
+	const floors = holders.map(holder => getRequestFloor(customer, holder.incarnation, holders));
+	expect(members).toHaveLength(customer.members);
+	expect(new Set(members.map(member => member.region)).size).toBeGreaterThan(1);
+	expect(floors.reduce((sum, floor) => sum + floor.burst, 0)).toBe(customer.burst);
+	expect(floors.reduce((sum, floor) => sum + floor.rate, 0)).toBeCloseTo(customer.rate);
+	expect(floors.every(floor => Number.isInteger(floor.burst))).toBe(true);
+});
+
+test.each([
+	{name: 'its own region', region: 'ost', holding: 4},
+	{name: 'the fleet if its region has none', region: 'nord', holding: 5},
+])('slots of a target go to $name', ({region, holding}) => {
+	const floors = holders.map(holder => getSlotFloor(createTarget(5, region), holder.incarnation, holders));
+	expect(floors.reduce((sum, floor) => sum + floor, 0)).toBe(5);
+	expect(floors.filter(floor => floor > 0)).toHaveLength(holding);
+});
