Finish requests whose callers left before a planned stop, and refuse repeated ones truly

A request with an Idempotency-Key runs on when its caller goes away, but a stop waited for connections only and cut it: the repetition was told `unknown`. The stop now waits for what runs (within the grace time). Seen failing with the wait taken out of the build (409 in place of 200).

A request with a ticket that is refused before its outcome is looked up (no tokens left, stale knowledge) is `not-run` only if its home knows that it never ran; else `unknown`. A refused request without a body keeps its connection. The rest of a shed answer is read for at most a second.

--- a/packages/cli/tests/at-most-once.test.ts
+++ b/packages/cli/tests/at-most-once.test.ts
@@ -160,6 +160,22 @@
 });
 
 describe('a home entry that is stopped as planned', () => {
+	test('lets a request finish whose caller went away', async () => {
+		await behave({serviceMilliseconds: slowMilliseconds});
+		const home = takeVictim();
+		const key = await createKey('ticket', home);
+		const leaving = new AbortController();
+		const first = send(home, key, leaving.signal);
+		await delay(slowMilliseconds / 3);
+		leaving.abort();
+		await expect(first).rejects.toThrow();
+		home.signal('SIGTERM');
+		expect(await home.exit()).toBe(0);
+		expect(await order(nodes[0]!, key)).toMatchObject({status: 200, outcome: 'ran'});
+		await behave({serviceMilliseconds: quickMilliseconds});
+		expect(await getRuns(key)).toBe(1);
+	}, 60_000);
+
 	test('leaves its outcomes to a neighbour', async () => {
 		const home = takeVictim();
 		const [used, unused] = [await createKey('ticket', home), await createKey('ticket', home)];
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -104,7 +104,7 @@
 	});
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
-			sendProblem(response, checked.problem, requestId);
+			sendProblem(response, state.idempotency.getRefusal(request, checked.problem), requestId);
 		}
 
 		return;
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -64,6 +64,8 @@
 
 /** Answers up to this size are sent only when they are whole. */
 export const maximumHeldAnswerBytes = 65_536;
+/** How long the rest of a refusal is read, so that its connection can be used again. */
+const discardMilliseconds = 1000;
 const firstFinalStatus = 200;
 const bodyFailureCauses = {'too-large': 'body-too-large', 'too-slow': 'body-too-slow', 'caller-gone': 'caller-gone'} as const;
 
@@ -77,6 +79,11 @@
 	let isSettled = false;
 	let answer: AnswerState = {kind: 'waiting'};
 
+	let discardTimer: NodeJS.Timeout | undefined;
+	const endDiscarded = (): void => {
+		controller?.abort(new AttemptAbort('target', 'the rest of the answer isn\'t needed'));
+	};
+
 	const settle = (result: ForwardOutcome): void => {
 		if (isSettled) {
 			return;
@@ -147,6 +154,7 @@
 	const receiveRefusal = (isEchoed: boolean): void => {
 		if (isEchoed) {
 			answer = {kind: 'discarded'};
+			discardTimer = setTimeout(endDiscarded, discardMilliseconds);
 			settle({kind: 'shed'});
 		} else {
 			abort('target', 'a refusal doesn\'t tell which request it refuses');
@@ -204,7 +212,6 @@
 			}
 
 			case 'discarded': {
-				controller?.abort(new AttemptAbort('target', 'the rest of the answer isn\'t needed'));
 				return;
 			}
 
@@ -215,6 +222,7 @@
 	};
 
 	const receiveEnd = (): void => {
+		clearTimeout(discardTimer);
 		if (answer.kind === 'held') {
 			settle({kind: 'answered', answer: {...answer.head, body: Buffer.concat(answer.chunks)}, isEchoed: answer.isEchoed});
 		} else if (answer.kind === 'streaming') {
--- a/packages/node/src/idempotency-guard.ts
+++ b/packages/node/src/idempotency-guard.ts
@@ -10,6 +10,7 @@
 } from '@catkindale/policy';
 import {type ExchangeResult, createProblemResult} from './exchange-result.js';
 import {type HeldClaim, type IdempotencyClaims, getClaimOutcome} from './idempotency-claims.js';
+import type {Problem} from './problem.js';
 import type {TicketHeirs} from './ticket-heirs.js';
 import {type TicketPrefix, parseIdempotencyKey} from './ticket-prefix.js';
 
@@ -31,6 +32,10 @@
 
 export type IdempotencyGuard = {
 	runOnce: (request: OnceRequest) => Promise<ExchangeResult>;
+	/** The refusal of a request before it got here: `unknown` where an earlier attempt may have run. */
+	getRefusal: (key: string, problem: Problem) => Problem;
+	/** Resolves once no request runs any more. */
+	settle: () => Promise<void>;
 };
 
 export type GuardOptions = {
@@ -231,7 +236,17 @@
 		return await request.hop(value.node, value.incarnation) ?? getUnknownResult();
 	};
 
+	const mayHaveRun = (text: string): boolean => {
+		const key = parseIdempotencyKey(options.secret, text);
+		const isOwn = key.kind === 'ticket' && key.incarnation === options.incarnation;
+		return key.kind === 'ticket' && (!isOwn || memory.has(text) || key.issuedAt + ticketLifeMilliseconds <= ticketClock());
+	};
+
 	return {
+		getRefusal: (key, problem) => mayHaveRun(key) ? {...problem, outcome: 'unknown', detail: `${problem.detail}; an earlier attempt may have run`} : problem,
+		async settle() {
+			await Promise.all(running.values());
+		},
 		async runOnce(request) {
 			const key = parseIdempotencyKey(options.secret, request.key);
 			switch (key.kind) {
--- a/packages/node/src/idempotency-parts.ts
+++ b/packages/node/src/idempotency-parts.ts
@@ -1,6 +1,8 @@
 /** Puts together what an entry needs to run requests at most once. */
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Member, createTicketMemory} from '@catkindale/policy';
 import {type CallerBody, maximumBufferedBodyBytes} from './caller-body.js';
 import type {ExchangeResult} from './exchange-result.js';
@@ -9,6 +11,7 @@
 import {createIdempotencyGuard, createTicketClock} from './idempotency-guard.js';
 import {createPeerEntries, getIdempotencyKey} from './idempotency-hop.js';
 import type {NodeContext} from './node-context.js';
+import type {Problem} from './problem.js';
 import {startTicketHandover} from './ticket-handover.js';
 import {createTicketHeirs} from './ticket-heirs.js';
 
@@ -23,7 +26,9 @@
 
 export type Idempotency = {
 	runOnce: (once: OnceExchange) => Promise<ExchangeResult>;
-	/** Waits for rows being written and hands the remembered outcomes over. */
+	/** The refusal of a request that didn't get to its run. */
+	getRefusal: (request: IncomingMessage, problem: Problem) => Problem;
+	/** Waits for what still runs without its caller and for rows being written and hands the remembered outcomes over. */
 	stop: () => Promise<void>;
 };
 
@@ -75,7 +80,12 @@
 				hop: async (id, wanted) => hop(once, id, wanted),
 			});
 		},
+		getRefusal(request, problem) {
+			const key = getIdempotencyKey(request);
+			return key === '' ? problem : guard.getRefusal(key, problem);
+		},
 		async stop() {
+			await Promise.race([guard.settle(), delay(settings.timing.graceMilliseconds, undefined, {ref: false})]);
 			await claims.stop();
 			const heir = await handover.handOver();
 			logger.info('tickets_handed_over', {heir: heir ?? 'none', remembered: memory.getSize()});
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {Buffer} from 'node:buffer';
 import {type RequestOutcome, millisecondsPerSecond} from '@catkindale/common';
+import {hasBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 
 export type Problem = {
@@ -40,7 +41,7 @@
 		status: problem.status, outcome: problem.outcome, reason: problem.reason, detail: problem.detail, answerStatus: problem.answerStatus,
 	}));
 	response.setHeader('content-length', body.length);
-	if (response.req.complete) {
+	if (response.req.complete || !hasBody(response.req)) {
 		response.end(body);
 	} else {
 		endAfterBody(response, body);
--- a/packages/node/tests/entry-tickets.test.ts
+++ b/packages/node/tests/entry-tickets.test.ts
@@ -1,7 +1,11 @@
 /** Tickets: who may issue one, and who answers for it after a planned stop. */
 import {describe, expect, test} from 'vitest';
 import {createManualClock} from '@catkindale/common';
-import {createTicketHeirs, createTicketPrefix, parseIdempotencyKey} from '@catkindale/node';
+import type {TableService} from '@catkindale/platform';
+import {createTicketMemory} from '@catkindale/policy';
+import {
+	createIdempotencyClaims, createIdempotencyGuard, createTicketClock, createTicketHeirs, createTicketPrefix, parseIdempotencyKey,
+} from '@catkindale/node';
 
 const secret = 'secret-of-the-fleet';
 const prefix = createTicketPrefix(secret, {home: 'oslo-1', incarnation: 'first', issuedAt: 1000});
@@ -61,3 +65,42 @@
 		expect(heirs.getInherited('first', asked, asked.forgetAt)?.kind).toBe(kind);
 	});
 });
+
+const refuse = async () => ({kind: 'not-done', reason: 'unused'} as const);
+const unusedTable: TableService = {
+	get: refuse, list: refuse, transact: refuse, close: async () => undefined,
+};
+
+describe('a refusal of a request with a ticket', () => {
+	const own = createTicketPrefix(secret, {home: 'oslo-1', incarnation: 'first', issuedAt: 0});
+	const refusal = {
+		status: 429, outcome: 'not-run', reason: 'rate-exceeded', detail: 'no tokens',
+	} as const;
+	test.each([
+		{
+			name: 'that never came here', key: `${own}new`, elapsed: 0, outcome: 'not-run',
+		},
+		{
+			name: 'that ran here', key: `${own}ran`, elapsed: 0, outcome: 'unknown',
+		},
+		{
+			name: 'that may be forgotten', key: `${own}new`, elapsed: 300_000, outcome: 'unknown',
+		},
+		{
+			name: 'of another entry', key: `${createTicketPrefix(secret, {home: 'bergen-1', incarnation: 'other', issuedAt: 0})}new`, elapsed: 0, outcome: 'unknown',
+		},
+	])('$name is $outcome', async ({key, elapsed, outcome}) => {
+		const clock = createManualClock();
+		const claims = createIdempotencyClaims({
+			table: unusedTable, node: 'oslo-1', incarnation: 'first', getTime: () => '',
+		});
+		const guard = createIdempotencyGuard({
+			node: 'oslo-1', incarnation: 'first', secret, clock, memory: createTicketMemory(), claims, heirs: createTicketHeirs(clock),
+		}, createTicketClock(clock));
+		await guard.runOnce({
+			key: `${own}ran`, customer: 'wideroe', fingerprint: '', waitMilliseconds: 0, isHop: false, run: async () => ({kind: 'cut'}), hop: async () => undefined,
+		});
+		clock.advance(elapsed);
+		expect(guard.getRefusal(key, refusal).outcome).toBe(outcome);
+	});
+});
--- a/packages/policy/src/ticket-memory.ts
+++ b/packages/policy/src/ticket-memory.ts
@@ -49,6 +49,7 @@
 export type TicketMemory = {
 	begin: (claim: OnceClaim, now: number) => BeginResult;
 	finish: (id: string, outcome: RememberedOutcome) => void;
+	has: (id: string) => boolean;
 	/** Forgets a request that provably never ran. */
 	forget: (id: string) => void;
 	/** Shortens or lengthens how long a request is remembered. */
@@ -137,6 +138,7 @@
 				setOutcome(entry, outcome);
 			}
 		},
+		has: id => entries.has(id),
 		forget: remove,
 		setForgetAt(id, forgetAt) {
 			const entry = entries.get(id);
