--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -81,6 +81,9 @@
 		requestId,
 		deadlineMilliseconds,
 		requiresEcho: parts.pools.isEchoing(target),
+		onLeaving() {
+			parts.context.bus.publish({type: 'target-leaving-seen', target: target.name});
+		},
 		claimResponse() {
 			if (response.headersSent || response.destroyed) {
 				return undefined;
