--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -10,7 +10,7 @@
 import type {PeerMessage} from '@catkindale/protocol';
 import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLease} from './quota-lease.js';
-import {createRequestLoans} from './request-loans.js';
+import {type LoanMessage, createRequestLoans} from './request-loans.js';
 
 export type Admission
 	= | {readonly kind: 'admitted'}
@@ -48,7 +48,7 @@
 	readonly lease: QuotaLease;
 	readonly send: (to: string, message: PeerMessage) => void;
 	/** Runs the function after so many milliseconds; returns how to call it off. */
-	readonly schedule?: (run: () => void, milliseconds: number) => () => void;
+	readonly schedule: (run: () => void, milliseconds: number) => () => void;
 	/** Off in trials that show what borrowing is worth. */
 	readonly isBorrowing?: boolean;
 };
@@ -68,23 +68,23 @@
 };
 
 export type Waiter = {
+	readonly since: number;
 	readonly endsAt: number;
 	readonly resolve: (admission: Admission) => void;
 	readonly callOff: () => void;
 };
 
-/** How long a request may wait for a token: longer than an exchange with the farthest region. */
-const patienceMilliseconds = 300;
+/** How long a request may wait for a token. */
+const patienceMilliseconds = 3000;
 /** How long it may wait while the members haven't agreed on the shares. */
 const agreementPatienceMilliseconds = 2000;
 const leastWaiters = 4;
-const demandSmoothing = 0.3;
+const demandSmoothing = 0.1;
 const forgottenDemand = 0.01;
 const millisecondsPerSecond = 1000;
 
 export function createRequestQuotas(options: RequestQuotasOptions): RequestQuotas {
-	const {clock, lease} = options;
-	const schedule = options.schedule ?? scheduleTimer;
+	const {clock, lease, schedule} = options;
 	const entries = new Map<string, CustomerEntry>();
 	const active = new Set<CustomerEntry>();
 	let customers = new Map<string, Customer>();
@@ -129,6 +129,8 @@
 			waiter?.callOff();
 			waiter?.resolve({kind: 'admitted'});
 		}
+
+		loans.giveBack(entry);
 	};
 
 	const refuse = (entry: CustomerEntry): Admission => {
@@ -227,9 +229,12 @@
 				return admission;
 			}
 
-			const endsAt = clock.monotonic() + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
+			const since = clock.monotonic();
+			const endsAt = since + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
 			return new Promise(resolve => {
-				entry.waiters.push({endsAt, resolve, callOff: wakeLater(entry, endsAt)});
+				entry.waiters.push({
+					since, endsAt, resolve, callOff: wakeLater(entry, endsAt),
+				});
 			});
 		},
 		getUsable(name) {
@@ -238,8 +243,8 @@
 			return isUsable ? {rate: getFillRate(entry.quota), burst: getCapacity(entry.quota)} : emptyFloor;
 		},
 		receive(from, message) {
-			const entry = 'customer' in message ? findEntry(message.customer) : undefined;
-			if (entry) {
+			const entry = isLoanMessage(message) ? findEntry(message.customer) : undefined;
+			if (entry && isLoanMessage(message)) {
 				loans.receive(from, message, entry);
 				serveWaiters(entry);
 			}
@@ -256,6 +261,10 @@
 				serveWaiters(entry);
 				endWaiters(entry, now);
 				loans.renew(entry);
+				if (entry.waiters.length > 0) {
+					loans.askFor(entry);
+				}
+
 				if (entry.demand < forgottenDemand && entry.waiters.length === 0) {
 					active.delete(entry);
 				}
@@ -264,6 +273,10 @@
 	};
 }
 
+function isLoanMessage(message: PeerMessage): message is LoanMessage {
+	return message.type === 'request-loan-wish' || message.type === 'request-loan' || message.type === 'request-return';
+}
+
 function createEntry(customer: Customer, unheldSince: number | undefined, now: number): CustomerEntry {
 	return {
 		customer, unheldSince, quota: createCustomerQuota(now), shares: undefined, arrivals: 0, demand: 0, shortAt: Number.NEGATIVE_INFINITY, waiters: [],
@@ -298,10 +311,3 @@
 		waiter?.resolve({kind: 'refused', retryAfterMilliseconds: getRequestTokenDelay(entry.quota)});
 	}
 }
-
-function scheduleTimer(run: () => void, milliseconds: number): () => void {
-	const timer = setTimeout(run, milliseconds);
-	return () => {
-		clearTimeout(timer);
-	};
-}
