Let no input from a stranger or a wrong row stop a node

Shown failing first: a wrong body to the action for cuts ended the process (unhandled error), and so did a row or an answer of the table that isn't one of ours. Both are refusals now.

--- /dev/null
+++ b/packages/cli/tests/hostile.test.ts
@@ -0,0 +1,187 @@
+/** Hostile input on the ports of a node: it goes on, and nothing of its state changes. */
+import {Buffer} from 'node:buffer';
+import {readFile} from 'node:fs/promises';
+import {type Socket, connect} from 'node:net';
+import fc from 'fast-check';
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+import {request} from 'undici';
+import {
+	createFrameReader, createProofCode, encodeFrame, handshakeFrameBytes, maximumFrameBytes, parsePeerMessage, protocolVersion,
+} from '@catkindale/protocol';
+import {
+	type TestNode, type TestPlatform, applyManifest, callAdmin, endProcesses, getManifest, getPeerAddress, peerSecret, startFleet, startPlatformProcesses, waitUntil,
+} from './helpers.js';
+
+const closeLimitMilliseconds = 5000;
+const halfOpenConnections = 200;
+const nonce = 'a-nonce-of-the-stranger';
+const hello = {
+	type: 'hello', protocolVersion, id: 'stranger', incarnation: 'one', nonce,
+};
+const intruded = {
+	type: 'configuration', version: 99, history: [], configuration: {regions: [{name: 'oslo', zones: ['oslo-a']}]},
+};
+let platform: TestPlatform;
+let node: TestNode;
+let peer = '';
+
+beforeAll(async () => {
+	platform = await startPlatformProcesses();
+	const nodes = await startFleet(platform, [{name: 'oslo-1', region: 'oslo', zone: 'oslo-a'}]);
+	node = nodes[0]!;
+	peer = await getPeerAddress(node);
+	await applyManifest(nodes, getManifest({oslo: ['oslo-a']}, [], 'hostile-key'));
+});
+
+afterAll(endProcesses);
+
+test.each([
+	{name: 'bytes that are no frame', input: () => [Buffer.from('GET / HTTP/1.1\r\n\r\n')]},
+	{name: 'an empty frame', input: () => [Buffer.from([0, 0, 0, 0])]},
+	{name: 'a frame above the limit', input: () => [Buffer.from([0xFF, 0xFF, 0xFF, 0xFF])]},
+	{name: 'a large frame before the proof', input: () => [encodeFrame({...hello, id: 'x'.repeat(handshakeFrameBytes)})]},
+	{name: 'another protocol version', input: () => [encodeFrame({...hello, protocolVersion: protocolVersion + 1})]},
+	{name: 'the node\'s own name', input: () => [encodeFrame({...hello, id: 'oslo-1'})]},
+	{name: 'no proof but a configuration', input: () => [encodeFrame(hello), encodeFrame(intruded)]},
+	{name: 'a configuration as the first frame', input: () => [encodeFrame(intruded)]},
+	{name: 'a proof by a wrong secret', input: (theirs: string) => [encodeFrame(hello), encodeProof('wrong-secret-of-the-fleet', theirs), encodeFrame(intruded)]},
+	{name: 'a proof that was made for another connection', input: () => [encodeFrame(hello), encodeProof(peerSecret, 'an-older-nonce'), encodeFrame(intruded)]},
+	{name: 'a silent half-open connection', input: () => []},
+])('$name ends the connection and changes nothing', async ({input}) => {
+	const {socket, theirNonce} = await openStranger();
+	for (const bytes of input(theirNonce)) {
+		socket.write(bytes);
+	}
+
+	const startedAt = performance.now();
+	await waitUntil(() => socket.closed || undefined, 'the connection ended');
+	expect(performance.now() - startedAt).toBeLessThan(closeLimitMilliseconds);
+	await expectUnchanged();
+});
+
+test('a stranger who knows the secret is let in, so that the refusals above are for their reasons', async () => {
+	const {socket, theirNonce} = await openStranger();
+	socket.write(encodeFrame(hello));
+	socket.write(encodeProof(peerSecret, theirNonce));
+	await node.waitFor(/event=(peer_connected) peer=stranger/v);
+	socket.destroy();
+});
+
+test('random frames after the proof never stop the node', async () => {
+	await fc.assert(fc.asyncProperty(fc.anything({withDate: true, withMap: true}), async value => {
+		const {socket, theirNonce} = await openStranger();
+		socket.write(encodeFrame(hello));
+		socket.write(encodeProof(peerSecret, theirNonce));
+		socket.write(encodeFrame(value));
+		socket.end();
+		await waitUntil(() => socket.closed || undefined, 'the connection ended');
+	}), {seed: 1, numRuns: 50});
+	await expectUnchanged();
+});
+
+test('random bytes never make the reader of frames throw, nor hold more than its limit', () => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 64})), chunks => {
+		const reader = createFrameReader(handshakeFrameBytes);
+		for (const chunk of chunks) {
+			const read = reader.push(chunk);
+			if (!read.ok) {
+				return;
+			}
+
+			for (const frame of read.value) {
+				parsePeerMessage(frame);
+			}
+		}
+	}), {seed: 1, numRuns: 2000});
+	expect(createFrameReader().push(Buffer.from([0, 0x10, 0, 1])).ok).toBe(false);
+	expect(maximumFrameBytes).toBe(0x10_00_00);
+});
+
+test('many half-open connections cost little memory and end by themselves', async () => {
+	const before = await getMemory();
+	const strangers = await Promise.all(Array.from({length: halfOpenConnections}, async () => openStranger()));
+	for (const {socket} of strangers) {
+		socket.write(Buffer.from([0, 0, 0x0F, 0xFF, ...Buffer.alloc(handshakeFrameBytes - 8)]));
+	}
+
+	await waitUntil(() => strangers.every(({socket}) => socket.closed) || undefined, 'all connections ended');
+	const after = await getMemory();
+	expect(after - before).toBeLessThan(halfOpenConnections * 0x1_00_00);
+	await expectUnchanged();
+});
+
+test.each([
+	{name: 'no token', headers: {}},
+	{name: 'a wrong token', headers: {authorization: 'Bearer wrong'}},
+])('operators\' actions with $name are refused and change nothing', async ({headers}) => {
+	const bodies = [
+		{path: '/v1/configuration', body: getManifest({bergen: ['bergen-a']}, [], 'hostile-key')},
+		{path: '/v1/keys/withdraw', body: JSON.stringify({hash: '0'.repeat(64)})},
+		{path: '/v1/drains', body: JSON.stringify({kind: 'vm', name: 'oslo-1'})},
+		{path: '/v1/testing/cuts', body: JSON.stringify({table: true})},
+	];
+	for (const {path, body} of bodies) {
+		const answer = await request(`http://${node.admin}${path}`, {method: 'POST', headers, body});
+		await answer.body.dump();
+		expect(answer.statusCode).toBe(401);
+	}
+
+	await expectUnchanged();
+});
+
+test.each(['', '{', '[]', '{"hash": 1}', '{"kind": "region", "name": "oslo"}', '\u0000'])('the body %j is refused by every operators\' action', async body => {
+	for (const path of ['/v1/configuration', '/v1/keys/grant', '/v1/keys/withdraw', '/v1/drains', '/v1/rates', '/v1/testing/cuts']) {
+		const reply = await callAdmin(node, 'POST', path, body);
+		expect([400, 422]).toContain(reply.status);
+	}
+
+	await expectUnchanged();
+});
+
+test('a configuration row that something else wrote stops neither the node nor its configuration', async () => {
+	const writes = [{key: 'configuration', expectedVersion: 1, value: {nobody: 'knows'}}];
+	const answer = await request(`${platform.table}/transactions`, {method: 'POST', body: JSON.stringify({changeId: 'junk', writes})});
+	await answer.body.dump();
+	await node.waitFor(/(table_read_failed) row=configuration/v);
+	await expectUnchanged();
+	const applied = await callAdmin(node, 'POST', '/v1/configuration', getManifest({oslo: ['oslo-a']}, [], 'hostile-key'));
+	expect(applied).toMatchObject({status: 503, body: {result: 'refused'}});
+});
+
+async function openStranger(): Promise<{readonly socket: Socket; readonly theirNonce: string}> {
+	const [host, port] = peer.split(':');
+	const socket = connect(Number(port), host);
+	socket.on('error', () => undefined);
+	const reader = createFrameReader();
+	const theirNonce = await new Promise<string>(resolve => {
+		socket.on('data', (chunk: Uint8Array) => {
+			const frames = reader.push(chunk);
+			const first = frames.ok ? frames.value[0] as {nonce?: string} | undefined : undefined;
+			if (first?.nonce !== undefined) {
+				resolve(first.nonce);
+			}
+		});
+	});
+	return {socket, theirNonce};
+}
+
+function encodeProof(secret: string, theirNonce: string): Buffer {
+	const code = createProofCode({
+		secret, id: hello.id, incarnation: hello.incarnation, ownNonce: nonce, peerNonce: theirNonce,
+	});
+	return encodeFrame({type: 'proof', code});
+}
+
+async function expectUnchanged(): Promise<void> {
+	const status = await callAdmin(node, 'GET', '/v1/status');
+	expect(status).toMatchObject({status: 200, body: {configurationVersion: 1, knownVersion: 1, restrictions: []}});
+	expect(node.child.exitCode).toBeNull();
+}
+
+/** The resident memory of the node's process in bytes. */
+async function getMemory(): Promise<number> {
+	const status = await readFile(`/proc/${node.child.pid}/status`, 'utf8');
+	return Number(/^VmRSS:\s+(\d+) kB$/mv.exec(status)?.[1]) * 1024;
+}
--- a/packages/node/src/configuration-change.ts
+++ b/packages/node/src/configuration-change.ts
@@ -87,11 +87,22 @@
 /** Reads the configuration's row. */
 export async function readRecord(context: NodeContext): Promise<TableOutcome<VersionedRecord>> {
 	const outcome = await context.platform.table.get(rowKeys.configuration);
-	return outcome.kind === 'done' ? {kind: 'done', value: parseRow(outcome.value)} : outcome;
+	if (outcome.kind !== 'done') {
+		return outcome;
+	}
+
+	const record = parseRow(outcome.value);
+	return record ? {kind: 'done', value: record} : {kind: 'not-done', reason: 'the configuration\'s row can\'t be read as one'};
 }
 
-function parseRow(row: Row | undefined): VersionedRecord {
-	return row ? {version: row.version, ...configurationRecordSchema.parse(row.value)} : emptyRecord;
+/** Undefined for a row that something else than this system wrote. */
+function parseRow(row: Row | undefined): VersionedRecord | undefined {
+	if (!row) {
+		return emptyRecord;
+	}
+
+	const parsed = configurationRecordSchema.safeParse(row.value);
+	return parsed.success ? {version: row.version, ...parsed.data} : undefined;
 }
 
 function createChange(basis: VersionedRecord, configuration: Configuration, options: ChangeOptions): Change {
@@ -118,7 +129,7 @@
 			}
 
 			case 'conflict': {
-				const current = parseRow(outcome.rows[0]);
+				const current = parseRow(outcome.rows[0]) ?? emptyRecord;
 				const isOwn = current.history.some(({changeId}) => changeId === change.changeId);
 				return isOwn
 					? announce(context, {version: change.version, ...record}, change.changeId)
--- a/packages/node/src/cut-action.ts
+++ b/packages/node/src/cut-action.ts
@@ -5,6 +5,7 @@
  */
 import {z} from 'zod';
 import type {TableService} from '@catkindale/platform';
+import {parseActionBody} from './action-body.js';
 import {registerAdminAction} from './admin-actions.js';
 import type {Cuts} from './node-context.js';
 
@@ -21,7 +22,12 @@
 			return {status: 403, body: {result: 'refused', detail: 'the settings don\'t allow cuts'}};
 		}
 
-		const {peers, table} = cutsSchema.parse(JSON.parse(request.body));
+		const body = parseActionBody(cutsSchema, request.body);
+		if (!body.ok) {
+			return body.error;
+		}
+
+		const {peers, table} = body.value;
 		context.cuts.peers = new Set(peers);
 		context.cuts.isTableCut = table;
 		return {status: 200, body: {result: 'done'}};
--- a/packages/platform/src/table-http.ts
+++ b/packages/platform/src/table-http.ts
@@ -48,6 +48,18 @@
 		return {kind: kindWhenLost, reason: `the table service answered with status ${outcome.status}`};
 	}
 
-	const {rows} = rowsSchema.parse(parseJson(outcome.body));
+	const rows = parseRows(outcome.body);
+	if (!rows) {
+		return {kind: kindWhenLost, reason: 'the table service\'s answer can\'t be read'};
+	}
+
 	return outcome.status === statusConflict ? {kind: 'conflict', rows} : {kind: 'done', value: rows};
 }
+
+function parseRows(body: Uint8Array): readonly Row[] | undefined {
+	try {
+		return rowsSchema.parse(parseJson(body)).rows;
+	} catch {
+		return undefined;
+	}
+}
