--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -5,12 +5,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Histogram} from 'prom-client';
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
+import {createCustomerWeights} from '@catkindale/policy';
 import {
 	type EntryParts, type Exchange, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
 } from './exchange.js';
 import type {ExchangeResult} from './exchange-result.js';
 import {headerNames} from './constants.js';
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
+import {createHedgeDelays} from './hedge-delays.js';
 import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
 import {type Idempotency, createIdempotency} from './idempotency-parts.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
@@ -43,6 +45,7 @@
 	async start(context) {
 		const {bus, settings} = context;
 		const {requests, slots} = getNodeQuotas(context);
+		let weights = createCustomerWeights([]);
 		const state: EntryState = {
 			context,
 			routing: undefined,
@@ -50,16 +53,18 @@
 			idempotency: createIdempotency(context),
 			quotas: requests,
 			selector: createTargetSelector({
-				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics,
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics, getWeight: customer => weights.getWeight(customer),
 			}),
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			retries: createRetryBudgets(),
+			hedges: createHedgeDelays(),
 			latency: createLatencyHistogram(context),
 		};
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				state.routing = createRoutingTable(configuration);
+				weights = createCustomerWeights(configuration.customers);
 				state.versions.setConfiguration(configuration);
 				state.pools.setTargets(configuration.targets);
 			}),
@@ -129,7 +134,10 @@
 
 	const caller = new AbortController();
 	exchange.response.once('close', () => {
-		caller.abort();
+		// An abort costs an exception with its stack; it is made only for callers that leave early.
+		if (!exchange.response.writableFinished) {
+			caller.abort();
+		}
 	});
 	const {signal} = caller;
 	if (exchange.route.idempotent || getIdempotencyKey(exchange.request) === '') {
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,6 +1,6 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	ClientBlockTable, Member, Restriction, Route, Target, VersionedConfiguration, VersionedRecord,
+	ClientBlockTable, Member, Restriction, Route, ShiftRow, Target, VersionedConfiguration, VersionedRecord,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
@@ -48,6 +48,8 @@
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
 		| {readonly type: 'version-share-changed'; readonly share: VersionShare}
+	/** The shifts between regions as the table's rows show them. */
+		| {readonly type: 'shifts-changed'; readonly shifts: readonly ShiftRow[]}
 	/** An operator wants a rollout halted at once. */
 		| {readonly type: 'rollout-halt-requested'; readonly rollout: string; readonly reason: string}
 	/** The sites of client blocks, for the directory. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -28,6 +28,7 @@
 import './planned-stop-plugin.js';
 import './restriction-plugin.js';
 import './rollout-plugin.js';
+import './shift-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
