--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -8,3 +8,4 @@
 import './bench-load-simulated.js';
 import './bench-retries.js';
 import './bench-at-most-once.js';
+import './bench-propagation.js';
--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,12 +1,10 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-at-most-once.js';
-import './verification-configuration.js';
 import './verification-fairness.js';
 import './verification-quotas.js';
 import './verification-retry-budget.js';
 import './verification-rollouts.js';
 import './verification-target-choice.js';
-import './verification-at-most-once.js';
-import './verification-retry-budget.js';
 import './verification-shifts.js';
 import './verification-token-bucket.js';
+import './verification-configuration.js';
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -24,10 +24,14 @@
 	readonly onClosed: (link: MeshLink, reason: string) => void;
 };
 
+export type LinkTraffic = {readonly sent: number; readonly received: number};
+
 export type MeshLink = {
 	/** Undefined until the peer has proved its membership. */
 	readonly peer: LinkIdentity | undefined;
 	readonly isDialed: boolean;
+	/** Bytes that crossed the connection so far. */
+	getTraffic: () => LinkTraffic;
 	send: (message: PeerMessage) => void;
 	close: (reason: string) => void;
 };
@@ -52,6 +56,7 @@
 			return state.kind === 'ready' ? state.peer : undefined;
 		},
 		isDialed: options.isDialed,
+		getTraffic: () => ({sent: socket.bytesWritten, received: socket.bytesRead}),
 		send(message) {
 			if (socket.writableLength > maximumQueuedBytes) {
 				link.close('the peer reads too slowly');
--- a/packages/node/src/mesh-plugin.ts
+++ b/packages/node/src/mesh-plugin.ts
@@ -7,6 +7,7 @@
 import {roles} from './constants.js';
 import {getAddress, listenOn} from './http-server.js';
 import {type MeshLink, openLink} from './mesh-link.js';
+import {createMeshTraffic} from './mesh-traffic.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
 
@@ -25,6 +26,7 @@
 		const links = new Map<string, MeshLink>();
 		const openLinks = new Set<MeshLink>();
 		const dialing = new Set<string>();
+		const traffic = createMeshTraffic(context, openLinks);
 		let members: readonly Member[] = [];
 		let isLedgerRead = false;
 
@@ -57,6 +59,7 @@
 				},
 				onClosed(closed, reason) {
 					openLinks.delete(closed);
+					traffic.add(closed);
 					dialing.delete(dialed ?? '');
 					const id = closed.peer?.id;
 					if (id !== undefined && links.get(id) === closed) {
