Retry what a version on trial failed at the settled version

An idempotent request that a version on trial answered with 500 failed for the caller, since only 502, 503 and 504 count as another target's chance. On trial the failure may be the version's own, so any status from 500 on is retried at the settled version, within the retry budget.

--- a/packages/cli/tests/rollout.test.ts
+++ b/packages/cli/tests/rollout.test.ts
@@ -134,6 +134,8 @@
 	expect(await countReceived(targets.newTarget)).toBe(received);
 	expect(received).toBeLessThan(load.calls() * 0.12);
 	await load.stop();
+	// Each failed attempt was retried at the old version.
+	expect(load.failures()).toBe(0);
 }, testTimeoutMilliseconds);
 
 test('a request finds the old version where the node holds no slot of the new one', async () => {
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -194,7 +194,9 @@
 }
 
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
-	const end = getAttemptEnd(records.at(-1)!.outcome);
+	const last = records.at(-1)!;
+	const isOnTrial = last.target.version !== parts.versions.chooseForRetry(exchange.route.service);
+	const end = getAttemptEnd(last.outcome, isOnTrial);
 	return isRetriable(end, exchange.route.idempotent)
 		&& records.length < maximumAttempts
 		&& body.canOpen()
@@ -202,11 +204,13 @@
 		&& parts.retries.take(exchange.route.service);
 }
 
-function getAttemptEnd(outcome: ForwardOutcome): AttemptEnd {
+/** Any failure of a version on trial may be the version's own, which the settled one doesn't share. */
+function getAttemptEnd(outcome: ForwardOutcome, isOnTrial: boolean): AttemptEnd {
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status} = outcome.answer;
-			return isRetriableStatus(status) ? {kind: 'failed', status} : {kind: 'final'};
+			const isFailed = isRetriableStatus(status) || (isOnTrial && status >= firstFailureStatus);
+			return isFailed ? {kind: 'failed', status} : {kind: 'final'};
 		}
 
 		case 'streamed': {
