--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -23,7 +23,8 @@
 	readonly abort: (cause: LossCause) => void;
 };
 
-const firstFailureStatus = 500;
+/** Statuses from here on say that the target failed. */
+export const firstFailureStatus = 500;
 
 export function beginAttempt(parts: EntryParts, exchange: Exchange, attemptParts: AttemptParts): RunningAttempt {
 	const attempt = attemptParts.signals.selection.aborted ? undefined : start(parts, exchange, attemptParts);
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -11,7 +11,7 @@
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import type {AttemptRecord} from './exchange-attempt.js';
+import {type AttemptRecord, firstFailureStatus} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
