--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -11,7 +11,7 @@
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import type {AttemptRecord} from './exchange-attempt.js';
+import {type AttemptRecord, firstFailureStatus} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
@@ -146,7 +146,9 @@
 }
 
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
-	const end = getAttemptEnd(records.at(-1)!.outcome);
+	const last = records.at(-1)!;
+	const isOnTrial = last.target.version !== parts.versions.chooseForRetry(exchange.route.service);
+	const end = getAttemptEnd(last.outcome, isOnTrial);
 	return isRetriable(end, exchange.route.idempotent)
 		&& records.length < maximumAttempts
 		&& body.canOpen()
@@ -154,11 +156,13 @@
 		&& parts.retries.take(exchange.route.service);
 }
 
-function getAttemptEnd(outcome: ForwardOutcome): AttemptEnd {
+/** Any failure of a version on trial may be the version's own, which the settled one doesn't share. */
+function getAttemptEnd(outcome: ForwardOutcome, isOnTrial: boolean): AttemptEnd {
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status} = outcome.answer;
-			return isRetriableStatus(status) ? {kind: 'failed', status} : {kind: 'final'};
+			const isFailed = isRetriableStatus(status) || (isOnTrial && status >= firstFailureStatus);
+			return isFailed ? {kind: 'failed', status} : {kind: 'final'};
 		}
 
 		case 'streamed': {
