Measure real nodes under load, and don't blame targets for late starts

Seen in the gauges of slots: a node that was idle for a second lends all its slots, borrowers that use own slots first keep the loans up to 15 s, and the lender then holds 0 or 1 slot with 5 to 30 requests waiting. That is in the slot loans, not in the queue.

--- /dev/null
+++ b/packages/cli/src/bench-load-fleet.ts
@@ -0,0 +1,134 @@
+/** A small fleet in one process for the load bench: stand-ins, nodes and targets on loopback. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {createSilentLogger, hashText} from '@catkindale/common';
+import {type NodeHandle, settingsSchema, startNode} from '@catkindale/node';
+import {
+	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
+} from '@catkindale/standins';
+import {request} from 'undici';
+
+export type FleetCustomer = {readonly name: string; readonly rate: number; readonly burst: number};
+
+export type FleetTarget = {readonly name: string; readonly region: string; readonly address: string; readonly standin: TargetStandin};
+
+export type LoadFleet = {
+	readonly nodes: ReadonlyArray<{readonly id: string; readonly region: string; readonly address: string}>;
+	readonly targets: readonly FleetTarget[];
+	/** Applies a manifest with these customers and waits until it is in force. */
+	readonly apply: (customers: readonly FleetCustomer[]) => Promise<void>;
+	readonly stop: () => Promise<void>;
+};
+
+export type FleetShape = {
+	readonly regions: readonly string[];
+	readonly nodesPerRegion: number;
+	readonly targetsPerRegion: number;
+	readonly slots: number;
+	readonly serviceMilliseconds: number;
+};
+
+const loopback = {host: '127.0.0.1', port: 0};
+const operatorToken = 'bench-operator-token';
+const settleMilliseconds = 6000;
+
+export async function startLoadFleet(shape: FleetShape): Promise<LoadFleet> {
+	const table = await startTableStandin(loopback);
+	const objects = await startObjectStoreStandin(loopback);
+	const machines = await startMachineListStandin(loopback);
+	const platform = {table, objects, machines};
+	const targets = await startTargets(shape);
+	const handles: NodeHandle[] = [];
+	for (const region of shape.regions) {
+		for (let index = 1; index <= shape.nodesPerRegion; index++) {
+			handles.push(await startFleetNode(`${region}-${index}`, region, platform));
+		}
+	}
+
+	await listMachines(machines, handles);
+	return {
+		targets,
+		nodes: handles.map(handle => ({id: handle.context.settings.node.name, region: handle.context.settings.node.region, address: handle.addresses.caller})),
+		async apply(customers) {
+			const answer = await request(`http://${handles[0]?.addresses.admin}/v1/configuration`, {
+				method: 'POST', body: getManifest(shape, targets, customers), headers: {authorization: `Bearer ${operatorToken}`},
+			});
+			await answer.body.dump();
+			await delay(settleMilliseconds);
+		},
+		async stop() {
+			await Promise.all(handles.map(async handle => handle.stop()));
+			await Promise.all([table, objects, machines, ...targets.map(target => target.standin)].map(async standin => standin.stop()));
+		},
+	};
+}
+
+async function startTargets({regions, targetsPerRegion, slots, serviceMilliseconds}: FleetShape): Promise<FleetTarget[]> {
+	const targets: FleetTarget[] = [];
+	for (const region of regions) {
+		for (let index = 1; index <= targetsPerRegion; index++) {
+			const standin = await startTargetStandin(loopback, {slots, serviceMilliseconds}, index);
+			targets.push({
+				name: `${region}-target-${index}`, region, address: standin.address, standin,
+			});
+		}
+	}
+
+	return targets;
+}
+
+async function listMachines(machines: Standin, handles: readonly NodeHandle[]): Promise<void> {
+	const listed = handles.map(handle => ({id: handle.context.settings.node.name, state: 'live'}));
+	const answer = await request(`${machines.address}/machines`, {method: 'PUT', body: JSON.stringify({machines: listed})});
+	await answer.body.dump();
+}
+
+async function startFleetNode(name: string, region: string, platform: Record<'table' | 'objects' | 'machines', Standin>): Promise<NodeHandle> {
+	const listen = '127.0.0.1:0';
+	const settings = settingsSchema.parse({
+		node: {name, region, zone: `${region}-a`},
+		listen: {
+			caller: listen, peer: listen, admin: listen, metrics: listen,
+		},
+		platform: {
+			table: {address: platform.table.address},
+			objects: {address: platform.objects.address},
+			machines: {address: platform.machines.address},
+		},
+		secrets: {peer: 'bench-peer-secret-of-fleet', operatorToken},
+	});
+	return startNode(settings, {logger: createSilentLogger()});
+}
+
+export function getCustomerKey(customer: string): string {
+	return `bench-key-of-${customer}`;
+}
+
+function getManifest({regions, slots}: FleetShape, targets: readonly FleetTarget[], customers: readonly FleetCustomer[]): string {
+	const regionLines = regions.map(region => `[[regions]]\nname = "${region}"\nzones = ["${region}-a"]`);
+	const customerLines = customers.map(({name, rate, burst}) => `[[customers]]
+name = "${name}"
+rate = ${rate}
+burst = ${burst}
+[[keys]]
+customer = "${name}"
+hash = "${hashText(getCustomerKey(name))}"`);
+	const targetLines = targets.map(({name, region, address}) => `[[targets]]
+name = "${name}"
+service = "pricing"
+version = "1"
+region = "${region}"
+zone = "${region}-a"
+address = "${address.replace('http://', '')}"
+slots = ${slots}`);
+	return `${[...regionLines, ...customerLines].join('\n')}
+[[services]]
+name = "pricing"
+version = "1"
+[[routes]]
+service = "pricing"
+method = "GET"
+path = "/prices/:airfield"
+idempotent = true
+${targetLines.join('\n')}
+`;
+}
--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -5,3 +5,4 @@
 import './bench-rollouts.js';
 import './bench-costs.js';
 import './bench-load-simulated.js';
+import './bench-load.js';
--- a/packages/node/src/target-pool.ts
+++ b/packages/node/src/target-pool.ts
@@ -36,6 +36,7 @@
 type Waiting = AdmissionRequest & {readonly settle: (selection: Selection) => void};
 
 const heldRefreshMilliseconds = 20;
+const wishesPerRemoteWish = 4;
 const idleRefreshMilliseconds = 1000;
 /** How long a request waits on a node that holds no slot, for one to be lent. */
 const loanWaitMilliseconds = 1000;
@@ -47,6 +48,7 @@
 		region, random, takeSlot: (target, request) => quota.take(target, request.deadlineAt), ...(isRegionOpen && {isRegionOpen}),
 	});
 	let targets: readonly Target[] = [];
+	let localTargets: readonly Target[] = [];
 	let targetsByName = new Map<string, Target>();
 	let timer: NodeJS.Timeout | undefined;
 	let heldAt = -Infinity;
@@ -59,10 +61,20 @@
 		}
 	};
 
-	/** While requests wait, tries to take a slot that isn't held, so that the quota asks for it elsewhere. */
+	/**
+	 * While requests wait long, tries to take a slot that isn't held, so that
+	 * the quota asks for it elsewhere: mostly at targets of the own region.
+	 */
 	const wishForSlots = (): void => {
-		const target = targets[random.integer(0, targets.length - 1)];
-		if (admission.getLength() > 0 && target && quota.take(target.name)) {
+		const isWorthwhile = admission.getDrainTime() >= admission.choice.getUsualLatency();
+		if (admission.getLength() === 0 || !isWorthwhile) {
+			return;
+		}
+
+		const isLocal = localTargets.length > 0 && random.integer(1, wishesPerRemoteWish) > 1;
+		const wished = isLocal ? localTargets : targets;
+		const target = wished[random.integer(0, wished.length - 1)];
+		if (target && quota.take(target.name)) {
 			quota.release(target.name);
 		}
 	};
@@ -73,6 +85,7 @@
 		}
 
 		targets = next;
+		localTargets = next.filter(target => target.region === region);
 		targetsByName = new Map(next.map(target => [target.name, target]));
 		admission.setTargets(next, now);
 		refreshHeld(now);
@@ -97,7 +110,10 @@
 				isFinished = true;
 				const now = clock.monotonic();
 				quota.release(name);
-				admission.finish(name, {kind: result.kind, milliseconds: result.headMilliseconds ?? now - startedAt}, now);
+				const milliseconds = result.headMilliseconds ?? now - startedAt;
+				const isCutByDeadline = result.kind === 'lost' && now >= request.deadlineAt && milliseconds < admission.choice.getSafeLatency();
+				// A request that started too late tells nothing about its target.
+				admission.finish(name, {kind: isCutByDeadline ? 'cancelled' : result.kind, milliseconds}, now);
 				dispatch(now);
 			},
 		});
--- a/packages/policy/src/region-spill.ts
+++ b/packages/policy/src/region-spill.ts
@@ -26,9 +26,9 @@
 	};
 }
 
-/** Requests that may be in flight to the other region; at least one if a slot is held there. */
+/** Requests that may be in flight to the other region;. */
 export function getSpillLimit(spill: RegionSpill, heldSlots: number): number {
-	return Math.min(heldSlots, Math.max(1, Math.floor(heldSlots * spill.part)));
+	return Math.min(heldSlots, Math.ceil(heldSlots * spill.part));
 }
 
 /** Notes that a request was held back by the limit. */
--- a/packages/policy/src/target-admission.ts
+++ b/packages/policy/src/target-admission.ts
@@ -37,6 +37,8 @@
 	readonly next: (now: number) => AdmissionStep<Request> | undefined;
 	/** Removes a request that waits; false if it doesn't. */
 	readonly cancel: (request: Request) => boolean;
+	/** Estimated milliseconds until all requests that wait now are started. */
+	readonly getDrainTime: () => number;
 	readonly finish: (target: string, attempt: Attempt, now: number) => void;
 	/** Estimated milliseconds until a request that comes now is started. */
 	readonly estimateWait: (request: QueuedRequest, now: number) => number;
@@ -75,7 +77,6 @@
 	/** Whether the request can still be answered before its deadline, if it starts at the given time. */
 	const isInTime = (request: Request, startAt: number): boolean => startAt + choice.getSafeLatency() <= request.deadlineAt;
 
-	/** Milliseconds until all requests that wait now are started. */
 	const getDrainTime = (): number => queue.getLength() * choice.getUsualLatency() / Math.max(1, choice.getUsableSlots());
 
 	/** Chooses a target whose slot can be taken; one that turns out to have none is left out until the next `setHeld`. */
@@ -146,6 +147,7 @@
 			choice.start(target, now);
 			return {kind: 'start', request, target};
 		},
+		getDrainTime,
 		cancel: queue.remove,
 		finish: choice.finish,
 	};
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -157,7 +157,11 @@
 	/** The region whose latency tells how long a request takes now. */
 	const getServingRegion = (): RegionTargets | undefined => {
 		const home = getHomeRegion();
-		return home && home.usable > 0 ? home : [...regions.values()].find(region => region.usable > 0 && region.usualLatency !== undefined) ?? home;
+		if (home && home.usable > 0 && home.usualLatency !== undefined) {
+			return home;
+		}
+
+		return [...regions.values()].find(region => region.usable > 0 && region.usualLatency !== undefined) ?? home;
 	};
 
 	const isSpillUseful = (region: RegionTargets, request: ChoiceRequest): boolean => {
--- a/packages/standins/src/target-standin.ts
+++ b/packages/standins/src/target-standin.ts
@@ -60,7 +60,7 @@
 	const serve = async (request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> => {
 		const isCold = performance.now() - startedAt < behaviour.coldMilliseconds;
 		const digest = await digestBody(request);
-		await delay(behaviour.serviceMilliseconds * (isCold ? behaviour.coldSlowdown : 1));
+		await delay(behaviour.serviceMilliseconds * (isCold ? behaviour.coldSlowdown : 1), undefined, {signal: getCancellation(response)});
 		const run = request.headers['idempotency-key'] ?? digest;
 		counts.runs[String(run)] = (counts.runs[String(run)] ?? 0) + 1;
 		await answer(request, response, {
@@ -110,6 +110,15 @@
 	};
 }
 
+/** Aborts when the caller cancels: the slot is free again at once. */
+function getCancellation(response: ServerResponse): AbortSignal {
+	const cancellation = new AbortController();
+	response.once('close', () => {
+		cancellation.abort();
+	});
+	return cancellation.signal;
+}
+
 type AnswerOptions = {
 	readonly url: URL;
 	readonly digest: string;
