--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -4,5 +4,8 @@
 import './bench-rendezvous.js';
 import './bench-rollouts.js';
 import './bench-costs.js';
+import './bench-overhead.js';
 import './bench-load-simulated.js';
 import './bench-load.js';
+import './bench-retries.js';
+import './bench-at-most-once.js';
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -5,6 +5,7 @@
 export const headerNames = {
 	customer: 'catkindale-customer',
 	deadline: 'catkindale-deadline',
+	draining: 'catkindale-draining',
 	outcome: 'catkindale-outcome',
 	requestId: 'catkindale-request-id',
 } as const;
@@ -18,3 +19,6 @@
 	rolloutPrefix: 'rollout/',
 	shiftPrefix: 'shift/',
 } as const;
+
+/** The longest time for which a caller may keep the answer of a look-up. */
+export const longestLookupMilliseconds = 30_000;
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -26,6 +26,8 @@
 	readonly requiresEcho: boolean;
 	/** Whether another entry answers, whose word on the outcome is passed on. */
 	readonly isPeer?: boolean;
+	/** Called when the target's answer says that it is leaving. */
+	readonly onLeaving?: () => void;
 	/** Gives the caller's response for a streamed answer; undefined if another attempt has it. */
 	readonly claimResponse: () => ServerResponse | undefined;
 };
@@ -143,6 +145,16 @@
 		}
 	};
 
+	/** Only an answer that is surely this request's own may say that it didn't run. */
+	const receiveRefusal = (isEchoed: boolean): void => {
+		if (isEchoed) {
+			answer = {kind: 'discarded'};
+			settle({kind: 'shed'});
+		} else {
+			abort('target', 'a refusal doesn\'t tell which request it refuses');
+		}
+	};
+
 	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
 		const read = (name: string): string | undefined => getRawHeader(rawHeaders, name);
 		const echoed = read(headerNames.requestId);
@@ -151,11 +163,13 @@
 			return;
 		}
 
-		// Only an answer that is surely this request's own may say that it didn't run.
+		if (read(headerNames.draining) === 'true' && echoed !== undefined) {
+			options.onLeaving?.();
+		}
+
 		const outcome = read(headerNames.outcome);
-		if (outcome === 'not-run' && echoed !== undefined && !options.isPeer) {
-			answer = {kind: 'discarded'};
-			settle({kind: 'shed'});
+		if (outcome === 'not-run' && !options.isPeer) {
+			receiveRefusal(echoed !== undefined);
 			return;
 		}
 
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -15,14 +15,14 @@
 	roles,
 	order: startOrder,
 	async start(context) {
-		const {bus, clock, logger, settings} = context;
+		const {bus, logger, settings} = context;
 		const quotas = getNodeQuotas(context);
 		let longestDeadlineMilliseconds = slotLoanMilliseconds + slotLoanMarginMilliseconds;
 		const membership = createMembership({
 			table: context.platform.table,
 			ledger: quotas.ledger,
 			getOwnMember: () => getOwnMember(context),
-			monotonic: clock.monotonic,
+			clock: quotas.clock,
 			limits: {
 				silenceMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
@@ -52,13 +52,15 @@
 			quotas.ledger.tick();
 		};
 
-		await poll();
-		await poll();
 		const works = [
 			startPeriodicWork(poll, settings.timing.tablePollMilliseconds),
 			startPeriodicWork(tick, settings.timing.heartbeatMilliseconds / 2),
 		];
 		return {
+			async begin() {
+				await poll();
+				await poll();
+			},
 			async stop() {
 				await Promise.all(works.map(async work => work.stop()));
 				for (const end of endings) {
--- a/packages/policy/src/shift.ts
+++ b/packages/policy/src/shift.ts
@@ -14,10 +14,15 @@
 const fractionRange = 2 ** (8 * fractionBytes);
 /** How far the clocks of nodes and their knowledge of the row may be apart. */
 export const shiftSkewMilliseconds = 5 * millisecondsPerSecond;
+/** A row that moves is renewed this often and moves no further than its validity. */
+const rowRenewalMilliseconds = 5 * millisecondsPerSecond;
+const rowValidityMilliseconds = 10 * millisecondsPerSecond;
 
 export const shiftRowSchema = z.object({
 	name: z.string(),
 	service: z.string(),
+	/** The version of the configuration that asked for this move. */
+	configurationVersion: z.int(),
 	from: z.string(),
 	to: z.string(),
 	cap: z.number(),
@@ -33,47 +38,64 @@
 
 export type ShiftRow = z.infer<typeof shiftRowSchema>;
 
-/** The first row of a shift. */
-export function startShift(shift: Shift, timeToLiveMilliseconds: number, now: number): ShiftRow {
+type ShiftOptions = {readonly configurationVersion: number; readonly timeToLiveMilliseconds: number};
+
+/** The first row of a shift; it moves once every node can have read it. */
+export function startShift(shift: Shift, options: ShiftOptions, now: number): ShiftRow {
 	const {name, service, from, to, cap, windowSeconds} = shift;
 	return {
-		name, service, from, to, cap, windowSeconds, timeToLiveMilliseconds, baseShare: 0, wantedShare: shift.share, movedAt: now,
+		...options, name, service, from, to, cap, windowSeconds, baseShare: 0, wantedShare: shift.share, movedAt: now,
 	};
 }
 
 /**
  * The row for a changed wish; undefined if nothing changes. A withdrawn shift
- * (`undefined`) goes back as slowly as it came.
+ * (`undefined`) goes back as slowly as it came, and so does one that now names
+ * other regions; the new move starts once the old one is back.
  */
-export function changeShift(row: ShiftRow, shift: Shift | undefined, now: number): ShiftRow | undefined {
+export function changeShift(row: ShiftRow, shift: Shift | undefined, configurationVersion: number, now: number): ShiftRow | undefined {
+	const baseShare = getShiftedShare(row, now);
 	const isSameMove = shift?.service === row.service && shift.from === row.from && shift.to === row.to;
+	if (shift && !isSameMove && baseShare === 0) {
+		return startShift(shift, {configurationVersion, timeToLiveMilliseconds: row.timeToLiveMilliseconds}, now);
+	}
+
 	const wantedShare = isSameMove ? shift.share : 0;
-	const cap = isSameMove ? shift.cap : row.cap;
-	const windowSeconds = isSameMove ? shift.windowSeconds : row.windowSeconds;
+	const {cap, windowSeconds} = isSameMove ? shift : row;
 	if (wantedShare === row.wantedShare && cap === row.cap && windowSeconds === row.windowSeconds) {
 		return undefined;
 	}
 
-	// Nodes that follow the former row until they learn of this one keep within the skew.
+	const isReplaced = shift !== undefined && !isSameMove;
 	return {
-		...row, cap, windowSeconds, wantedShare, baseShare: getShiftedShare(row, now, now), movedAt: now,
+		...row, cap, windowSeconds, wantedShare, baseShare, movedAt: now, configurationVersion: isReplaced ? row.configurationVersion : configurationVersion,
 	};
 }
 
 /**
- * The share of the callers that look-ups send to the new region. Moves of a
- * window plus the look-ups' time to live can show within one window, so the
- * share moves slowly enough that even these stay within the cap. A node whose
- * knowledge of the row is old lets the share stand.
- * @param confirmedAt wall time in milliseconds at which the row was last known to be current
+ * The share of the callers that look-ups send to the new region, the same on
+ * every node. Moves of a window plus the look-ups' time to live can show
+ * within one window, so the share moves slowly enough that even these stay
+ * within the cap. It stands still when the row hasn't been renewed, as in an
+ * outage of the table, and goes on from there.
  * @param now wall time in milliseconds
  */
-export function getShiftedShare(row: ShiftRow, confirmedAt: number, now: number): number {
-	const spread = (row.windowSeconds * millisecondsPerSecond) + row.timeToLiveMilliseconds + (2 * shiftSkewMilliseconds);
-	const elapsed = Math.max(0, Math.min(now, confirmedAt + shiftSkewMilliseconds) - row.movedAt);
-	const largestMove = elapsed * row.cap / spread;
+export function getShiftedShare(row: ShiftRow, now: number): number {
+	const elapsed = Math.min(rowValidityMilliseconds, Math.max(0, now - row.movedAt));
 	const wantedMove = row.wantedShare - row.baseShare;
-	return row.baseShare + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), largestMove));
+	return row.baseShare + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), elapsed * getPace(row)));
+}
+
+/** The row renewed from where the share stands; undefined while there is no need. */
+export function renewShift(row: ShiftRow, now: number): ShiftRow | undefined {
+	const isMoving = row.baseShare !== row.wantedShare;
+	return isMoving && now >= row.movedAt + rowRenewalMilliseconds ? {...row, baseShare: getShiftedShare(row, now), movedAt: now} : undefined;
+}
+
+/** The most by which the share moves, per millisecond. */
+function getPace(row: ShiftRow): number {
+	const spread = (row.windowSeconds * millisecondsPerSecond) + row.timeToLiveMilliseconds + (2 * shiftSkewMilliseconds);
+	return row.cap / spread;
 }
 
 /** Whether look-ups of this caller go to the new region at a shifted share. */
