--- a/packages/cli/src/benches.ts
+++ b/packages/cli/src/benches.ts
@@ -8,6 +8,7 @@
 import './bench-costs.js';
 import './bench-overhead.js';
 import './bench-load-simulated.js';
+import './bench-load.js';
 import './bench-retries.js';
 import './bench-at-most-once.js';
 import './bench-propagation.js';
