Send a change once to each node instead of once over each pair of links

Each node passed a new configuration on to all its peers: the messages per change grew with the square of the fleet.

--- a/packages/cli/tests/configuration.test.ts
+++ b/packages/cli/tests/configuration.test.ts
@@ -83,6 +83,17 @@
 	});
 });
 
+test('a change reaches a node that is cut off from its author and the table through the others within 3 s', async () => {
+	const author = nodes[0]!;
+	const far = nodes[3]!;
+	await cutNode(far, [author], true);
+	await cutNode(author, [far], false);
+	const startedAt = performance.now();
+	const applied = await apply(author);
+	await waitForVersion([far], Number(applied.body.version));
+	expect(performance.now() - startedAt).toBeLessThan(forceLimitMilliseconds);
+});
+
 describe('a change made where it can\'t spread', () => {
 	test('is told as committed, not as accepted, and spreads once the cut ends', async () => {
 		const inside = nodes.slice(0, 2);
--- /dev/null
+++ b/packages/node/src/configuration-forwarder.ts
@@ -0,0 +1,70 @@
+/**
+ * Passes configurations on. The node that made a change pushes it to all its
+ * peers; every other node waits for its peers' heartbeats and sends it only
+ * to those that still lack it, because a cut keeps the first push from them.
+ */
+import type {VersionedRecord} from '@catkindale/policy';
+import type {PeerMessage} from '@catkindale/protocol';
+import type {NodeContext} from './node-context.js';
+
+export type ConfigurationForwarder = {
+	forward: (record: VersionedRecord, source: string) => void;
+	stop: () => void;
+};
+
+/** Heartbeats after which a peer that hasn't confirmed a version is taken to lack it. */
+const confirmationHeartbeats = 1.5;
+
+export function createForwarder(context: NodeContext): ConfigurationForwarder {
+	const {bus, settings} = context;
+	const peerVersions = new Map<string, number>();
+	const pause = confirmationHeartbeats * settings.timing.heartbeatMilliseconds;
+	let latest: VersionedRecord | undefined;
+	let timer: NodeJS.Timeout | undefined;
+
+	const sendToLacking = (): void => {
+		timer = undefined;
+		for (const [id, version] of peerVersions) {
+			if (latest && version < latest.version) {
+				bus.publish({type: 'peer-send', to: id, message: createConfigurationMessage(latest)});
+			}
+		}
+	};
+
+	const endings = [
+		bus.subscribe('peer-connected', ({id}) => {
+			peerVersions.set(id, 0);
+		}),
+		bus.subscribe('peer-disconnected', ({id}) => {
+			peerVersions.delete(id);
+		}),
+		bus.subscribe('peer-received', ({from, message}) => {
+			if (message.type === 'heartbeat' || message.type === 'configuration') {
+				const version = message.type === 'heartbeat' ? message.configurationVersion : message.version;
+				peerVersions.set(from, Math.max(version, peerVersions.get(from) ?? 0));
+			}
+		}),
+	];
+	return {
+		forward(record, source) {
+			latest = record;
+			if (source === 'change') {
+				bus.publish({type: 'peer-broadcast', message: createConfigurationMessage(record)});
+			}
+
+			timer ??= setTimeout(sendToLacking, pause);
+		},
+		stop() {
+			clearTimeout(timer);
+			for (const end of endings) {
+				end();
+			}
+		},
+	};
+}
+
+export function createConfigurationMessage({version, history, configuration}: VersionedRecord): PeerMessage {
+	return {
+		type: 'configuration', version, history, configuration,
+	};
+}
--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -4,8 +4,8 @@
  */
 import {isDeepStrictEqual} from 'node:util';
 import {type VersionedConfiguration, type VersionedRecord, parseConfiguration} from '@catkindale/policy';
-import type {PeerMessage} from '@catkindale/protocol';
 import {readRecord} from './configuration-change.js';
+import {createConfigurationMessage, createForwarder} from './configuration-forwarder.js';
 import {createConfigurationStore} from './configuration-store.js';
 import {rowKeys, roles} from './constants.js';
 import {isKnowledgeCurrent} from './freshness-validity.js';
@@ -21,6 +21,7 @@
 	async start(context) {
 		const {bus} = context;
 		const store = createConfigurationStore();
+		const forwarder = createForwarder(context);
 		let inForce: VersionedConfiguration | undefined;
 
 		const putInForce = (): void => {
@@ -43,7 +44,7 @@
 			}
 
 			context.logger.info('configuration_known', {version: record.version, source});
-			bus.publish({type: 'peer-broadcast', message: createMessage(record)});
+			forwarder.forward(record, source);
 			putInForce();
 			bus.publish({type: 'configuration-known', record});
 		};
@@ -76,7 +77,7 @@
 			bus.subscribe('peer-connected', ({id}) => {
 				const known = store.getKnown();
 				if (known.version > 0) {
-					bus.publish({type: 'peer-send', to: id, message: createMessage(known)});
+					bus.publish({type: 'peer-send', to: id, message: createConfigurationMessage(known)});
 				}
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
@@ -106,18 +107,13 @@
 					end();
 				}
 
+				forwarder.stop();
 				await work.stop();
 			},
 		};
 	},
 });
 
-function createMessage({version, history, configuration}: VersionedRecord): PeerMessage {
-	return {
-		type: 'configuration', version, history, configuration,
-	};
-}
-
 async function readTable(context: NodeContext): Promise<VersionedRecord | undefined> {
 	const outcome = await readRecord(context);
 	if (outcome.kind !== 'done') {
--- a/packages/node/src/freshness-plugin.ts
+++ b/packages/node/src/freshness-plugin.ts
@@ -129,7 +129,6 @@
 			bus.subscribe('configuration-known', ({record}) => {
 				knowledge = {...knowledge, version: record.version};
 				evaluate();
-				beat();
 			}),
 			bus.subscribe('configuration-read', ({startedAt}) => {
 				knowledge = {...knowledge, tableReadAt: startedAt};
@@ -157,6 +156,13 @@
 					receive(from, message);
 				}
 
+				if (message.type === 'configuration') {
+					// Confirms the version to the sender once the configuration's task has taken it.
+					queueMicrotask(() => {
+						beat([from]);
+					});
+				}
+
 				if (message.type === 'known-members' && !isLedgerRead) {
 					bus.publish({type: 'members-heard', members: message.members});
 					setMembers(message.members);
