--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -11,7 +11,7 @@
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import type {AttemptRecord} from './exchange-attempt.js';
+import {type AttemptRecord, firstFailureStatus} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
@@ -48,6 +48,8 @@
 	readonly key: string | undefined;
 };
 
+const longestTrialWaitPart = 0.1;
+const longestTrialWaitMilliseconds = 50;
 const openCustomer = 'open';
 const retryAfterMilliseconds = 1000;
 const maximumAttempts = 3;
@@ -80,17 +82,25 @@
 	let version = parts.versions.choose(route.service) ?? '';
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
-	const select = async (signal: AbortSignal): Promise<Selection> => parts.selector.select({
+	const select = async (signal: AbortSignal, deadlineAt = exchange.deadlineAt): Promise<Selection> => parts.selector.select({
 		service: route.service,
 		customer: customer?.name ?? openCustomer,
 		class: route.class,
-		deadlineAt: exchange.deadlineAt,
+		deadlineAt,
 		candidates: parts.versions.filterTargets(route.service, parts.routing.getTargets(route.service, version)),
 		excluded,
 		signal,
 	});
 	for (;;) {
-		const selection = await select(signals.selection);
+		const settled = parts.versions.chooseForRetry(route.service) ?? '';
+		const isOnTrial = version !== settled;
+		const selection = await select(signals.selection, isOnTrial ? getTrialDeadline(parts, exchange) : exchange.deadlineAt);
+		if (selection.kind === 'refused' && isOnTrial && selection.reason !== 'cancelled') {
+			// Nothing was sent, so that any request may go to the settled version instead.
+			version = settled;
+			continue;
+		}
+
 		if (selection.kind === 'refused') {
 			return getRefusal(selection, records);
 		}
@@ -109,6 +119,12 @@
 	}
 }
 
+/** A request waits for the version on trial only so long that it can still go elsewhere. */
+function getTrialDeadline(parts: EntryParts, exchange: Exchange): number {
+	const now = parts.context.clock.monotonic();
+	return now + Math.min(longestTrialWaitMilliseconds, (exchange.deadlineAt - now) * longestTrialWaitPart);
+}
+
 /** Tells the caller what became of the request; a streamed answer is told already. */
 export function tellResult(exchange: Exchange, result: ExchangeResult): void {
 	switch (result.kind) {
@@ -130,7 +146,9 @@
 }
 
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
-	const end = getAttemptEnd(records.at(-1)!.outcome);
+	const last = records.at(-1)!;
+	const isOnTrial = last.target.version !== parts.versions.chooseForRetry(exchange.route.service);
+	const end = getAttemptEnd(last.outcome, isOnTrial);
 	return isRetriable(end, exchange.route.idempotent)
 		&& records.length < maximumAttempts
 		&& body.canOpen()
@@ -138,11 +156,13 @@
 		&& parts.retries.take(exchange.route.service);
 }
 
-function getAttemptEnd(outcome: ForwardOutcome): AttemptEnd {
+/** Any failure of a version on trial may be the version's own, which the settled one doesn't share. */
+function getAttemptEnd(outcome: ForwardOutcome, isOnTrial: boolean): AttemptEnd {
 	switch (outcome.kind) {
 		case 'answered': {
 			const {status} = outcome.answer;
-			return isRetriableStatus(status) ? {kind: 'failed', status} : {kind: 'final'};
+			const isFailed = isRetriableStatus(status) || (isOnTrial && status >= firstFailureStatus);
+			return isFailed ? {kind: 'failed', status} : {kind: 'final'};
 		}
 
 		case 'streamed': {
