--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -22,9 +22,9 @@
 };
 
 const regions = ['ost', 'sued', 'west'];
-const runMilliseconds = 45_000;
+const runMilliseconds = 60_000;
 const warmUpMilliseconds = 4000;
-const requestMilliseconds = 40;
+const requestMilliseconds = 25;
 const checkMilliseconds = 100;
 const shortestFaultMilliseconds = 1000;
 const longestFaultMilliseconds = 12_000;
@@ -76,7 +76,7 @@
 		configuration: {version: 0, configuration: createConfiguration(world)},
 		incarnations: 0,
 	};
-	const nodeCount = world.random.integer(2, 4);
+	const nodeCount = world.random.integer(2, 5);
 	for (let index = 0; index < nodeCount; index++) {
 		startNode(fleet, `node-${index}`);
 	}
