--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,6 +1,5 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-at-most-once.js';
-import './verification-configuration.js';
 import './verification-fairness.js';
 import './verification-quotas.js';
 import './verification-retry-budget.js';
@@ -8,3 +7,4 @@
 import './verification-target-choice.js';
 import './verification-shifts.js';
 import './verification-token-bucket.js';
+import './verification-configuration.js';
