Show a repeated order in the demo, and say when there are no rollouts

Read as a newcomer: 'catkindale rollout status' printed 'read from table' and nothing else; the demo showed no request that may not be repeated.

--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -3,7 +3,7 @@
 import {createSilentLogger, hashText} from '@catkindale/common';
 import {type NodeHandle, settingsSchema, startNode} from '@catkindale/node';
 import {
-	type Standin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
+	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {request} from 'undici';
 
@@ -11,6 +11,7 @@
 const regions = ['oslo', 'bergen', 'tromso'];
 const operatorToken = 'demo-operator-token';
 const callerKey = 'demo-caller-key';
+const headers = {authorization: `Bearer ${callerKey}`};
 const settleMilliseconds = 1500;
 const demoHoldMilliseconds = 200;
 const statusDone = 200;
@@ -35,26 +36,47 @@
 	print(`manifest: ${await applied.body.text()}`);
 	await delay(settleMilliseconds);
 	const isServed = await callService(nodes, print);
+	print(`times that the target ran the order: ${countOrders(target)}`);
 	await Promise.all(nodes.map(async node => node.stop()));
 	await Promise.all(standins.map(async standin => standin.stop()));
 	print('all nodes stopped gracefully');
 	return isServed;
 }
 
+/** Runs of requests with a ticket. */
+function countOrders(target: TargetStandin): number {
+	const runs = Object.entries(target.counts().runs).filter(([key]) => key.startsWith('t1.'));
+	return runs.reduce((total, [, count]) => total + count, 0);
+}
+
+type Entry = {readonly address: string; readonly ticketPrefix: string};
+
 async function callService(nodes: readonly NodeHandle[], print: (line: string) => void): Promise<boolean> {
 	const look = await request(`http://${nodes[0]?.addresses.caller}/v1/entries?service=pricing`);
-	const {entries} = await look.body.json() as {entries: Array<{address: string}>};
-	const entry = `http://${entries[0]?.address}`;
-	print(`the directory names ${entries.length} entries; the first is ${entries[0]?.address}`);
-	const headers = {authorization: `Bearer ${callerKey}`};
-	const price = await request(`${entry}/prices/ENGM`, {headers});
+	const {entries} = await look.body.json() as {entries: Entry[]};
+	const [entry, other] = entries;
+	if (!entry || !other) {
+		return false;
+	}
+
+	print(`the directory names ${entries.length} entries; the first is ${entry.address}`);
+	const price = await request(`http://${entry.address}/prices/ENGM`, {headers});
 	print(`GET /prices/ENGM: ${price.statusCode} ${await price.body.text()}`);
-	const order = await request(`${entry}/orders`, {method: 'POST', headers, body: '{"litres": 900}'});
-	print(`POST /orders: ${order.statusCode}, outcome ${String(order.headers['catkindale-outcome'])}`);
-	await order.body.dump();
-	const refused = await request(`${entry}/prices/ENGM`, {headers: {authorization: 'Bearer wrong'}});
+	const statuses = [await sendOrder(entry, entry, print), await sendOrder(entry, other, print)];
+	const refused = await request(`http://${entry.address}/prices/ENGM`, {headers: {authorization: 'Bearer wrong'}});
 	print(`GET with a wrong key: ${refused.statusCode} ${await refused.body.text()}`);
-	return price.statusCode === statusDone && order.statusCode === statusDone;
+	return [price.statusCode, ...statuses].every(status => status === statusDone);
+}
+
+/** Sends the same order with the ticket of one entry, to that entry or another one. */
+async function sendOrder(home: Entry, entry: Entry, print: (line: string) => void): Promise<number> {
+	const answer = await request(`http://${entry.address}/orders`, {
+		method: 'POST', headers: {...headers, 'idempotency-key': `${home.ticketPrefix}order-1`}, body: '{"litres": 900}',
+	});
+	const replayed = answer.headers['catkindale-replayed'] === undefined ? '' : ', the remembered answer';
+	print(`POST /orders at ${entry.address}: ${answer.statusCode}, outcome ${String(answer.headers['catkindale-outcome'])}${replayed}`);
+	await answer.body.dump();
+	return answer.statusCode;
 }
 
 async function startDemoNode(region: string, platform: Record<'table' | 'objects' | 'machines', Standin>): Promise<NodeHandle> {
--- a/packages/cli/src/rollout-command.ts
+++ b/packages/cli/src/rollout-command.ts
@@ -54,7 +54,8 @@
 
 	const rollouts = (body.rollouts as ListedRollout[]).filter(rollout => name === undefined || rollout.name === name);
 	const lines = rollouts.flatMap(rollout => describeRollout(rollout));
-	return [`read from ${String(body.source)}`, ...lines, ''].join('\n');
+	const source = `as read from ${String(body.source)}`;
+	return lines.length === 0 ? `no rollouts, ${source}\n` : [`rollouts, ${source}:`, ...lines, ''].join('\n');
 }
 
 function describeRollout(rollout: ListedRollout): string[] {
