Cancel a streamed answer at once when its caller leaves, also for remembered requests

Cause: a request with an Idempotency-Key runs on without its caller; if its answer was being streamed, the write never drained and the target's slot was held until the deadline. Found by reading; no test of its own.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -131,6 +131,9 @@
 		answer = {
 			kind: 'streaming', head, isEchoed, response,
 		};
+		response.once('close', () => {
+			abort('caller-gone');
+		});
 		writeAnswerHead(response, head, options.requestId);
 		for (const chunk of chunks) {
 			pass(response, chunk);
