--- a/packages/node/tests/entry-exchange.test.ts
+++ b/packages/node/tests/entry-exchange.test.ts
@@ -221,6 +221,20 @@
 		expect(target?.closed).toContain(2);
 	});
 
+	test('free the target at once in mid-answer, also if the outcome is remembered', async () => {
+		const {connect} = await start(({socket}) => {
+			socket.write(`${ok}content-length: ${largeBytes * 100}\r\n\r\n${'x'.repeat(largeBytes * 100)}`);
+		});
+		const socket = connect();
+		socket.pause();
+		socket.write('POST /open-orders HTTP/1.1\r\nhost: x\r\nidempotency-key: one\r\ncontent-length: 0\r\n\r\n');
+		await delay(300);
+		expect(target?.closed).not.toContain(2);
+		socket.destroy();
+		await delay(200);
+		expect(target?.closed).toContain(2);
+	});
+
 	test('hold the target back and no one else up', async () => {
 		let isDrained = true;
 		const {connect, url} = await start(({socket, requestId}) => {
