Keep the links of fleets above some twenty nodes

Cause: the limit for frames before the proof was applied to the whole chunk in which the proof came, so the list of members right behind it (4 KiB from about 20 members on) ended the link, again and again. The reader now hands over each frame before it looks at the next. Ruled out: the choice between two links of a pair, and the quotas' reports.

--- a/packages/cli/src/bench-capacity.ts
+++ b/packages/cli/src/bench-capacity.ts
@@ -53,9 +53,12 @@
 }
 
 function receive(frame: Uint8Array): PeerMessage | undefined {
-	const frames = createFrameReader().push(frame);
-	const parsed = frames.ok ? parsePeerMessage(frames.value[0]) : undefined;
-	return parsed?.ok ? parsed.value : undefined;
+	let received: PeerMessage | undefined;
+	createFrameReader().push(frame, data => {
+		const parsed = parsePeerMessage(data);
+		received = parsed.ok ? parsed.value : undefined;
+	});
+	return received;
 }
 
 function reportConfiguration(configuration: Configuration, size: string, {print}: BenchOptions): void {
--- a/packages/cli/tests/hostile.test.ts
+++ b/packages/cli/tests/hostile.test.ts
@@ -85,20 +85,27 @@
 	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 64})), chunks => {
 		const reader = createFrameReader(handshakeFrameBytes);
 		for (const chunk of chunks) {
-			const read = reader.push(chunk);
-			if (!read.ok) {
-				return;
-			}
-
-			for (const frame of read.value) {
+			reader.push(chunk, frame => {
 				parsePeerMessage(frame);
-			}
+			});
 		}
 	}), {seed: 1, numRuns: 2000});
-	expect(createFrameReader().push(Buffer.from([0, 0x10, 0, 1])).ok).toBe(false);
+	expect(createFrameReader().push(Buffer.from([0, 0x10, 0, 1]), () => undefined).ok).toBe(false);
 	expect(maximumFrameBytes).toBe(0x10_00_00);
 });
 
+test('a large frame right behind the proof is read, since the limit has risen by then', () => {
+	const reader = createFrameReader(handshakeFrameBytes);
+	const received: unknown[] = [];
+	const large = 'x'.repeat(handshakeFrameBytes * 2);
+	const read = reader.push(Buffer.concat([encodeFrame('proof'), encodeFrame(large)]), frame => {
+		received.push(frame);
+		reader.setLimit(maximumFrameBytes);
+	});
+	expect(read.ok).toBe(true);
+	expect(received).toEqual(['proof', large]);
+});
+
 test('many half-open connections cost little memory and end by themselves', async () => {
 	const before = await getMemory();
 	const strangers = await Promise.all(Array.from({length: halfOpenConnections}, async () => openStranger()));
@@ -157,11 +164,12 @@
 	const reader = createFrameReader();
 	const theirNonce = await new Promise<string>(resolve => {
 		socket.on('data', (chunk: Uint8Array) => {
-			const frames = reader.push(chunk);
-			const first = frames.ok ? frames.value[0] as {nonce?: string} | undefined : undefined;
-			if (first?.nonce !== undefined) {
-				resolve(first.nonce);
-			}
+			reader.push(chunk, frame => {
+				const {nonce: first} = frame as {nonce?: string};
+				if (first !== undefined) {
+					resolve(first);
+				}
+			});
 		});
 	});
 	return {socket, theirNonce};
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -134,18 +134,13 @@
 		link.close('no handshake in time');
 	}, options.handshakeTimeoutMilliseconds);
 	socket.on('data', (chunk: Uint8Array) => {
-		const frames = reader.push(chunk);
-		if (!frames.ok) {
-			link.close(frames.error);
-			return;
-		}
-
-		for (const frame of frames.value) {
-			if (socket.destroyed) {
-				return;
+		const read = reader.push(chunk, frame => {
+			if (!socket.destroyed) {
+				receive(frame);
 			}
-
-			receive(frame);
+		});
+		if (!read.ok) {
+			link.close(read.error);
 		}
 	});
 	socket.on('error', error => {
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -15,9 +15,9 @@
 const encoder = new Encoder({mapsAsObjects: true, useRecords: false});
 
 export type FrameReader = {
-	/** Takes the bytes that came in and returns the frames that are whole. */
-	push: (chunk: Uint8Array) => Result<readonly unknown[], string>;
-	/** Changes the size limit for the frames that follow. */
+	/** Takes the bytes that came in and hands over each frame that is whole. */
+	push: (chunk: Uint8Array, receive: (frame: unknown) => void) => Result<undefined, string>;
+	/** Changes the size limit for the frames that follow, also within the same chunk. */
 	setLimit: (bytes: number) => void;
 };
 
@@ -33,9 +33,8 @@
 	let limit = initialLimit;
 	let pending: Buffer = Buffer.alloc(0);
 	return {
-		push(chunk) {
+		push(chunk, receive) {
 			pending = pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([pending, chunk]);
-			const frames: unknown[] = [];
 			while (pending.length >= lengthBytes) {
 				const length = pending.readUInt32BE(0);
 				if (length > limit) {
@@ -51,11 +50,11 @@
 					return decoded;
 				}
 
-				frames.push(decoded.value);
 				pending = pending.subarray(lengthBytes + length);
+				receive(decoded.value);
 			}
 
-			return succeed(frames);
+			return succeed(undefined);
 		},
 		setLimit(bytes) {
 			limit = bytes;
