Hold a rollout's step while its new version is under suspicion

With little traffic ten requests were enough for a step, so that the share rose while the evidence against the version was still growing. A step now waits, and completion too, while the evidence is above 0.4 of what halts.

--- a/packages/policy/src/rollout-decision.ts
+++ b/packages/policy/src/rollout-decision.ts
@@ -15,12 +15,16 @@
 	readonly isInForceEverywhere: boolean;
 	/** Requests of the new version that were counted in this step. */
 	readonly samples: number;
+	/** How near the evidence is to a halt, from 0 to 1. */
+	readonly suspicion: number;
 };
 
 export type RolloutDecision = RolloutChange | {readonly kind: 'hold'; readonly reason: string};
 
 /** Requests of the new version without which a step isn't judged; the first share is too small to ask for any. */
 export const smallestSample = 10;
+/** A suspicion above which a step must wait until it is cleared up. */
+const largestSuspicion = 0.4;
 
 /** @param now wall time in milliseconds */
 export function decideRollout(row: RolloutRow, evidence: RolloutEvidence, now: number): RolloutDecision {
@@ -62,6 +66,10 @@
 		return {kind: 'hold', reason: getHindrance(evidence)};
 	}
 
+	if (evidence.suspicion > largestSuspicion) {
+		return {kind: 'hold', reason: getHindrance(evidence)};
+	}
+
 	const reason = `judged good on ${evidence.samples} requests`;
 	return {kind: stepsLeft === 0 ? 'complete' : 'advance', reason};
 }
@@ -71,6 +79,10 @@
 		return 'the step isn\'t in force everywhere';
 	}
 
+	if (evidence.suspicion > largestSuspicion) {
+		return 'the new version is under suspicion';
+	}
+
 	return evidence.samples < smallestSample
 		? `only ${evidence.samples} requests of the new version were counted`
 		: 'the steps took too long';
--- a/packages/policy/src/rollout-follower.ts
+++ b/packages/policy/src/rollout-follower.ts
@@ -194,6 +194,7 @@
 		halt: isHalted(follower) ? follower.halt : undefined,
 		isInForceEverywhere: members.every(member => isInForceAt(follower, member, now)),
 		samples: follower.samples,
+		suspicion: getHighestSuspicion(follower),
 	}, now.wall);
 }
 
--- a/packages/policy/tests/rollout-decision.test.ts
+++ b/packages/policy/tests/rollout-decision.test.ts
@@ -8,7 +8,9 @@
 const rollout = {
 	name: 'pricing-2', service: 'pricing', from: '1', to: '2', deadline: new Date(10 * minute).toISOString(), cap: 1,
 };
-const good: RolloutEvidence = {halt: undefined, isInForceEverywhere: true, samples: 1000};
+const good: RolloutEvidence = {
+	halt: undefined, isInForceEverywhere: true, samples: 1000, suspicion: 0.1,
+};
 const bad: RolloutEvidence = {...good, halt: {attempt: 1, by: 'evidence', reason: 'failures on GET /prices'}};
 const stopped: RolloutEvidence = {...good, halt: {attempt: 1, by: 'operator', reason: 'operator'}};
 
@@ -64,6 +66,9 @@
 		{
 			name: 'waits for a sample', row: {step: 1}, evidence: {...good, samples: 1}, now: 6.1 * minute, expected: 'hold',
 		},
+		{
+			name: 'waits while the new version is under suspicion', row: {step: 1}, evidence: {...good, suspicion: 0.5}, now: 6.1 * minute, expected: 'hold',
+		},
 		{
 			name: 'takes a bad version back', row: {}, evidence: bad, now: 1, expected: 'revert',
 		},
