Use all lent slots while the own region is well but used up

Cause: the limit that keeps a failed region from taking the next along also held back requests that spilled over from a region that is only used up, so that slots lent to this node lay idle for up to 8 s. The limit now holds while the own region fails or has no usable slot.

--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -176,6 +176,8 @@
 	};
 
 	const chooseElsewhere = (request: ChoiceRequest, now: number): Candidate | undefined => {
+		const home = getHomeRegion();
+		const isHomeIll = !home || home.usable === 0 || home.failureShare > failingShare;
 		const found: Candidate[] = [];
 		for (const region of regions.values()) {
 			if (isHome(region) || region.free.length === 0 || !isRegionOpen(region.name) || !isSpillUseful(region, request)) {
@@ -183,7 +185,7 @@
 			}
 
 			region.spill = updateRegionSpill(region.spill, region.failureShare, now);
-			if (region.inUse >= getSpillLimit(region.spill, region.held)) {
+			if (isHomeIll && region.inUse >= getSpillLimit(region.spill, region.held)) {
 				region.spill = markSpillLimit(region.spill);
 				continue;
 			}
--- a/packages/policy/tests/target-choice.test.ts
+++ b/packages/policy/tests/target-choice.test.ts
@@ -106,6 +106,18 @@
 	expect(counts.at(-1)).toBeLessThanOrEqual(16);
 });
 
+test('a region that is well but used up uses all slots held elsewhere', () => {
+	const remote = Array.from({length: 10}, (_, index) => ({name: `remote-${index}`, region: 'bergen'}));
+	const choice = createChoice([...local, ...remote], 2);
+	let started = 0;
+	for (let target = choose(choice, 0); target !== undefined; target = choose(choice, 0)) {
+		choice.start(target, 0);
+		started += 1;
+	}
+
+	expect(started).toBe(2 * (local.length + remote.length));
+});
+
 test('a target that joins later starts with few slots', () => {
 	const choice = createChoice(local, 10);
 	choice.setTargets([...local, {name: 'e', region: 'oslo'}], 1000);
