Give lent slots back when the lender needs them

Cause: a node without work lent its slots for up to 15 s, and a borrower kept them as long as it used anything at that target; requests were refused while a third of all slots was free. Now the lender recalls a loan when a request of its own finds no slot, and a borrower returns an idle loan after 300 ms, after 50 ms when it has own slots free, and at once when it is recalled.

Ruled out: shorter loans (a request's deadline must end within its loan); lending nothing of the last slot (a node with one slot per target would never lend).

--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -4,11 +4,11 @@
  */
 import {assertInvariant, createIdentifier} from '@catkindale/common';
 import {
-	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getSlotFloor,
-	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
+	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLoansToReturn, getSlotFloor,
+	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
 } from '@catkindale/policy';
 import type {
-	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotReturnMessage,
+	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotRecallMessage, SlotReturnMessage,
 } from '@catkindale/protocol';
 import type {LeaseClock} from './lease-clock.js';
 import type {QuotaLease} from './quota-lease.js';
@@ -49,7 +49,7 @@
 	readonly isBorrowing?: boolean;
 };
 
-type SlotMessage = SlotLoanWishMessage | SlotLoanMessage | SlotReturnMessage;
+type SlotMessage = SlotLoanWishMessage | SlotLoanMessage | SlotReturnMessage | SlotRecallMessage;
 
 type SlotEntry = {
 	target: Target;
@@ -60,6 +60,8 @@
 	wish: {readonly id: string; readonly askedAt: number} | undefined;
 	/** The lender of each borrowed loan. */
 	readonly lenders: Map<string, string>;
+	/** The borrower of each lent loan that isn't recalled yet. */
+	readonly borrowers: Map<string, string>;
 	nextLender: number;
 };
 
@@ -110,6 +112,10 @@
 		const reserve = now - entry.usedAt < idleMilliseconds ? 1 : 0;
 		const result = lease.isValid() ? lendSlots(getSlots(entry), {id: message.id, wanted: message.slots, reserve}, now) : {holding: entry.holding, slots: 0};
 		entry.holding = result.holding;
+		if (result.slots > 0) {
+			entry.borrowers.set(message.id, from);
+		}
+
 		send(from, {
 			type: 'slot-loan', id: message.id, target: message.target, slots: result.slots,
 		});
@@ -140,7 +146,7 @@
 	};
 
 	const takeFrom = (entry: SlotEntry, deadlineAt: number): boolean => {
-		const taken = takeSlot(getUsable(entry), deadlineAt);
+		const taken = takeSlot(getUsable(entry), deadlineAt, clock.monotonic());
 		if (taken) {
 			entry.holding = {...taken.holding, floor: entry.holding.floor};
 			entry.usedAt = clock.monotonic();
@@ -150,15 +156,27 @@
 			askFor(entry);
 		}
 
+		if (!taken) {
+			recall(entry);
+		}
+
 		return taken !== undefined;
 	};
 
-	const giveBackIdle = (entry: SlotEntry): void => {
-		if (clock.monotonic() - entry.usedAt < idleMilliseconds) {
-			return;
+	/** Asks for what is lent, oldest first, one loan with each request that finds no slot. */
+	const recall = (entry: SlotEntry): void => {
+		for (const {id} of getSlots(entry).lent) {
+			const borrower = entry.borrowers.get(id);
+			if (borrower !== undefined) {
+				entry.borrowers.delete(id);
+				send(borrower, {type: 'slot-recall', id, target: entry.target.name});
+				return;
+			}
 		}
+	};
 
-		for (const {id} of getSlots(entry).borrowed) {
+	const giveBack = (entry: SlotEntry): void => {
+		for (const id of getLoansToReturn(getSlots(entry), clock.monotonic())) {
 			const returned = returnSlots(entry.holding, id);
 			const lender = entry.lenders.get(id);
 			if (returned && lender !== undefined) {
@@ -225,7 +243,11 @@
 		release(target) {
 			const entry = entries.get(target);
 			assertInvariant(entry !== undefined, 'a slot is released at a target that is known', {target});
-			entry.holding = releaseSlot(entry.holding, getUseToRelease(entry.holding));
+			entry.holding = releaseSlot(entry.holding, getUseToRelease(entry.holding), clock.monotonic());
+			if (entry.holding.borrowed.length > 0) {
+				giveBack(entry);
+			}
+
 			if (!known.has(target) && entry.isRaised) {
 				removeUnknown(entries, known, entry);
 			}
@@ -248,7 +270,15 @@
 				}
 
 				case 'slot-return': {
+					entry.borrowers.delete(message.id);
 					entry.holding = takeBackSlots(getSlots(entry), message.id);
+					options.onGained?.(message.target);
+					break;
+				}
+
+				case 'slot-recall': {
+					entry.holding = recallSlots(getSlots(entry), message.id);
+					giveBack(entry);
 					break;
 				}
 			}
@@ -256,7 +286,7 @@
 		tick() {
 			for (const entry of entries.values()) {
 				if (entry.holding.borrowed.length > 0) {
-					giveBackIdle(entry);
+					giveBack(entry);
 				}
 			}
 		},
@@ -264,12 +294,13 @@
 }
 
 function isSlotMessage(message: PeerMessage): message is SlotMessage {
-	return message.type === 'slot-loan-wish' || message.type === 'slot-loan' || message.type === 'slot-return';
+	return message.type === 'slot-loan-wish' || message.type === 'slot-loan'
+		|| message.type === 'slot-return' || message.type === 'slot-recall';
 }
 
 function createEntry(target: Target): SlotEntry {
 	return {
-		target, holding: emptyHolding, shares: undefined, isRaised: false, usedAt: Number.NEGATIVE_INFINITY, wish: undefined, lenders: new Map(), nextLender: 0,
+		target, holding: emptyHolding, shares: undefined, isRaised: false, usedAt: Number.NEGATIVE_INFINITY, wish: undefined, lenders: new Map(), borrowers: new Map(), nextLender: 0,
 	};
 }
 
--- a/packages/policy/src/slot-holding.ts
+++ b/packages/policy/src/slot-holding.ts
@@ -16,7 +16,13 @@
 	readonly inUse: number;
 };
 
-export type BorrowedSlots = SlotLoan & {readonly inUse: number};
+export type BorrowedSlots = SlotLoan & {
+	readonly inUse: number;
+	/** Monotonic time of its last use or, before that, of its arrival. */
+	readonly usedAt: number;
+	/** Whether the lender wants it back: it is given to no further request. */
+	readonly isRecalled: boolean;
+};
 
 /** On which slot a request runs: an own one or one of a loan. */
 export type SlotUse = {readonly kind: 'own'} | {readonly kind: 'borrowed'; readonly id: string};
@@ -32,6 +38,10 @@
 /** A borrower uses a loan for new requests only while this much time is left. */
 const leastUsefulMilliseconds = 100;
 
+/** How long an idle loan is kept while own slots are free, and while none is. */
+const spareLoanMilliseconds = 50;
+const idleLoanMilliseconds = 300;
+
 const ownUse: SlotUse = {kind: 'own'};
 
 export function getFreeOwnSlots(holding: SlotHolding): number {
@@ -40,14 +50,14 @@
 
 /** Slots that a request could take now, if its deadline allows. */
 export function getFreeSlots(holding: SlotHolding, now: number): number {
-	const borrowed = holding.borrowed.filter(loan => loan.until > now);
+	const borrowed = holding.borrowed.filter(loan => loan.until > now && !loan.isRecalled);
 	return getFreeOwnSlots(holding) + borrowed.reduce((total, loan) => total + loan.slots - loan.inUse, 0);
 }
 
 /** Slots that the node may use now, borrowed ones included. */
 export function getHeldSlots(holding: SlotHolding, now: number): number {
 	const borrowed = holding.borrowed.filter(loan => loan.until > now + leastUsefulMilliseconds);
-	return Math.max(0, holding.floor - getLentSlots(holding)) + borrowed.reduce((total, loan) => total + loan.slots, 0);
+	return Math.max(0, holding.floor - getLentSlots(holding)) + borrowed.reduce((total, loan) => total + (loan.isRecalled ? loan.inUse : loan.slots), 0);
 }
 
 export function getSlotsInUse(holding: SlotHolding): number {
@@ -60,16 +70,16 @@
 }
 
 /** Takes a slot for a request that ends by its deadline; undefined if none is free for so long. */
-export function takeSlot(holding: SlotHolding, deadlineAt: number): {readonly holding: SlotHolding; readonly use: SlotUse} | undefined {
+export function takeSlot(holding: SlotHolding, deadlineAt: number, now: number): {readonly holding: SlotHolding; readonly use: SlotUse} | undefined {
 	if (getFreeOwnSlots(holding) > 0) {
 		return {holding: {...holding, inUse: holding.inUse + 1}, use: ownUse};
 	}
 
-	const loan = holding.borrowed.find(candidate => candidate.inUse < candidate.slots && candidate.until >= deadlineAt);
-	return loan && {holding: changeBorrowed(holding, loan.id, 1), use: {kind: 'borrowed', id: loan.id}};
+	const loan = holding.borrowed.find(candidate => !candidate.isRecalled && candidate.inUse < candidate.slots && candidate.until >= deadlineAt);
+	return loan && {holding: changeBorrowed(holding, loan.id, {change: 1, now}), use: {kind: 'borrowed', id: loan.id}};
 }
 
-export function releaseSlot(holding: SlotHolding, use: SlotUse): SlotHolding {
+export function releaseSlot(holding: SlotHolding, use: SlotUse, now: number): SlotHolding {
 	switch (use.kind) {
 		case 'own': {
 			assertInvariant(holding.inUse > 0, 'a slot is released once');
@@ -77,7 +87,7 @@
 		}
 
 		case 'borrowed': {
-			return changeBorrowed(holding, use.id, -1);
+			return changeBorrowed(holding, use.id, {change: -1, now});
 		}
 	}
 }
@@ -113,7 +123,7 @@
 
 	return {
 		...holding, borrowed: [...holding.borrowed, {
-			id, slots, until, inUse: 0,
+			id, slots, until, inUse: 0, usedAt: now, isRecalled: false,
 		}],
 	};
 }
@@ -137,14 +147,32 @@
 	return {...holding, lent: holding.lent.filter(loan => loan.id !== id)};
 }
 
+/** The borrower starts no further request on a loan that the lender wants back. */
+export function recallSlots(holding: SlotHolding, id: string): SlotHolding {
+	return {...holding, borrowed: holding.borrowed.map(loan => loan.id === id ? {...loan, isRecalled: true} : loan)};
+}
+
+/**
+ * The loans that the borrower should give back now: idle ones that are
+ * recalled, not needed because own slots are free, or unused for some time.
+ */
+export function getLoansToReturn(holding: SlotHolding, now: number): string[] {
+	const isOwnFree = getFreeOwnSlots(holding) > 0;
+	const idle = holding.borrowed.filter(loan => loan.inUse === 0);
+	const due = idle.filter(loan => loan.isRecalled || now - loan.usedAt >= (isOwnFree ? spareLoanMilliseconds : idleLoanMilliseconds));
+	return due.map(loan => loan.id);
+}
+
 /** The borrower gives up an idle loan for good; undefined while a request runs on it. */
 export function returnSlots(holding: SlotHolding, id: string): SlotHolding | undefined {
 	const loan = holding.borrowed.find(candidate => candidate.id === id);
 	return loan?.inUse === 0 ? {...holding, borrowed: holding.borrowed.filter(candidate => candidate.id !== id)} : undefined;
 }
 
-function changeBorrowed(holding: SlotHolding, id: string, change: 1 | -1): SlotHolding {
-	const borrowed = holding.borrowed.map(loan => loan.id === id ? {...loan, inUse: loan.inUse + change} : loan);
+type BorrowedChange = {readonly change: 1 | -1; readonly now: number};
+
+function changeBorrowed(holding: SlotHolding, id: string, {change, now}: BorrowedChange): SlotHolding {
+	const borrowed = holding.borrowed.map(loan => loan.id === id ? {...loan, inUse: loan.inUse + change, usedAt: now} : loan);
 	const changed = borrowed.find(loan => loan.id === id);
 	assertInvariant(changed !== undefined && changed.inUse >= 0, 'a borrowed slot is released once', {id});
 	return {...holding, borrowed};
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -76,6 +76,13 @@
 	target: z.string(),
 });
 
+/** The lender wants the loan back as soon as nothing runs on it. */
+export const slotRecallMessageSchema = z.object({
+	type: z.literal('slot-recall'),
+	id: z.string(),
+	target: z.string(),
+});
+
 export const quotaMessageSchemas = [
 	ledgerReportMessageSchema,
 	ledgerRowMessageSchema,
@@ -85,6 +92,7 @@
 	slotLoanWishMessageSchema,
 	slotLoanMessageSchema,
 	slotReturnMessageSchema,
+	slotRecallMessageSchema,
 ] as const;
 
 export type LedgerReportMessage = z.infer<typeof ledgerReportMessageSchema>;
@@ -95,3 +103,4 @@
 export type SlotLoanWishMessage = z.infer<typeof slotLoanWishMessageSchema>;
 export type SlotLoanMessage = z.infer<typeof slotLoanMessageSchema>;
 export type SlotReturnMessage = z.infer<typeof slotReturnMessageSchema>;
+export type SlotRecallMessage = z.infer<typeof slotRecallMessageSchema>;
