--- a/packages/cli/src/bench-load-fleet.ts
+++ b/packages/cli/src/bench-load-fleet.ts
@@ -1,11 +1,12 @@
 /** A small fleet in one process for the load bench: stand-ins, nodes and targets on loopback. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {createSilentLogger, hashText} from '@catkindale/common';
-import {type NodeHandle, settingsSchema, startNode} from '@catkindale/node';
+import {hashText} from '@catkindale/common';
+import {type NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {request} from 'undici';
+import {type EmbeddedPlatform, startEmbeddedNode} from './embedded-node.js';
 
 export type FleetCustomer = {readonly name: string; readonly rate: number; readonly burst: number};
 
@@ -82,21 +83,8 @@
 	await answer.body.dump();
 }
 
-async function startFleetNode(name: string, region: string, platform: Record<'table' | 'objects' | 'machines', Standin>): Promise<NodeHandle> {
-	const listen = '127.0.0.1:0';
-	const settings = settingsSchema.parse({
-		node: {name, region, zone: `${region}-a`},
-		listen: {
-			caller: listen, peer: listen, admin: listen, metrics: listen,
-		},
-		platform: {
-			table: {address: platform.table.address},
-			objects: {address: platform.objects.address},
-			machines: {address: platform.machines.address},
-		},
-		secrets: {peer: 'bench-peer-secret-of-fleet', operatorToken},
-	});
-	return startNode(settings, {logger: createSilentLogger()});
+async function startFleetNode(name: string, region: string, platform: EmbeddedPlatform): Promise<NodeHandle> {
+	return startEmbeddedNode({place: {name, region, zone: `${region}-a`}, platform, operatorToken});
 }
 
 export function getCustomerKey(customer: string): string {
--- a/packages/cli/src/bench-overhead-worker.ts
+++ b/packages/cli/src/bench-overhead-worker.ts
@@ -9,10 +9,9 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {type MessagePort, parentPort, workerData} from 'node:worker_threads';
-import {createSilentLogger} from '@catkindale/common';
-import {settingsSchema, startNode} from '@catkindale/node';
 import {startMachineListStandin, startObjectStoreStandin, startTableStandin} from '@catkindale/standins';
 import {Pool} from 'undici';
+import {startEmbeddedNode} from './embedded-node.js';
 
 export type WorkerRole = 'target' | 'forwarder' | 'entry';
 export type WorkerStart = {readonly role: WorkerRole; readonly operatorToken: string; readonly target: string};
@@ -59,16 +58,12 @@
 
 async function startEntry(operatorToken: string): Promise<WorkerReady> {
 	const [table, objects, machines] = await Promise.all([startTableStandin(loopback), startObjectStoreStandin(loopback), startMachineListStandin(loopback)]);
-	const listen = '127.0.0.1:0';
-	const node = await startNode(settingsSchema.parse({
-		node: {name: 'oslo-1', region: 'oslo', zone: 'oslo-a'},
-		listen: {
-			caller: listen, peer: listen, admin: listen, metrics: listen,
-		},
-		platform: {table: {address: table.address}, objects: {address: objects.address}, machines: {address: machines.address}},
-		secrets: {peer: 'bench-peer-secret-of-the-fleet', operatorToken},
+	const node = await startEmbeddedNode({
+		place: {name: 'oslo-1', region: 'oslo', zone: 'oslo-a'},
+		platform: {table, objects, machines},
+		operatorToken,
 		limits: {connectionsPerTarget, idleTimeoutMilliseconds: 600_000},
-	}), {logger: createSilentLogger()});
+	});
 	return {caller: node.addresses.caller, admin: node.addresses.admin};
 }
 
--- a/packages/cli/src/bench-propagation.ts
+++ b/packages/cli/src/bench-propagation.ts
@@ -6,14 +6,13 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	bytesPerMebibyte, createRandom, createSilentLogger, millisecondsPerMinute, millisecondsPerSecond,
+	bytesPerMebibyte, createRandom, millisecondsPerMinute, millisecondsPerSecond,
 } from '@catkindale/common';
-import {type NodeHandle, settingsSchema, startNode} from '@catkindale/node';
-import {
-	type Standin, startMachineListStandin, startObjectStoreStandin, startTableStandin,
-} from '@catkindale/standins';
+import {type NodeHandle} from '@catkindale/node';
+import {startMachineListStandin, startObjectStoreStandin, startTableStandin} from '@catkindale/standins';
 import {request} from 'undici';
 import {registerBench} from './bench-registry.js';
+import {type EmbeddedNode, type EmbeddedPlatform, startEmbeddedNode} from './embedded-node.js';
 
 type Fleet = {readonly nodes: readonly NodeHandle[]; readonly stop: () => Promise<void>};
 type Cost = {readonly bytesPerSecond: number; readonly cpuPercent: number; readonly mebibytes: number};
@@ -76,20 +75,10 @@
 	};
 }
 
-async function startBenchNode(node: {name: string; region: string; zone: string}, platform: Record<'table' | 'objects' | 'machines', Standin>): Promise<NodeHandle> {
-	const listen = '127.0.0.1:0';
-	const settings = settingsSchema.parse({
-		node,
-		listen: {
-			caller: listen, peer: listen, admin: listen, metrics: listen,
-		},
-		platform: {
-			table: {address: platform.table.address}, objects: {address: platform.objects.address}, machines: {address: platform.machines.address},
-		},
-		secrets: {peer: 'bench-peer-secret-of-the-fleet', operatorToken},
-		timing: {lookupHoldMilliseconds: 0},
+async function startBenchNode(place: EmbeddedNode['place'], platform: EmbeddedPlatform): Promise<NodeHandle> {
+	return startEmbeddedNode({
+		place, platform, operatorToken, timing: {lookupHoldMilliseconds: 0},
 	});
-	return startNode(settings, {logger: createSilentLogger()});
 }
 
 /** Waits until the first node counts every other one as serving, or for the time limit. */
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,11 +1,12 @@
 /** The newcomer's first look: a fleet of three nodes serves a look-up and an order. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {createSilentLogger, hashText} from '@catkindale/common';
-import {type NodeHandle, settingsSchema, startNode} from '@catkindale/node';
+import {hashText} from '@catkindale/common';
+import {type NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {request} from 'undici';
+import {type EmbeddedPlatform, startEmbeddedNode} from './embedded-node.js';
 
 const loopback = {host: '127.0.0.1', port: 0};
 const regions = ['oslo', 'bergen', 'tromso'];
@@ -79,22 +80,10 @@
 	return answer.statusCode;
 }
 
-async function startDemoNode(region: string, platform: Record<'table' | 'objects' | 'machines', Standin>): Promise<NodeHandle> {
-	const listen = '127.0.0.1:0';
-	const settings = settingsSchema.parse({
-		node: {name: `${region}-1`, region, zone: `${region}-a`},
-		listen: {
-			caller: listen, peer: listen, admin: listen, metrics: listen,
-		},
-		platform: {
-			table: {address: platform.table.address},
-			objects: {address: platform.objects.address},
-			machines: {address: platform.machines.address},
-		},
-		secrets: {peer: 'demo-peer-secret-of-the-fleet', operatorToken},
-		timing: {lookupHoldMilliseconds: demoHoldMilliseconds},
+async function startDemoNode(region: string, platform: EmbeddedPlatform): Promise<NodeHandle> {
+	return startEmbeddedNode({
+		place: {name: `${region}-1`, region, zone: `${region}-a`}, platform, operatorToken, timing: {lookupHoldMilliseconds: demoHoldMilliseconds},
 	});
-	return startNode(settings, {logger: createSilentLogger()});
 }
 
 function getManifest(targetAddress: string): string {
