--- a/packages/cli/src/bench-load-fleet.ts
+++ b/packages/cli/src/bench-load-fleet.ts
@@ -1,7 +1,7 @@
 /** A small fleet in one process for the load bench: stand-ins, nodes and targets on loopback. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashText} from '@catkindale/common';
-import {type NodeHandle} from '@catkindale/node';
+import type {NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
--- a/packages/cli/src/bench-propagation.ts
+++ b/packages/cli/src/bench-propagation.ts
@@ -8,7 +8,7 @@
 import {
 	bytesPerMebibyte, createRandom, millisecondsPerMinute, millisecondsPerSecond,
 } from '@catkindale/common';
-import {type NodeHandle} from '@catkindale/node';
+import type {NodeHandle} from '@catkindale/node';
 import {startMachineListStandin, startObjectStoreStandin, startTableStandin} from '@catkindale/standins';
 import {request} from 'undici';
 import {registerBench} from './bench-registry.js';
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,7 +1,7 @@
 /** The newcomer's first look: a fleet of three nodes serves a look-up and an order. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashText} from '@catkindale/common';
-import {type NodeHandle} from '@catkindale/node';
+import type {NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
