--- a/packages/node/src/client-blocks-plugin.ts
+++ b/packages/node/src/client-blocks-plugin.ts
@@ -9,42 +9,49 @@
 	type Result, fail, getErrorMessage, succeed,
 } from '@catkindale/common';
 import {
-	type ClientBlockTable, type Configuration, type SiteChange, changeClientBlocks, createClientBlockTable, parseClientBlockSnapshot, parseSiteChange,
+	type ClientBlockTable, type Configuration, type SiteChange, type VersionedConfiguration, changeClientBlocks, createClientBlockTable, parseClientBlockSnapshot, parseSiteChange,
 } from '@catkindale/policy';
 import {type NodeContext, nodePlugins} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
 
 const startOrder = 18;
+/** After this time a snapshot that couldn't be read is tried again. */
+const retryMilliseconds = 2000;
 
 nodePlugins.register({
 	name: 'client-blocks',
 	roles: ['directory'],
 	order: startOrder,
 	async start(context) {
-		let newest = 0;
-		let work: Promise<void> = Promise.resolve();
-		const update = async (version: number, configuration: Configuration): Promise<void> => {
-			if (version < newest) {
+		let pending: VersionedConfiguration | undefined;
+		const update = async (): Promise<void> => {
+			const wanted = pending;
+			if (!wanted) {
 				return;
 			}
 
-			const base = await loadSnapshot(context, configuration.clientBlockSnapshot);
+			const base = await loadSnapshot(context, wanted.configuration.clientBlockSnapshot);
 			if (!base.ok) {
-				context.logger.error('client_blocks_unreadable', {version, reason: base.error});
+				context.logger.error('client_blocks_unreadable', {version: wanted.version, reason: base.error});
 				return;
 			}
 
-			const table = await applyChanges(base.value, getChanges(configuration));
-			context.bus.publish({type: 'client-blocks-changed', table});
+			const table = await applyChanges(base.value, getChanges(wanted.configuration));
+			if (pending === wanted) {
+				pending = undefined;
+				context.bus.publish({type: 'client-blocks-changed', table});
+			}
 		};
 
+		const work = startPeriodicWork(update, retryMilliseconds);
 		const end = context.bus.subscribe('configuration-changed', ({version, configuration}) => {
-			newest = version;
-			work = work.then(async () => update(version, configuration));
+			pending = {version, configuration};
+			work.runSoon();
 		});
 		return {
 			async stop() {
 				end();
-				await work;
+				await work.stop();
 			},
 		};
 	},
--- /dev/null
+++ b/packages/node/tests/client-blocks.test.ts
@@ -0,0 +1,56 @@
+/** Client blocks for the directory, from the manifest and from a snapshot in the object store. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {encode} from 'cbor-x';
+import {expect, test} from 'vitest';
+import {createMessageBus} from '@catkindale/kernel';
+import type {ObjectOutcome} from '@catkindale/platform';
+import {
+	type ClientBlockTable, changeClientBlocks, configurationSchema, createClientBlockSnapshot, createClientBlockTable, findSites, finishWork, parseSiteChange,
+} from '@catkindale/policy';
+import {type NodeContext, nodePlugins} from '../src/node-context.js';
+import type {NodeMessage} from '../src/node-messages.js';
+import '../src/client-blocks-plugin.js';
+
+const settleMilliseconds = 200;
+const retryMilliseconds = 2100;
+
+function createSnapshotObject(): Uint8Array {
+	const change = parseSiteChange('10.0.0.0/8', [{site: 'oslo', weight: 1}]);
+	const changes = change.ok ? [change.value] : [];
+	return encode(createClientBlockSnapshot(finishWork(changeClientBlocks(createClientBlockTable(), changes)), 1));
+}
+
+type Case = {readonly name: string; readonly objects: ReadonlyArray<ObjectOutcome<Uint8Array | undefined>>; readonly isRead: boolean};
+
+const whole: ObjectOutcome<Uint8Array> = {kind: 'done', value: createSnapshotObject()};
+
+test.each<Case>([
+	{name: 'is read', objects: [whole], isRead: true},
+	{name: 'that is missing leaves the former blocks', objects: [{kind: 'done', value: undefined}], isRead: false},
+	{name: 'that can\'t be reached leaves the former blocks', objects: [{kind: 'not-done', reason: 'outage'}], isRead: false},
+	{name: 'of another kind leaves the former blocks', objects: [{kind: 'done', value: Uint8Array.of(1, 2, 3)}], isRead: false},
+	{name: 'is read once the object store is back', objects: [{kind: 'not-done', reason: 'outage'}, whole], isRead: true},
+])('a snapshot $name', async ({objects, isRead}) => {
+	const bus = createMessageBus<NodeMessage>();
+	const tables: ClientBlockTable[] = [];
+	const errors: string[] = [];
+	let reads = 0;
+	bus.subscribe('client-blocks-changed', ({table}) => {
+		tables.push(table);
+	});
+	const get = async () => objects[reads++];
+	const context = {
+		bus, logger: {error: (event: string) => errors.push(event)}, platform: {objects: {get}},
+	} as unknown as NodeContext;
+	const plugin = nodePlugins.getPlugins(['directory']).find(({name}) => name === 'client-blocks')!;
+	const task = await plugin.start(context);
+	const configuration = configurationSchema.parse({
+		regions: [{name: 'bergen', zones: ['bergen-a']}], clientBlocks: [{prefix: '10.1.0.0/16', region: 'bergen'}], clientBlockSnapshot: 'blocks-1',
+	});
+	bus.publish({type: 'configuration-changed', version: 1, configuration});
+	await delay(settleMilliseconds + ((objects.length - 1) * retryMilliseconds));
+	await task.stop();
+	const sites = ['10.0.0.1', '10.1.0.1'].map(address => tables[0] && findSites(tables[0], address)[0]?.site);
+	expect(sites).toEqual(isRead ? ['oslo', 'bergen'] : [undefined, undefined]);
+	expect(errors).toHaveLength(objects.length - (isRead ? 1 : 0));
+});
