--- a/packages/common/src/rendezvous.ts
+++ b/packages/common/src/rendezvous.ts
@@ -10,7 +10,7 @@
 /** Returns the members in the order in which they are preferred for the key. */
 export function rankMembers<Member extends {readonly id: string}>(key: string, members: readonly Member[]): Member[] {
 	const scored = members.map(member => ({member, score: getScore(key, member.id)}));
-	scored.sort((left, right) => compareScores(left.score, right.score) || compareText(left.member.id, right.member.id));
+	scored.sort((left, right) => compareText(right.score, left.score) || compareText(left.member.id, right.member.id));
 	return scored.map(entry => entry.member);
 }
 
@@ -18,10 +18,6 @@
 	return createHash('sha1').update(`${key}\n${memberId}`).digest('hex');
 }
 
-function compareScores(left: string, right: string): number {
-	return compareText(right, left);
-}
-
 function compareText(left: string, right: string): number {
 	if (left === right) {
 		return 0;
