Remove a function that nothing calls any more

The delay until the next token is that of the customer's quota since loans came in (getRequestTokenDelay).

--- a/packages/policy/src/token-bucket.ts
+++ b/packages/policy/src/token-bucket.ts
@@ -33,8 +33,3 @@
 export function takeToken(bucket: TokenBucket): TokenBucket | undefined {
 	return bucket.tokens >= 1 ? {...bucket, tokens: bucket.tokens - 1} : undefined;
 }
-
-/** Milliseconds until the next token, for a filled bucket. */
-export function getTokenDelay(bucket: TokenBucket): number {
-	return Math.max(0, (1 - bucket.tokens) / bucket.rate * millisecondsPerSecond);
-}
