Hold work at a leaving target in the test, however cold the target is

Cause: the test of leaving targets sent eight slow requests and waited for one of them to be in flight at the target that leaves. A target that came back a moment ago from the case before is cold: it has one usable slot of 15, so that the choice gives it work only once the other one has about 15 requests. With eight, all could go to the other target, and the test then waited 15 s for work that was not there.

Ruled out: refusals (all eight answers were 200 in the failing runs, printed in a trial) and an entry that holds no slots at the target.

Now slow requests go on until one of them runs at the leaving target. The checks are the same, over more requests: none is refused or cut off, and the target gets no new work after 3 s.

--- a/packages/cli/tests/leaving-targets.test.ts
+++ b/packages/cli/tests/leaving-targets.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {request} from 'undici';
 import {
-	type ManifestTarget, type TestNode, type TestPlatform, applyManifest, callAdmin, endProcesses, getManifest, listMachines, sendRequest, startFleet,
+	type Answer, type ManifestTarget, type TestNode, type TestPlatform, applyManifest, callAdmin, endProcesses, getManifest, listMachines, sendRequest, startFleet,
 	startPlatformProcesses, startTargets, waitUntil,
 } from './helpers.js';
 
@@ -58,8 +58,12 @@
 ])('a target that leaves by $name', async ({leave}) => {
 	const leaving = targets[1]!;
 	await Promise.all(targets.map(async target => setBehaviour(target, {serviceMilliseconds: slowMilliseconds})));
-	const running = Promise.all(Array.from({length: 8}, async (_, index) => sendRequest(`${nodes[index % 2]!.caller}/prices/slow`, headers)));
-	await waitUntil(async () => await getInFlight(leaving) > 0 || undefined, 'work in flight at the leaving target');
+	const running: Array<Promise<Answer>> = [];
+	await waitUntil(async () => {
+		// A target that came back a moment ago is cold and gets work only when the other has much.
+		running.push(...nodes.map(async node => sendRequest(`${node.caller}/prices/slow`, headers)));
+		return await getInFlight(leaving) > 0 || undefined;
+	}, 'work in flight at the leaving target');
 	await Promise.all(targets.map(async target => setBehaviour(target, {serviceMilliseconds: 1})));
 	await leave(leaving);
 	const endsAt = performance.now() + leaveLimitMilliseconds;
@@ -74,7 +78,7 @@
 	}
 
 	expect(await getReceived(leaving)).toBe(before);
-	const answers = await running;
+	const answers = await Promise.all(running);
 	expect(answers.filter(answer => answer.status !== 200)).toEqual([]);
 });
 
