--- a/packages/cli/src/bench-client-blocks.ts
+++ b/packages/cli/src/bench-client-blocks.ts
@@ -6,19 +6,20 @@
 import {
 	type Random, bytesPerMebibyte, createRandom, nanosecondsPerMillisecond,
 } from '@catkindale/common';
+import {decodeClientBlocks, encodeClientBlocks} from '@catkindale/node';
+import {objectDrivers} from '@catkindale/platform';
 import {
 	type ClientBlockTable,
 	type SiteChange,
 	type SiteWeight,
 	changeClientBlocks,
-	createClientBlockSnapshot,
 	createClientBlockTable,
 	findIpv4Assignment,
 	findSites,
 	finishWork,
 	getClientBlockBytes,
-	parseClientBlockSnapshot,
 } from '@catkindale/policy';
+import {startObjectStoreStandin} from '@catkindale/standins';
 import {type BenchOptions, registerBench} from './bench-registry.js';
 
 const blockCount = 590_000;
@@ -31,6 +32,7 @@
 const targetBytes = 64 * bytesPerMebibyte;
 const targetChangeMilliseconds = 1000;
 const wordRange = 2 ** 32;
+const objectLimits = {timeoutMilliseconds: 10_000, maximumCallsInFlight: 1};
 const mapLengths = Array.from({length: 25}, (_, index) => 32 - index);
 
 registerBench({
@@ -44,7 +46,7 @@
 		const isFast = reportLookUps(table, random, options);
 		const isSmall = reportMemory(table, options);
 		const isPrompt = await reportChange(table, random, options);
-		reportSnapshot(table, options);
+		await reportSnapshot(table, options);
 		return isFast && isSmall && isPrompt;
 	},
 });
@@ -86,31 +88,45 @@
 
 async function reportChange(table: ClientBlockTable, random: Random, {print}: BenchOptions): Promise<boolean> {
 	const changes = Array.from({length: changeCount}, () => createChange(random));
-	const work = changeClientBlocks(table, changes);
 	const startedAt = performance.now();
-	let longest = 0;
+	const {longestMilliseconds} = await runInSteps(changeClientBlocks(table, changes));
+	const total = performance.now() - startedAt;
+	print(`change of ${changeCount} blocks: ${total.toFixed(0)} ms, longest step without look-ups ${longestMilliseconds.toFixed(1)} ms`);
+	return total <= targetChangeMilliseconds;
+}
+
+/** The way of a node that starts: the object store's answer, its decoding, the table. */
+async function reportSnapshot(table: ClientBlockTable, {print}: BenchOptions): Promise<void> {
+	const standin = await startObjectStoreStandin({host: '127.0.0.1', port: 0});
+	const store = objectDrivers.open('http', {address: standin.address, ...objectLimits});
+	const {name, content} = encodeClientBlocks(table);
+	await store.put(name, content);
+	const startedAt = performance.now();
+	const object = await store.get(name);
+	const downloadedAt = performance.now();
+	const bytes = object.kind === 'done' && object.value ? object.value : new Uint8Array();
+	const {value: restored, longestMilliseconds} = await runInSteps(decodeClientBlocks(bytes));
+	const builtAt = performance.now();
+	const state = restored.ok ? 'restored' : `refused: ${restored.error}`;
+	print(`snapshot of ${toMebibytes(content.length)} MiB ${state}: downloaded in ${(downloadedAt - startedAt).toFixed(0)} ms, decoded and built in `
+		+ `${(builtAt - downloadedAt).toFixed(0)} ms, longest step without look-ups ${longestMilliseconds.toFixed(1)} ms`);
+	await store.close();
+	await standin.stop();
+}
+
+/** Runs the work as a node does, with a turn for other work after each step. */
+async function runInSteps<Value>(work: Generator<void, Value>): Promise<{readonly value: Value; readonly longestMilliseconds: number}> {
+	let longestMilliseconds = 0;
 	for (;;) {
 		const stepAt = performance.now();
 		const step = work.next();
-		longest = Math.max(longest, performance.now() - stepAt);
+		longestMilliseconds = Math.max(longestMilliseconds, performance.now() - stepAt);
 		if (step.done) {
-			break;
+			return {value: step.value, longestMilliseconds};
 		}
 
 		await nextTurn();
 	}
-
-	const total = performance.now() - startedAt;
-	print(`change of ${changeCount} blocks: ${total.toFixed(0)} ms, longest step without look-ups ${longest.toFixed(1)} ms`);
-	return total <= targetChangeMilliseconds;
-}
-
-function reportSnapshot(table: ClientBlockTable, {print}: BenchOptions): void {
-	const snapshot = createClientBlockSnapshot(table, 1);
-	const startedAt = performance.now();
-	const restored = parseClientBlockSnapshot(snapshot);
-	const state = restored.ok ? 'restored' : `refused: ${restored.error}`;
-	print(`snapshot ${state} in ${(performance.now() - startedAt).toFixed(0)} ms, without decoding`);
 }
 
 /** Nanoseconds of one call. */
--- a/packages/node/src/client-blocks-plugin.ts
+++ b/packages/node/src/client-blocks-plugin.ts
@@ -4,13 +4,12 @@
  * blocks. Work is done in short steps so that look-ups go on.
  */
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {decode} from 'cbor-x';
+import {isDeepStrictEqual} from 'node:util';
+import {type Result, fail, succeed} from '@catkindale/common';
 import {
-	type Result, fail, getErrorMessage, succeed,
-} from '@catkindale/common';
-import {
-	type ClientBlockTable, type Configuration, type SiteChange, type VersionedConfiguration, changeClientBlocks, createClientBlockTable, parseClientBlockSnapshot, parseSiteChange,
+	type ClientBlockTable, type Configuration, type SiteChange, type VersionedConfiguration, changeClientBlocks, createClientBlockTable, parseSiteChange,
 } from '@catkindale/policy';
+import {decodeClientBlocks} from './client-block-object.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
 
@@ -24,22 +23,33 @@
 	order: startOrder,
 	async start(context) {
 		let pending: VersionedConfiguration | undefined;
+		let snapshot: Snapshot = {name: undefined, table: createClientBlockTable()};
+		let applied: BlockSource | undefined;
+
 		const update = async (): Promise<void> => {
 			const wanted = pending;
 			if (!wanted) {
 				return;
 			}
 
-			const base = await loadSnapshot(context, wanted.configuration.clientBlockSnapshot);
-			if (!base.ok) {
-				context.logger.error('client_blocks_unreadable', {version: wanted.version, reason: base.error});
+			const source = getSource(wanted.configuration);
+			if (isDeepStrictEqual(source, applied)) {
+				pending = undefined;
+				return;
+			}
+
+			const loaded = source.name === snapshot.name ? succeed(snapshot) : await loadSnapshot(context, source.name);
+			if (!loaded.ok) {
+				context.logger.error('client_blocks_unreadable', {version: wanted.version, reason: loaded.error});
 				return;
 			}
 
-			const table = await applyChanges(base.value, getChanges(wanted.configuration));
+			snapshot = loaded.value;
+			const table = await runInSteps(changeClientBlocks(snapshot.table, getChanges(source)));
+			applied = source;
+			context.bus.publish({type: 'client-blocks-changed', table});
 			if (pending === wanted) {
 				pending = undefined;
-				context.bus.publish({type: 'client-blocks-changed', table});
 			}
 		};
 
@@ -57,9 +67,18 @@
 	},
 });
 
-async function loadSnapshot(context: NodeContext, name: string | undefined): Promise<Result<ClientBlockTable, string>> {
+/** What the blocks are made from. An object of the store never changes under its name. */
+type BlockSource = {readonly name: string | undefined; readonly blocks: Configuration['clientBlocks']};
+
+type Snapshot = {readonly name: string | undefined; readonly table: ClientBlockTable};
+
+function getSource(configuration: Configuration): BlockSource {
+	return {name: configuration.clientBlockSnapshot, blocks: configuration.clientBlocks};
+}
+
+async function loadSnapshot(context: NodeContext, name: string | undefined): Promise<Result<Snapshot, string>> {
 	if (name === undefined) {
-		return succeed(createClientBlockTable());
+		return succeed({name, table: createClientBlockTable()});
 	}
 
 	const object = await context.platform.objects.get(name);
@@ -71,22 +90,18 @@
 		return fail(`the object store has no object "${name}"`);
 	}
 
-	try {
-		return parseClientBlockSnapshot(decode(object.value));
-	} catch (error) {
-		return fail(`object "${name}" is no snapshot: ${getErrorMessage(error)}`);
-	}
+	const table = await runInSteps(decodeClientBlocks(object.value));
+	return table.ok ? succeed({name, table: table.value}) : fail(`object "${name}" is no snapshot: ${table.error}`);
 }
 
-function getChanges(configuration: Configuration): SiteChange[] {
-	return configuration.clientBlocks.flatMap(({prefix, region}) => {
+function getChanges({blocks}: BlockSource): SiteChange[] {
+	return blocks.flatMap(({prefix, region}) => {
 		const change = parseSiteChange(prefix, [{site: region, weight: 1}]);
 		return change.ok ? [change.value] : [];
 	});
 }
 
-async function applyChanges(table: ClientBlockTable, changes: readonly SiteChange[]): Promise<ClientBlockTable> {
-	const work = changeClientBlocks(table, changes);
+async function runInSteps<Value>(work: Generator<void, Value>): Promise<Value> {
 	for (;;) {
 		const step = work.next();
 		if (step.done) {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 /** The plug-ins that make up an entry VM, and the way to start one. */
+export * from './client-block-object.js';
 export * from './manifest.js';
 export * from './constants.js';
 export * from './errors.js';
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -17,6 +17,9 @@
 	maximumCallsInFlight: z.int().positive().default(8),
 });
 
+/** An object may hold many megabytes, a row of the table only some. */
+const objectTimeoutMilliseconds = 10_000;
+
 const limitsSchema = z.strictObject({
 	headerBytes: z.int().positive().default(16_384),
 	bodyBytes: z.int().positive().default(1_073_741_824),
@@ -52,7 +55,7 @@
 	}),
 	platform: z.strictObject({
 		table: serviceSettingsSchema,
-		objects: serviceSettingsSchema,
+		objects: serviceSettingsSchema.extend({timeoutMilliseconds: z.number().positive().default(objectTimeoutMilliseconds)}),
 		machines: serviceSettingsSchema,
 	}),
 	/** Addresses of peers to ask when the table can't be reached at start. */
--- a/packages/node/tests/client-blocks.test.ts
+++ b/packages/node/tests/client-blocks.test.ts
@@ -20,6 +20,11 @@
 	return encode(createClientBlockSnapshot(finishWork(changeClientBlocks(createClientBlockTable(), changes)), 1));
 }
 
+const plugin = nodePlugins.getPlugins(['directory']).find(({name}) => name === 'client-blocks')!;
+const base = {
+	regions: [{name: 'bergen', zones: ['bergen-a']}], clientBlocks: [{prefix: '10.1.0.0/16', region: 'bergen'}], clientBlockSnapshot: 'blocks-1',
+};
+
 type Case = {readonly name: string; readonly objects: ReadonlyArray<ObjectOutcome<Uint8Array | undefined>>; readonly isRead: boolean};
 
 const whole: ObjectOutcome<Uint8Array> = {kind: 'done', value: createSnapshotObject()};
@@ -42,15 +47,44 @@
 	const context = {
 		bus, logger: {error: (event: string) => errors.push(event)}, platform: {objects: {get}},
 	} as unknown as NodeContext;
-	const plugin = nodePlugins.getPlugins(['directory']).find(({name}) => name === 'client-blocks')!;
 	const task = await plugin.start(context);
-	const configuration = configurationSchema.parse({
-		regions: [{name: 'bergen', zones: ['bergen-a']}], clientBlocks: [{prefix: '10.1.0.0/16', region: 'bergen'}], clientBlockSnapshot: 'blocks-1',
-	});
-	bus.publish({type: 'configuration-changed', version: 1, configuration});
+	bus.publish({type: 'configuration-changed', version: 1, configuration: configurationSchema.parse(base)});
 	await delay(settleMilliseconds + ((objects.length - 1) * retryMilliseconds));
 	await task.stop();
 	const sites = ['10.0.0.1', '10.1.0.1'].map(address => tables[0] && findSites(tables[0], address)[0]?.site);
 	expect(sites).toEqual(isRead ? ['oslo', 'bergen'] : [undefined, undefined]);
 	expect(errors).toHaveLength(objects.length - (isRead ? 1 : 0));
 });
+
+test.each([
+	{
+		name: 'leaves the blocks alone when it changes neither', next: {customers: [{name: 'wideroe', rate: 5, burst: 5}]}, reads: ['blocks-1'], tables: 1,
+	},
+	{
+		name: 'with other blocks uses the snapshot that is there', next: {clientBlocks: []}, reads: ['blocks-1'], tables: 2,
+	},
+	{
+		name: 'with another snapshot reads that one', next: {clientBlockSnapshot: 'blocks-2'}, reads: ['blocks-1', 'blocks-2'], tables: 2,
+	},
+])('a change $name', async ({next, reads, tables}) => {
+	const bus = createMessageBus<NodeMessage>();
+	const read: string[] = [];
+	let published = 0;
+	bus.subscribe('client-blocks-changed', () => {
+		published += 1;
+	});
+	const get = async (name: string) => {
+		read.push(name);
+		return whole;
+	};
+
+	const task = await plugin.start({bus, platform: {objects: {get}}} as unknown as NodeContext);
+	for (const [index, configuration] of [base, {...base, ...next}].entries()) {
+		bus.publish({type: 'configuration-changed', version: index + 1, configuration: configurationSchema.parse(configuration)});
+		await delay(settleMilliseconds);
+	}
+
+	await task.stop();
+	expect(read).toEqual(reads);
+	expect(published).toBe(tables);
+});
--- a/packages/policy/src/client-block-snapshot.ts
+++ b/packages/policy/src/client-block-snapshot.ts
@@ -3,7 +3,7 @@
 import {type Result, fail, succeed} from '@catkindale/common';
 import {buildClientBlockRanges} from './client-block-ranges.js';
 import type {ClientBlockSet} from './client-block-set.js';
-import {type ClientBlockTable, finishWork} from './client-block-table.js';
+import type {ClientBlockTable} from './client-block-table.js';
 
 const blockSetSchema = z.object({
 	count: z.int().min(0),
@@ -30,8 +30,8 @@
 	};
 }
 
-/** Checks the shape of untrusted data and builds the table. */
-export function parseClientBlockSnapshot(data: unknown): Result<ClientBlockTable, string> {
+/** Checks the shape of untrusted data and builds the table; a generator that pauses often enough for look-ups to go on. */
+export function * parseClientBlockSnapshot(data: unknown): Generator<void, Result<ClientBlockTable, string>> {
 	const parsed = snapshotSchema.safeParse(data);
 	if (!parsed.success) {
 		return fail(z.prettifyError(parsed.error));
@@ -42,10 +42,12 @@
 		return fail('the columns of the snapshot don\'t fit together');
 	}
 
+	const ipv4Ranges = yield * buildClientBlockRanges(ipv4);
+	const ipv6Ranges = yield * buildClientBlockRanges(ipv6);
 	return succeed({
 		families: {
-			ipv4: {set: ipv4, ranges: finishWork(buildClientBlockRanges(ipv4))},
-			ipv6: {set: ipv6, ranges: finishWork(buildClientBlockRanges(ipv6))},
+			ipv4: {set: ipv4, ranges: ipv4Ranges},
+			ipv6: {set: ipv6, ranges: ipv6Ranges},
 		},
 		assignments,
 		assignmentIndexes: new Map(assignments.map((sites, index) => [JSON.stringify(sites), index])),
--- a/packages/policy/tests/client-blocks.test.ts
+++ b/packages/policy/tests/client-blocks.test.ts
@@ -64,7 +64,7 @@
 			const built = finishWork(changeClientBlocks(createClientBlockTable(), first.map(item => toChange(item))));
 			const changes = [...second.map(item => toChange(item)), ...removed.map(item => toChange(item, true))];
 			const changed = finishWork(changeClientBlocks(built, changes));
-			const restored = parseClientBlockSnapshot(createClientBlockSnapshot(changed, 1));
+			const restored = finishWork(parseClientBlockSnapshot(createClientBlockSnapshot(changed, 1)));
 			const isRemoved = (candidate: Block) => removed.some(item => getKey(item) === getKey(candidate));
 			const kept = [...first, ...second].filter(candidate => !isRemoved(candidate));
 			for (const text of addresses) {
@@ -98,7 +98,7 @@
 	])('a snapshot with $name is refused', ({spoil}) => {
 		const table = finishWork(changeClientBlocks(createClientBlockTable(), [toChange({prefix: '10.0.0.0/8', site: 'oslo'})]));
 		const snapshot = createClientBlockSnapshot(table, 1);
-		expect(parseClientBlockSnapshot({...snapshot, ipv4: {...snapshot.ipv4, ...spoil}})).toMatchObject({ok: false});
+		expect(finishWork(parseClientBlockSnapshot({...snapshot, ipv4: {...snapshot.ipv4, ...spoil}}))).toMatchObject({ok: false});
 	});
 
 	test('sites get clients by their weights', () => {
