Put client blocks into the object store, and divide a block's callers by weight

Shown failing first: "callers of a block are sent to its sites by weight" (packages/cli/tests/client-blocks.test.ts), with the directory as before: "expected 1 to be less than 0.85".

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,6 +2,7 @@
 import type {CommandModule} from 'yargs';
 import {applyCommand} from './apply-command.js';
 import {benchCommand} from './bench-command.js';
+import {blocksCommand} from './blocks-command.js';
 import {checkCommand} from './check-command.js';
 import {demoCommand} from './demo-command.js';
 import {diffCommand} from './diff-command.js';
@@ -24,6 +25,7 @@
 	watchCommand,
 	keyCommand,
 	drainCommand,
+	blocksCommand,
 	demoCommand,
 	benchCommand,
 	verifyCommand,
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -5,7 +5,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSites, getEntries,
+	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSite, getEntries,
 } from '@catkindale/policy';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
@@ -83,7 +83,7 @@
 	}
 
 	const caller = query.get('client') ?? request.socket.remoteAddress ?? '';
-	const region = findSites(state.blocks, caller)[0]?.site ?? context.settings.node.region;
+	const region = findSite(state.blocks, caller) ?? context.settings.node.region;
 	const members = getEntries(state.entries, {
 		caller,
 		customer: findCustomer(state, request),
--- a/packages/policy/src/client-block-table.ts
+++ b/packages/policy/src/client-block-table.ts
@@ -88,6 +88,21 @@
 	return table.assignments[assignment] ?? [];
 }
 
+/** The site of an address, chosen by weight; undefined for an address in no block. */
+export function findSite(table: ClientBlockTable, address: string): string | undefined {
+	const sites = findSites(table, address);
+	if (sites.length <= 1) {
+		return sites[0]?.site;
+	}
+
+	let clientWord = 0;
+	for (const word of parseClientAddress(address)?.words ?? []) {
+		clientWord = Math.imul(clientWord ^ word, multiplier);
+	}
+
+	return chooseSite(sites, clientWord);
+}
+
 /**
  * Chooses a site by weight, always the same one for a client.
  *
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,6 +3,7 @@
 export {findIpv4Assignment} from './client-block-ranges.js';
 export * from './client-block-snapshot.js';
 export * from './client-block-table.js';
+export * from './client-block-text.js';
 export * from './configuration.js';
 export * from './configuration-check.js';
 export * from './configuration-difference.js';
