--- a/packages/node/src/idempotency-guard.ts
+++ b/packages/node/src/idempotency-guard.ts
@@ -3,12 +3,14 @@
  * wherever its caller repeats it. A ticket is run by its home entry alone; an
  * opaque key by whoever claims its row. Repetitions get the first outcome.
  */
-import {Buffer} from 'node:buffer';
 import type {Clock} from '@catkindale/common';
 import {
 	type OnceClaim, type RememberedOutcome, type TicketMemory, ticketLifeMilliseconds,
 } from '@catkindale/policy';
 import {type ExchangeResult, createProblemResult} from './exchange-result.js';
+import {
+	getMismatch, getRememberedOutcome, getRememberedResult, getUnknownResult,
+} from './idempotency-outcomes.js';
 import {type HeldClaim, type IdempotencyClaims, getClaimOutcome} from './idempotency-claims.js';
 import type {Problem} from './problem.js';
 import type {TicketHeirs} from './ticket-heirs.js';
@@ -50,9 +52,7 @@
 
 const largestClockSkewMilliseconds = 60_000;
 const rememberedRowMilliseconds = 60_000;
-const maximumRememberedBodyBytes = 16_384;
 const retryAfterMilliseconds = 1000;
-const replayedHeader = ['catkindale-replayed', 'true'];
 
 /** The clock by which tickets of this incarnation age; it never goes back. */
 export type TicketClock = () => number;
@@ -287,72 +287,3 @@
 	const outcome = getRememberedOutcome(result);
 	return outcome ? getRememberedResult(outcome) : result;
 }
-
-/** Undefined for a request that provably didn't run. */
-function getRememberedOutcome(result: ExchangeResult): RememberedOutcome | undefined {
-	switch (result.kind) {
-		case 'answered': {
-			const {status, headers, body, outcome} = result.answer;
-			if (outcome !== undefined && outcome !== 'ran') {
-				return outcome === 'unknown' ? {kind: 'unknown'} : undefined;
-			}
-
-			return {kind: 'ran', answer: {status, headers, body: body.length <= maximumRememberedBodyBytes ? body : undefined}};
-		}
-
-		case 'streamed': {
-			return {kind: 'ran', answer: {status: result.status, headers: [], body: undefined}};
-		}
-
-		case 'cut': {
-			return {kind: 'unknown'};
-		}
-
-		case 'problem': {
-			return getProblemOutcome(result);
-		}
-	}
-}
-
-function getProblemOutcome({problem}: ExchangeResult & {readonly kind: 'problem'}): RememberedOutcome | undefined {
-	switch (problem.outcome) {
-		case 'not-run': {
-			return undefined;
-		}
-
-		case 'unknown': {
-			return {kind: 'unknown'};
-		}
-
-		case 'ran': {
-			return {kind: 'ran', answer: {status: problem.answerStatus ?? problem.status, headers: [], body: undefined}};
-		}
-	}
-}
-
-function getRememberedResult(outcome: RememberedOutcome): ExchangeResult {
-	if (outcome.kind === 'unknown') {
-		return getUnknownResult();
-	}
-
-	const {status, headers, body} = outcome.answer;
-	if (!body) {
-		return createProblemResult({
-			status: 409, outcome: 'ran', reason: 'answer-not-kept', detail: `the request ran and was answered with status ${status}; the answer was too large to keep`, answerStatus: status,
-		});
-	}
-
-	return {kind: 'answered', answer: {status, headers: [...headers, ...replayedHeader], body: Buffer.from(body)}};
-}
-
-function getUnknownResult(): ExchangeResult {
-	return createProblemResult({
-		status: 409, outcome: 'unknown', reason: 'outcome-unknown', detail: 'an earlier attempt may have run; it isn\'t run again',
-	});
-}
-
-function getMismatch(): ExchangeResult {
-	return createProblemResult({
-		status: 422, outcome: 'not-run', reason: 'key-of-another-request', detail: 'the Idempotency-Key belongs to another request or customer',
-	});
-}
--- /dev/null
+++ b/packages/node/src/idempotency-outcomes.ts
@@ -0,0 +1,77 @@
+/** What is remembered of a request that ran once, and what its repetitions are answered. */
+import {Buffer} from 'node:buffer';
+import type {RememberedOutcome} from '@catkindale/policy';
+import {type ExchangeResult, createProblemResult} from './exchange-result.js';
+
+const maximumRememberedBodyBytes = 16_384;
+const replayedHeader = ['catkindale-replayed', 'true'];
+
+/** Undefined for a request that provably didn't run. */
+export function getRememberedOutcome(result: ExchangeResult): RememberedOutcome | undefined {
+	switch (result.kind) {
+		case 'answered': {
+			const {status, headers, body, outcome} = result.answer;
+			if (outcome !== undefined && outcome !== 'ran') {
+				return outcome === 'unknown' ? {kind: 'unknown'} : undefined;
+			}
+
+			return {kind: 'ran', answer: {status, headers, body: body.length <= maximumRememberedBodyBytes ? body : undefined}};
+		}
+
+		case 'streamed': {
+			return {kind: 'ran', answer: {status: result.status, headers: [], body: undefined}};
+		}
+
+		case 'cut': {
+			return {kind: 'unknown'};
+		}
+
+		case 'problem': {
+			return getProblemOutcome(result);
+		}
+	}
+}
+
+function getProblemOutcome({problem}: ExchangeResult & {readonly kind: 'problem'}): RememberedOutcome | undefined {
+	switch (problem.outcome) {
+		case 'not-run': {
+			return undefined;
+		}
+
+		case 'unknown': {
+			return {kind: 'unknown'};
+		}
+
+		case 'ran': {
+			return {kind: 'ran', answer: {status: problem.answerStatus ?? problem.status, headers: [], body: undefined}};
+		}
+	}
+}
+
+/** What a repetition is answered. */
+export function getRememberedResult(outcome: RememberedOutcome): ExchangeResult {
+	if (outcome.kind === 'unknown') {
+		return getUnknownResult();
+	}
+
+	const {status, headers, body} = outcome.answer;
+	if (!body) {
+		return createProblemResult({
+			status: 409, outcome: 'ran', reason: 'answer-not-kept', detail: `the request ran and was answered with status ${status}; the answer was too large to keep`, answerStatus: status,
+		});
+	}
+
+	return {kind: 'answered', answer: {status, headers: [...headers, ...replayedHeader], body: Buffer.from(body)}};
+}
+
+export function getUnknownResult(): ExchangeResult {
+	return createProblemResult({
+		status: 409, outcome: 'unknown', reason: 'outcome-unknown', detail: 'an earlier attempt may have run; it isn\'t run again',
+	});
+}
+
+export function getMismatch(): ExchangeResult {
+	return createProblemResult({
+		status: 422, outcome: 'not-run', reason: 'key-of-another-request', detail: 'the Idempotency-Key belongs to another request or customer',
+	});
+}
