Write the manifests of the demo and the benches from a configuration

Demo, overhead and load bench each put a manifest together as text, three copies of the same pricing service. One function now makes it from a configuration, and the manifest module writes it as TOML.

--- a/packages/cli/src/bench-load-fleet.ts
+++ b/packages/cli/src/bench-load-fleet.ts
@@ -1,12 +1,12 @@
 /** A small fleet in one process for the load bench: stand-ins, nodes and targets on loopback. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {hashText} from '@catkindale/common';
 import type {NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {request} from 'undici';
 import {type EmbeddedPlatform, startEmbeddedNode} from './embedded-node.js';
+import {formatPricingManifest} from './pricing-manifest.js';
 
 export type FleetCustomer = {readonly name: string; readonly rate: number; readonly burst: number};
 
@@ -92,31 +92,13 @@
 }
 
 function getManifest({regions, slots}: FleetShape, targets: readonly FleetTarget[], customers: readonly FleetCustomer[]): string {
-	const regionLines = regions.map(region => `[[regions]]\nname = "${region}"\nzones = ["${region}-a"]`);
-	const customerLines = customers.map(({name, rate, burst}) => `[[customers]]
-name = "${name}"
-rate = ${rate}
-burst = ${burst}
-[[keys]]
-customer = "${name}"
-hash = "${hashText(getCustomerKey(name))}"`);
-	const targetLines = targets.map(({name, region, address}) => `[[targets]]
-name = "${name}"
-service = "pricing"
-version = "1"
-region = "${region}"
-zone = "${region}-a"
-address = "${address.replace('http://', '')}"
-slots = ${slots}`);
-	return `${[...regionLines, ...customerLines].join('\n')}
-[[services]]
-name = "pricing"
-version = "1"
-[[routes]]
-service = "pricing"
-method = "GET"
-path = "/prices/:airfield"
-idempotent = true
-${targetLines.join('\n')}
-`;
+	return formatPricingManifest({
+		regions,
+		customers: customers.map(({name, rate, burst}) => ({
+			name, rate, burst, key: getCustomerKey(name),
+		})),
+		targets: targets.map(({name, region, address}) => ({
+			name, region, address, slots,
+		})),
+	});
 }
--- a/packages/cli/src/bench-overhead.ts
+++ b/packages/cli/src/bench-overhead.ts
@@ -9,10 +9,11 @@
 import {Worker} from 'node:worker_threads';
 import {type Histogram, build} from 'hdr-histogram-js';
 import {
-	type Random, createRandom, hashText, millisecondsPerSecond,
+	type Random, createRandom, millisecondsPerSecond,
 } from '@catkindale/common';
 import {Pool, request} from 'undici';
 import {type BenchOptions, registerBench} from './bench-registry.js';
+import {formatPricingManifest} from './pricing-manifest.js';
 import type {
 	WorkerQuestion, WorkerReady, WorkerReport, WorkerRole, WorkerStart,
 } from './bench-overhead-worker.js';
@@ -226,32 +227,14 @@
 	await side.pool.destroy();
 }
 
-function getManifest(target: string): string {
-	return `[[regions]]
-name = "oslo"
-zones = ["oslo-a"]
-[[customers]]
-name = "wideroe"
-rate = 1000000
-burst = 1000000
-[[keys]]
-customer = "wideroe"
-hash = "${hashText(callerKey)}"
-[[services]]
-name = "pricing"
-version = "1"
-[[routes]]
-service = "pricing"
-method = "GET"
-path = "/prices/:airfield"
-idempotent = true
-[[targets]]
-name = "pricing-1"
-service = "pricing"
-version = "1"
-region = "oslo"
-zone = "oslo-a"
-address = "${target}"
-slots = 128
-`;
+function getManifest(address: string): string {
+	return formatPricingManifest({
+		regions: ['oslo'],
+		customers: [{
+			name: 'wideroe', rate: 1_000_000, burst: 1_000_000, key: callerKey,
+		}],
+		targets: [{
+			name: 'pricing-1', region: 'oslo', address, slots: 128,
+		}],
+	});
 }
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,12 +1,12 @@
 /** The newcomer's first look: a fleet of three nodes serves a look-up and an order. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {hashText} from '@catkindale/common';
 import type {NodeHandle} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {request} from 'undici';
 import {type EmbeddedPlatform, startEmbeddedNode} from './embedded-node.js';
+import {formatPricingManifest} from './pricing-manifest.js';
 
 const loopback = {host: '127.0.0.1', port: 0};
 const regions = ['oslo', 'bergen', 'tromso'];
@@ -86,37 +86,15 @@
 	});
 }
 
-function getManifest(targetAddress: string): string {
-	const address = targetAddress.replace('http://', '');
-	const lines = regions.map(region => `[[regions]]\nname = "${region}"\nzones = ["${region}-a"]`);
-	return `${lines.join('\n')}
-[[customers]]
-name = "wideroe"
-rate = 100
-burst = 60
-[[keys]]
-customer = "wideroe"
-hash = "${hashText(callerKey)}"
-[[services]]
-name = "pricing"
-version = "1"
-[[routes]]
-service = "pricing"
-method = "GET"
-path = "/prices/:airfield"
-idempotent = true
-[[routes]]
-service = "pricing"
-method = "POST"
-path = "/orders"
-idempotent = false
-[[targets]]
-name = "pricing-1"
-service = "pricing"
-version = "1"
-region = "oslo"
-zone = "oslo-a"
-address = "${address}"
-slots = 6
-`;
+function getManifest(address: string): string {
+	return formatPricingManifest({
+		regions,
+		customers: [{
+			name: 'wideroe', rate: 100, burst: 60, key: callerKey,
+		}],
+		targets: [{
+			name: 'pricing-1', region: 'oslo', address, slots: 6,
+		}],
+		hasOrders: true,
+	});
 }
--- a/packages/node/src/manifest.ts
+++ b/packages/node/src/manifest.ts
@@ -1,9 +1,9 @@
 /** Manifests: a configuration in TOML, checked as a whole. */
-import {TomlError, parse} from 'smol-toml';
+import {TomlError, parse, stringify} from 'smol-toml';
 import {
 	type Result, fail, getErrorMessage, succeed,
 } from '@catkindale/common';
-import {type Configuration, parseConfiguration} from '@catkindale/policy';
+import {type Configuration, type ConfigurationInput, parseConfiguration} from '@catkindale/policy';
 import {findManifestLine} from './manifest-lines.js';
 
 /** One fault: the line counted from 1 where it is known, the field and the reason. */
@@ -32,6 +32,11 @@
 		})));
 }
 
+/** The manifest of a configuration. */
+export function formatManifest(configuration: ConfigurationInput): string {
+	return stringify(configuration);
+}
+
 /** `line 12: targets.3.region: …`, without the line where it isn't known. */
 export function formatManifestIssue({line, field, reason}: ManifestIssue): string {
 	const place = line === undefined ? '' : `line ${line}: `;
--- a/packages/policy/src/configuration.ts
+++ b/packages/policy/src/configuration.ts
@@ -129,6 +129,8 @@
 export type Drain = z.infer<typeof drainSchema>;
 export type ClientBlock = z.infer<typeof clientBlockSchema>;
 export type Configuration = z.infer<typeof configurationSchema>;
+/** A configuration as it is written, without what has a default. */
+export type ConfigurationInput = z.input<typeof configurationSchema>;
 
 /** A configuration with the version under which the table keeps it. */
 export type VersionedConfiguration = {
