--- a/packages/cli/src/bench-capacity.ts
+++ b/packages/cli/src/bench-capacity.ts
@@ -8,7 +8,7 @@
 	getRequestFloor, getSlotFloor, parseConfiguration, updateLedger, updatePeer,
 } from '@catkindale/policy';
 import {
-	type PeerMessage, createFrameReader, encodeFrame, parsePeerMessage,
+	type PeerMessage, createFrameReader, encodeFrame, encodeMessage, parsePeerMessage,
 } from '@catkindale/protocol';
 import {createRoutingTable, createTicketPrefix} from '@catkindale/node';
 import {type BenchOptions, registerBench} from './bench-registry.js';
@@ -44,9 +44,9 @@
 
 function reportMessages({print}: BenchOptions): void {
 	for (const [name, message] of Object.entries(sampleMessages)) {
-		const frame = encodeFrame(message);
+		const frame = encodeMessage(message);
 		const microseconds = measure(() => {
-			receive(encodeFrame(message));
+			receive(encodeMessage(message));
 		});
 		print(`${name}: ${frame.length} bytes, ${microseconds.toFixed(1)} us to send and receive`);
 	}
--- a/packages/cli/src/capacity-samples.ts
+++ b/packages/cli/src/capacity-samples.ts
@@ -65,7 +65,7 @@
 /** The messages that every pair of linked or rostered nodes exchanges all the time. */
 export const sampleMessages: Readonly<Record<'heartbeat' | 'ledger report', PeerMessage>> = {
 	heartbeat: {
-		type: 'heartbeat', sequence: 100_000, echo: 99_999, configurationVersion: 4000, tableAgeMilliseconds: 312.5, isEstablished: true, isServing: true,
+		type: 'heartbeat', sequence: 100_000, echo: 99_999, configurationVersion: 4000, tableAgeMilliseconds: 313, isEstablished: true, isServing: true,
 	},
 	'ledger report': {
 		type: 'ledger-report',
@@ -73,7 +73,8 @@
 		epoch: 4000,
 		version: 4000,
 		overhang: [],
-		sentAt: 123_456_789.25,
-		echo: {incarnation: '00000000-0000-4000-8000-000000000002', sentAt: 123_456_700.5},
+		sentAt: 123_456_789,
+		echoedAt: 123_456_700,
+		echoedIncarnation: '00000000-0000-4000-8000-000000000002',
 	},
 };
--- a/packages/node/src/freshness-plugin.ts
+++ b/packages/node/src/freshness-plugin.ts
@@ -81,7 +81,7 @@
 				isEstablished: knowledge.isEstablished,
 				isServing: !isDraining && isKnowledgeCurrent(validity, clock),
 				...(echo !== undefined && {echo}),
-				...(Number.isFinite(tableAge) && {tableAgeMilliseconds: Math.max(0, tableAge)}),
+				...(Number.isFinite(tableAge) && {tableAgeMilliseconds: Math.max(0, Math.ceil(tableAge))}),
 			};
 		};
 
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -5,7 +5,7 @@
 import {randomBytes} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {
-	type HelloMessage, type PeerMessage, createFrameReader, createProofCode, encodeFrame, handshakeFrameBytes, isProofCode, maximumFrameBytes, parsePeerMessage, protocolVersion,
+	type HelloMessage, type PeerMessage, createFrameReader, createProofCode, encodeMessage, handshakeFrameBytes, isProofCode, maximumFrameBytes, parsePeerMessage, protocolVersion,
 } from '@catkindale/protocol';
 
 export type LinkIdentity = {readonly id: string; readonly incarnation: string};
@@ -63,7 +63,7 @@
 				return;
 			}
 
-			socket.write(encodeFrame(message));
+			socket.write(encodeMessage(message));
 		},
 		close(reason) {
 			closeReason = reason;
--- a/packages/node/src/quota-ledger.ts
+++ b/packages/node/src/quota-ledger.ts
@@ -110,8 +110,9 @@
 				incarnation: view.incarnation,
 				...reported,
 				overhang,
-				sentAt: clock.own(),
-				...(echoedAt !== undefined && {echo: {incarnation: member.incarnation, sentAt: echoedAt}}),
+				// Rounded down, which makes a lease that counts from it shorter and never longer.
+				sentAt: Math.floor(clock.own()),
+				...(echoedAt !== undefined && {echoedAt, echoedIncarnation: member.incarnation}),
 			};
 			bus.publish({type: 'peer-send', to: member.id, message});
 		}
@@ -124,13 +125,13 @@
 	};
 
 	const receive = (message: LedgerReportMessage): void => {
-		const isEchoOfThis = message.echo?.incarnation === view.incarnation;
+		const isEchoOfThis = message.echoedIncarnation === view.incarnation;
 		view = updatePeer(view, {
 			incarnation: message.incarnation,
 			mark: {epoch: message.epoch, version: message.version},
 			overhang: message.overhang,
 			sentAt: message.sentAt,
-			echoedAt: isEchoOfThis ? message.echo?.sentAt : undefined,
+			echoedAt: isEchoOfThis ? message.echoedAt : undefined,
 		}, clock.monotonic());
 		renewLease();
 		raise();
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Frames and messages between nodes. */
+export * from './compact-messages.js';
 export * from './configuration-messages.js';
 export * from './frame.js';
 export * from './link-messages.js';
--- a/packages/protocol/src/link-messages.ts
+++ b/packages/protocol/src/link-messages.ts
@@ -1,7 +1,7 @@
 /** Messages by which two nodes prove membership and show that they live. */
 import {z} from 'zod';
 
-export const protocolVersion = 1;
+export const protocolVersion = 2;
 
 export const helloMessageSchema = z.object({
 	type: z.literal('hello'),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,9 +1,12 @@
 /** All messages that nodes exchange, as one discriminated union. */
+import type {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import {type Result, fail, succeed} from '@catkindale/common';
+import {compactMessage, expandMessage} from './compact-messages.js';
 import {
 	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
 } from './configuration-messages.js';
+import {encodeFrame} from './frame.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 import {rolloutReportMessageSchema} from './rollout-messages.js';
 import {quotaMessageSchemas} from './quota-messages.js';
@@ -24,8 +27,18 @@
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 
+/** The frame of a message, in its short form if it has one. */
+export function encodeMessage(message: PeerMessage): Buffer {
+	return encodeFrame(compactMessage(message));
+}
+
 /** Parses what came in a frame; anything else than a known message is refused. */
 export function parsePeerMessage(data: unknown): Result<PeerMessage, string> {
-	const parsed = peerMessageSchema.safeParse(data);
+	const message = expandMessage(data);
+	if (!message.ok) {
+		return message;
+	}
+
+	const parsed = peerMessageSchema.safeParse(message.value);
 	return parsed.success ? succeed(parsed.data) : fail(z.prettifyError(parsed.error));
 }
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -15,7 +15,9 @@
 	/** The sender's monotonic time in milliseconds. */
 	sentAt: z.number(),
 	/** The latest `sentAt` of the receiver's incarnation, unless that is fenced. */
-	echo: z.object({incarnation: z.string(), sentAt: z.number()}).optional(),
+	echoedAt: z.number().optional(),
+	/** The incarnation that sent it. */
+	echoedIncarnation: z.string().optional(),
 });
 
 /** A ledger row as the table committed it. */
