Write heartbeat and ledger report of a node in one go

Cause: two timers sent two writes and woke each peer twice; in a profile of one of 12 idle processes reading and writing links is about half of the time that isn't idle. The heartbeat now tells the tasks of its node that it goes out, the ledger report leaves with it, and a link writes once for a turn of the event loop. News of the ledger still go out at once.

Ruled out: one message for both, which would tie two tasks together.

--- a/packages/cli/src/bench-quotas.ts
+++ b/packages/cli/src/bench-quotas.ts
@@ -234,7 +234,7 @@
 		const tick = (): void => {
 			node.quotas.ledger.setLedger(ledger, world.now());
 			if (world.now() < startMilliseconds) {
-				node.quotas.ledger.tick();
+				node.quotas.ledger.tick(true);
 			} else {
 				node.quotas.requests.tick();
 			}
--- a/packages/cli/src/verification-quota-node.ts
+++ b/packages/cli/src/verification-quota-node.ts
@@ -165,9 +165,11 @@
 		world.after(pollMilliseconds, poll);
 	};
 
+	let isReportDue = false;
 	const tick = (): void => {
 		node.run(() => {
-			quotas.ledger.tick();
+			isReportDue = !isReportDue;
+			quotas.ledger.tick(isReportDue);
 			world.after(tickMilliseconds, tick);
 		});
 	};
--- a/packages/node/src/freshness-plugin.ts
+++ b/packages/node/src/freshness-plugin.ts
@@ -124,6 +124,7 @@
 		const work = startPeriodicWork(async () => {
 			evaluate();
 			beat();
+			bus.publish({type: 'heartbeat-due'});
 		}, settings.timing.heartbeatMilliseconds);
 		const endings = [
 			bus.subscribe('configuration-known', ({record}) => {
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -36,6 +36,9 @@
 			bus.subscribe('machines-listed', ({machines}) => {
 				membership.setListed(new Set(machines.map(machine => machine.id)));
 			}),
+			bus.subscribe('heartbeat-due', () => {
+				quotas.ledger.tick(true);
+			}),
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				const deadlines = configuration.routes.map(route => route.deadlineMilliseconds);
 				longestDeadlineMilliseconds = Math.max(longestDeadlineMilliseconds, ...deadlines);
@@ -49,7 +52,7 @@
 		};
 
 		const tick = async (): Promise<void> => {
-			quotas.ledger.tick();
+			quotas.ledger.tick(false);
 		};
 
 		const works = [
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -51,6 +51,22 @@
 	let state: LinkState = {kind: 'awaiting-hello'};
 	let closeReason = 'closed by peer';
 
+	let isCorked = false;
+
+	const uncork = (): void => {
+		isCorked = false;
+		socket.uncork();
+	};
+
+	/** Messages that are sent in one turn of the event loop leave in one write. */
+	const gatherWrites = (): void => {
+		if (!isCorked) {
+			isCorked = true;
+			socket.cork();
+			setImmediate(uncork);
+		}
+	};
+
 	const link: MeshLink = {
 		get peer() {
 			return state.kind === 'ready' ? state.peer : undefined;
@@ -63,10 +79,12 @@
 				return;
 			}
 
+			gatherWrites();
 			socket.write(encodeMessage(message));
 		},
 		close(reason) {
 			closeReason = reason;
+			uncork();
 			socket.destroy();
 		},
 	};
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -44,6 +44,8 @@
 		| {readonly type: 'peer-received'; readonly from: string; readonly message: PeerMessage}
 		| {readonly type: 'peer-connected'; readonly id: string}
 		| {readonly type: 'peer-disconnected'; readonly id: string}
+	/** Heartbeats go out in this turn; what goes out with them costs the links no write of its own. */
+		| {readonly type: 'heartbeat-due'}
 	/** What the platform's list of VMs said just now; it lags behind the truth. */
 		| {readonly type: 'machines-listed'; readonly machines: readonly ListedMachine[]}
 	/** The share of a service's requests for a new version has changed. */
--- a/packages/node/src/quota-ledger.ts
+++ b/packages/node/src/quota-ledger.ts
@@ -31,8 +31,11 @@
 	readonly view: () => LedgerView;
 	/** Takes a committed row; `readAt` is the own time when its read began, undefined if a peer sent it. */
 	setLedger: (ledger: Ledger, readAt: number | undefined) => void;
-	/** Called at least once per heartbeat: finds pauses, renews the lease, reports to the members. */
-	tick: () => void;
+	/**
+	 * Called more often than once per heartbeat: finds pauses, renews the lease
+	 * and tells the members news at once; without news only if a report is due.
+	 */
+	tick: (isReportDue: boolean) => void;
 	/** Holds nothing from now on; whether nothing is lent or in use any more. */
 	stop: () => boolean;
 	/** Takes up a new incarnation after this one was fenced. */
@@ -40,9 +43,6 @@
 	end: () => void;
 };
 
-/** Unless there is news, members are told less often than this node looks after its own quotas. */
-const ticksPerReport = 2;
-
 export function createQuotaLedger(options: QuotaLedgerOptions): QuotaLedger {
 	const {bus, clock, lease, requests, slots, ownId} = options;
 	let view = createLedgerView(options.incarnation);
@@ -50,7 +50,6 @@
 	let reported: LedgerMark = {epoch: 0, version: 0};
 	let tickedAt = clock.own();
 	let terms = 1;
-	let ticks = 0;
 	let isStopped = false;
 
 	/** Finds a pause since the last tick before anything else is done. */
@@ -198,14 +197,13 @@
 	return {
 		view: () => view,
 		setLedger,
-		tick() {
+		tick(isReportDue) {
 			checkPause();
 			renewLease();
 			requests.tick();
 			slots.tick();
 			raise();
-			ticks += 1;
-			if (ticks % ticksPerReport === 0 || (!isReportedCurrent() && !requests.hasOverhang())) {
+			if (isReportDue || (!isReportedCurrent() && !requests.hasOverhang())) {
 				report();
 			}
 		},
