--- a/packages/node/src/freshness-plugin.ts
+++ b/packages/node/src/freshness-plugin.ts
@@ -81,7 +81,7 @@
 				isEstablished: knowledge.isEstablished,
 				isServing: !isDraining && isKnowledgeCurrent(validity, clock),
 				...(echo !== undefined && {echo}),
-				...(Number.isFinite(tableAge) && {tableAgeMilliseconds: Math.max(0, tableAge)}),
+				...(Number.isFinite(tableAge) && {tableAgeMilliseconds: Math.max(0, Math.ceil(tableAge))}),
 			};
 		};
 
@@ -124,6 +124,7 @@
 		const work = startPeriodicWork(async () => {
 			evaluate();
 			beat();
+			bus.publish({type: 'heartbeat-due'});
 		}, settings.timing.heartbeatMilliseconds);
 		const endings = [
 			bus.subscribe('configuration-known', ({record}) => {
