Wait for a customer's token only as long as the request's own deadline allows

Cause: a request without a token waited up to 3 s whatever its deadline. With a deadline of 1 s, tokens went to requests that were too late, which were then refused for a slot with 504 while slots lay idle. The wait now ends early enough for the request to be answered by its deadline. Each waiter has a deadline of its own, so the wake-up is one for each customer, at the next token, in place of one for each waiter at a place in the queue that changes when another one gives up. The load bench prints the reason of each refusal and the slots idle at that moment.

Ruled out: a shortage of slots. 4.6 of 8 in the node's region and 10.5 of 16 elsewhere were idle at these refusals, which came after 2,409 ms.

--- a/packages/cli/src/bench-load-callers.ts
+++ b/packages/cli/src/bench-load-callers.ts
@@ -22,6 +22,8 @@
 	/** Refused because no target could take it in time. */
 	refused: number;
 	failed: number;
+	/** How many were refused for each reason that an entry named. */
+	readonly reasons: Map<string, number>;
 	/** Microseconds of the requests that were answered. */
 	readonly latency: Histogram;
 };
@@ -33,6 +35,15 @@
 	readonly senders: readonly Sender[];
 	/** Called every 20 ms. */
 	readonly sample: () => void;
+	/** Called when an entry or target couldn't take a request in time. */
+	readonly onRefused?: (refusal: LoadRefusal) => void;
+};
+
+export type LoadRefusal = {
+	/** The base address that refused. */
+	readonly address: string;
+	readonly reason: string;
+	readonly waitedMilliseconds: number;
 };
 
 const connectionsPerEntry = 256;
@@ -63,7 +74,7 @@
 			await delay(Math.max(0, nextAt - performance.now()));
 			const address = sender.addresses[random.integer(0, sender.addresses.length - 1)];
 			pending.push(send({
-				agent, sender, result, url: `${address}/prices/ENGM`, deadlineMilliseconds: phase.deadlineMilliseconds,
+				agent, sender, result, phase, address: address ?? '',
 			}));
 		}
 	}));
@@ -77,19 +88,26 @@
 	readonly agent: Agent;
 	readonly sender: Sender;
 	readonly result: SenderResult;
-	readonly url: string;
-	readonly deadlineMilliseconds: number;
+	readonly phase: LoadPhase;
+	readonly address: string;
 };
 
-async function send({agent, sender, result, url, deadlineMilliseconds}: Sending): Promise<void> {
+async function send({agent, sender, result, phase, address}: Sending): Promise<void> {
+	const {deadlineMilliseconds, onRefused} = phase;
 	const startedAt = performance.now();
 	result.sent += 1;
 	try {
-		const answer = await request(url, {
+		const answer = await request(`${address}/prices/ENGM`, {
 			dispatcher: agent, headers: {...sender.headers, 'catkindale-deadline': String(deadlineMilliseconds)},
 		});
-		await answer.body.dump();
-		count(result, answer.statusCode, performance.now() - startedAt, deadlineMilliseconds);
+		const body = await answer.body.text();
+		const waitedMilliseconds = performance.now() - startedAt;
+		count(result, answer.statusCode, waitedMilliseconds, deadlineMilliseconds);
+		if (answer.statusCode === statusUnavailable || answer.statusCode === statusTimeout) {
+			const {reason} = JSON.parse(body) as {reason: string};
+			result.reasons.set(reason, (result.reasons.get(reason) ?? 0) + 1);
+			onRefused?.({address, reason, waitedMilliseconds});
+		}
 	} catch {
 		result.failed += 1;
 	}
@@ -115,6 +133,7 @@
 		rateRefused: 0,
 		refused: 0,
 		failed: 0,
+		reasons: new Map(),
 		latency: build({lowestDiscernibleValue: 1, highestTrackableValue: longestMicroseconds, numberOfSignificantValueDigits: 3}),
 	};
 }
--- a/packages/cli/src/bench-load-fleet.ts
+++ b/packages/cli/src/bench-load-fleet.ts
@@ -1,7 +1,7 @@
 /** A small fleet in one process for the load bench: stand-ins, nodes and targets on loopback. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {hashText} from '@catkindale/common';
-import type {NodeHandle} from '@catkindale/node';
+import {type NodeHandle, getNodeQuotas} from '@catkindale/node';
 import {
 	type Standin, type TargetStandin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
@@ -17,9 +17,20 @@
 	readonly targets: readonly FleetTarget[];
 	/** Applies a manifest with these customers and waits until it is in force. */
 	readonly apply: (customers: readonly FleetCustomer[]) => Promise<void>;
+	/** The slots of each node at each target now. */
+	readonly getSlots: () => NodeSlots[];
 	readonly stop: () => Promise<void>;
 };
 
+export type NodeSlots = {
+	/** The callers' base address of the node. */
+	readonly address: string;
+	readonly region: string;
+	readonly target: FleetTarget;
+	readonly held: number;
+	readonly free: number;
+};
+
 export type FleetShape = {
 	readonly regions: readonly string[];
 	readonly nodesPerRegion: number;
@@ -56,6 +67,12 @@
 			await answer.body.dump();
 			await delay(settleMilliseconds);
 		},
+		getSlots: () => handles.flatMap(handle => targets.map(target => {
+			const {slots} = getNodeQuotas(handle.context);
+			return {
+				address: `http://${handle.addresses.caller}`, region: handle.context.settings.node.region, target, held: slots.getHeld(target.name), free: slots.getFree(target.name),
+			};
+		})),
 		async stop() {
 			await Promise.all(handles.map(async handle => handle.stop()));
 			await Promise.all([table, objects, machines, ...targets.map(target => target.standin)].map(async standin => standin.stop()));
--- a/packages/cli/src/bench-load.ts
+++ b/packages/cli/src/bench-load.ts
@@ -4,6 +4,7 @@
  */
 import {type Customer, getCustomerMembers} from '@catkindale/policy';
 import {type BenchOptions, registerBench} from './bench-registry.js';
+import {type LoadRefusals, createLoadRefusals} from './bench-load-refusals.js';
 import {type Sender, type SenderResult, runLoadPhase} from './bench-load-callers.js';
 import {
 	type FleetCustomer, type FleetShape, type LoadFleet, getCustomerKey, startLoadFleet,
@@ -28,6 +29,7 @@
 	/** Part of the requests that the first target got. */
 	readonly firstPart: number;
 	readonly shed: number;
+	readonly refusals: LoadRefusals;
 };
 
 const shape: FleetShape = {
@@ -118,8 +120,10 @@
 	let samples = 0;
 	let slotsInUse = 0;
 	fleet.targets[0]?.standin.behave(phase.change ?? {});
+	const refusals = createLoadRefusals(fleet, shape.slots);
 	const results = await runLoadPhase({
 		seed,
+		onRefused: refusals.note,
 		seconds,
 		deadlineMilliseconds,
 		senders: getSenders(fleet, phase),
@@ -136,7 +140,7 @@
 	const shed = after.reduce((sum, counts, index) => sum + counts.shed - (before[index]?.shed ?? 0), 0);
 	const all = received.reduce((sum, count) => sum + count, 0);
 	return {
-		results, shed, slotsUsed: slotsInUse / Math.max(1, samples) / (fleet.targets.length * shape.slots), firstPart: (received[0] ?? 0) / Math.max(1, all),
+		results, refusals, shed, slotsUsed: slotsInUse / Math.max(1, samples) / (fleet.targets.length * shape.slots), firstPart: (received[0] ?? 0) / Math.max(1, all),
 	};
 }
 
@@ -167,7 +171,7 @@
 	return shape.regions.length * shape.targetsPerRegion * shape.slots * 1000 / shape.serviceMilliseconds;
 }
 
-function printPhase(phase: Phase, {results, slotsUsed, firstPart, shed}: PhaseReport, {print, seconds}: BenchOptions): void {
+function printPhase(phase: Phase, {results, refusals, slotsUsed, firstPart, shed}: PhaseReport, {print, seconds}: BenchOptions): void {
 	const senders = [...results.values()];
 	const successes = senders.map(sender => sender.answered / Math.max(1, sender.sent - sender.rateRefused)).toSorted((left, right) => left - right);
 	const latencies = senders.map(sender => sender.latency.getValueAtPercentile(percentile) / 1000).toSorted((left, right) => left - right);
@@ -186,6 +190,11 @@
 		String(shed).padStart(4),
 		firstPart.toFixed(3).padStart(16),
 	].join('  '));
+	if (!phase.isDirect) {
+		for (const line of refusals.format()) {
+			print(line);
+		}
+	}
 }
 
 function reportFlood(reports: Map<string, PhaseReport>, {print}: BenchOptions): boolean {
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -100,7 +100,11 @@
 	const isHop = isSignedHop(state.context.settings.secrets.peer, request);
 	const requestId = isHop ? String(request.headers[headerNames.requestId]) : createIdentifier();
 	const checked = await checkRequest(request, {
-		routing: state.routing, quotas: state.quotas, isCurrent: isKnowledgeCurrent(state.validity, state.context.clock), isHop,
+		routing: state.routing,
+		quotas: state.quotas,
+		isCurrent: isKnowledgeCurrent(state.validity, state.context.clock),
+		isHop,
+		getLatestStart: route => startedAt + getDeadlineMilliseconds(request, route) - state.selector.getSafeLatency(route.service),
 	});
 	if (checked.kind === 'refused' || !state.routing) {
 		if (checked.kind === 'refused') {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,7 +8,7 @@
 export type {AttemptResult} from './target-selector.js';
 export * from './version-chooser.js';
 export {createMembership} from './membership.js';
-export {type NodeQuotas, createNodeQuotas} from './node-quotas.js';
+export {type NodeQuotas, createNodeQuotas, getNodeQuotas} from './node-quotas.js';
 export type {NodeMessage} from './node-messages.js';
 export {createRoutingTable} from './routing-table.js';
 export {createIdempotencyClaims} from './idempotency-claims.js';
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -21,6 +21,8 @@
 	readonly isCurrent: boolean;
 	/** Whether another entry has taken the token already. */
 	readonly isHop: boolean;
+	/** Monotonic time by which a request of the route must have its token. */
+	readonly getLatestStart: (route: Route) => number;
 };
 
 export async function checkRequest(request: IncomingMessage, parts: RequestCheckParts): Promise<CheckedRequest> {
@@ -65,7 +67,7 @@
 		return {kind: 'admitted', route, customer};
 	}
 
-	const admission = await quotas.admitSoon(customer.name);
+	const admission = await quotas.admitSoon(customer.name, parts.getLatestStart(route));
 	if (admission.kind === 'refused') {
 		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
 	}
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -32,8 +32,11 @@
 	/** Whether more is lent than the floors cover. */
 	hasOverhang: () => boolean;
 	admit: (customer: string) => Admission;
-	/** Admits within a short time if tokens come by then: by time, from another member, or with the first shares. */
-	admitSoon: (customer: string) => Promise<Admission>;
+	/**
+	 * Admits within a short time, and by the given monotonic time, if tokens come
+	 * by then: by time, from another member, or with the first shares.
+	 */
+	admitSoon: (customer: string, latestAt?: number) => Promise<Admission>;
 	/** What this node may give out now, by its floor and by loans. */
 	getUsable: (customer: string) => RequestFloor;
 	receive: (from: string, message: PeerMessage) => void;
@@ -65,6 +68,8 @@
 	demand: number;
 	shortAt: number;
 	readonly waiters: Waiter[];
+	/** Calls off the look at the waiters that is due when the next token has grown. */
+	callOffWake: (() => void) | undefined;
 };
 
 export type Waiter = {
@@ -121,6 +126,20 @@
 		return taken !== undefined;
 	};
 
+	/** Looks at the waiters again when time will have made the next token. */
+	const wakeLater = (entry: CustomerEntry): void => {
+		const milliseconds = getRequestTokenDelay(entry.quota);
+		entry.callOffWake?.();
+		entry.callOffWake = undefined;
+		// A whole token that can't be taken waits for the lease, which the tick looks at.
+		if (entry.waiters.length > 0 && milliseconds > 0 && milliseconds < patienceMilliseconds) {
+			entry.callOffWake = schedule(() => {
+				entry.callOffWake = undefined;
+				attendWaiters(entry);
+			}, milliseconds);
+		}
+	};
+
 	const serveWaiters = (entry: CustomerEntry): void => {
 		clock.own();
 		entry.quota = fillCustomerQuota(entry.quota, clock.monotonic());
@@ -131,6 +150,7 @@
 		}
 
 		loans.giveBack(entry);
+		wakeLater(entry);
 	};
 
 	const refuse = (entry: CustomerEntry): Admission => {
@@ -154,20 +174,9 @@
 		return entry.waiters.length === 0 && take(entry) ? {kind: 'admitted'} : refuse(entry);
 	};
 
-	/** Wakes the first waiter when time will have made its token. */
-	const wakeLater = (entry: CustomerEntry, endsAt: number): (() => void) => {
-		const now = clock.monotonic();
-		const delay = getRequestTokenDelay(entry.quota) * (entry.waiters.length + 1);
-		const wakes = now + delay < endsAt ? [delay] : [];
-		const callOffs = [...wakes, endsAt - now].map(milliseconds => schedule(() => {
-			serveWaiters(entry);
-			endWaiters(entry, clock.monotonic());
-		}, milliseconds));
-		return () => {
-			for (const callOff of callOffs) {
-				callOff();
-			}
-		};
+	const attendWaiters = (entry: CustomerEntry): void => {
+		serveWaiters(entry);
+		endWaiters(entry, clock.monotonic());
 	};
 
 	return {
@@ -222,19 +231,25 @@
 			});
 		},
 		admit,
-		async admitSoon(name) {
+		async admitSoon(name, latestAt = Number.POSITIVE_INFINITY) {
 			const admission = admit(name);
 			const entry = entries.get(name);
-			if (admission.kind === 'admitted' || !entry || !isWorthWaiting(entry)) {
+			const since = clock.monotonic();
+			const endsAt = Math.min(latestAt, since + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds));
+			if (admission.kind === 'admitted' || !entry || !isWorthWaiting(entry, endsAt - since)) {
 				return admission;
 			}
 
-			const since = clock.monotonic();
-			const endsAt = since + (isRaised ? patienceMilliseconds : agreementPatienceMilliseconds);
 			return new Promise(resolve => {
+				const callOff = schedule(() => {
+					attendWaiters(entry);
+				}, endsAt - since);
 				entry.waiters.push({
-					since, endsAt, resolve, callOff: wakeLater(entry, endsAt),
+					since, endsAt, resolve, callOff,
 				});
+				if (!entry.callOffWake) {
+					wakeLater(entry);
+				}
 			});
 		},
 		getUsable(name) {
@@ -258,8 +273,7 @@
 				entry.quota = fillCustomerQuota(entry.quota, now);
 				entry.demand += demandSmoothing * ((entry.arrivals / seconds) - entry.demand);
 				entry.arrivals = 0;
-				serveWaiters(entry);
-				endWaiters(entry, now);
+				attendWaiters(entry);
 				loans.renew(entry);
 				if (entry.waiters.length > 0) {
 					loans.askFor(entry);
@@ -279,7 +293,7 @@
 
 function createEntry(customer: Customer, unheldSince: number | undefined, now: number): CustomerEntry {
 	return {
-		customer, unheldSince, quota: createCustomerQuota(now), shares: undefined, arrivals: 0, demand: 0, shortAt: Number.NEGATIVE_INFINITY, waiters: [],
+		customer, unheldSince, quota: createCustomerQuota(now), shares: undefined, arrivals: 0, demand: 0, shortAt: Number.NEGATIVE_INFINITY, waiters: [], callOffWake: undefined,
 	};
 }
 
@@ -299,15 +313,19 @@
 }
 
 /** Requests beyond what the customer's rate can bring within the patience are refused at once. */
-function isWorthWaiting(entry: CustomerEntry): boolean {
-	const most = Math.max(leastWaiters, entry.customer.rate * patienceMilliseconds / millisecondsPerSecond);
-	return entry.waiters.length < most;
+function isWorthWaiting(entry: CustomerEntry, patience: number): boolean {
+	const most = Math.max(leastWaiters, entry.customer.rate * patience / millisecondsPerSecond);
+	return patience > 0 && entry.waiters.length < most;
 }
 
+/** Refuses those whose time is over; each has a deadline of its own, so that a later one may end first. */
 function endWaiters(entry: CustomerEntry, now: number): void {
-	while (entry.waiters[0] && entry.waiters[0].endsAt <= now) {
-		const waiter = entry.waiters.shift();
-		waiter?.callOff();
-		waiter?.resolve({kind: 'refused', retryAfterMilliseconds: getRequestTokenDelay(entry.quota)});
+	for (let index = entry.waiters.length - 1; index >= 0; index--) {
+		const waiter = entry.waiters[index];
+		if (waiter && waiter.endsAt <= now) {
+			entry.waiters.splice(index, 1);
+			waiter.callOff();
+			waiter.resolve({kind: 'refused', retryAfterMilliseconds: getRequestTokenDelay(entry.quota)});
+		}
 	}
 }
--- a/packages/node/src/target-pool.ts
+++ b/packages/node/src/target-pool.ts
@@ -15,6 +15,9 @@
 	readonly report: (target: string, report: TargetReport) => void;
 	/** Notes that slots at a target were lent to this node. */
 	readonly refresh: (target: string) => void;
+	readonly getService: () => string;
+	/** Milliseconds within which nearly all requests are answered. */
+	readonly getSafeLatency: () => number;
 	readonly getState: () => PoolState;
 	/** Monotonic time of the last request. */
 	readonly getUsedAt: () => number;
@@ -212,6 +215,8 @@
 			admission.choice.setHeld(target, quota.getHeld(target), now);
 			dispatch(now);
 		},
+		getService: () => targets[0]?.service ?? '',
+		getSafeLatency: admission.choice.getSafeLatency,
 		getState() {
 			const states = targets.map(target => admission.choice.getState(target.name)).filter(state => state !== undefined);
 			return {
--- a/packages/node/src/target-selector.ts
+++ b/packages/node/src/target-selector.ts
@@ -48,6 +48,8 @@
 	report: (target: Target, report: TargetReport) => void;
 	/** Notes that slots at a target were lent to this node. */
 	refresh: (target: string) => void;
+	/** Milliseconds within which nearly all requests of the service are answered; 0 while unknown. */
+	getSafeLatency: (service: string) => number;
 	getPools: () => PoolState[];
 };
 
@@ -129,6 +131,14 @@
 				pool.refresh(target);
 			}
 		},
+		getSafeLatency(service) {
+			let longest = 0;
+			for (const pool of pools.values()) {
+				longest = pool.getService() === service ? Math.max(longest, pool.getSafeLatency()) : longest;
+			}
+
+			return longest;
+		},
 		getPools,
 	};
 }
