Give less work to a target that reports ill health or full load

Cause: the choice of targets could take in reports, but nothing asked for them. Two ranked nodes of a target's region now ask its health endpoint once a second through a typed port with a driver, and tell the other nodes what restricts.

Found on the way: when all targets of a region report ill health, following them cut the region's own work. Reports now count only while at most half of a region's targets ask for less.

Ruled out: every node asking every target (12 times the calls on fragile targets); rows of the table; taking silence as ill health, as the endpoint may fail by itself.

Left: on a fleet above some dozens of nodes the word should go by the relays of the zone and not by broadcast.

--- a/packages/cli/tests/helpers.ts
+++ b/packages/cli/tests/helpers.ts
@@ -131,6 +131,7 @@
 table = {address = "${platform.table}"}
 objects = {address = "${platform.objects}"}
 machines = {address = "${platform.machines}"}
+targetHealth = {}
 [secrets]
 peer = "${peerSecret}"
 operatorToken = "${operatorToken}"
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -74,6 +74,9 @@
 			bus.subscribe('slots-gained', ({target}) => {
 				state.selector.refresh(target);
 			}),
+			bus.subscribe('target-reported', ({target, report}) => {
+				state.selector.report(target, report);
+			}),
 			bus.subscribe('version-share-changed', ({share}) => {
 				state.versions.setShare(share);
 			}),
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -3,7 +3,9 @@
 import type {Registry} from 'prom-client';
 import type {Clock, Logger} from '@catkindale/common';
 import {type MessageBus, createPluginRegistry} from '@catkindale/kernel';
-import type {MachineList, ObjectStore, TableService} from '@catkindale/platform';
+import type {
+	MachineList, ObjectStore, TableService, TargetHealthReader,
+} from '@catkindale/platform';
 import type {Member} from '@catkindale/policy';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
@@ -12,6 +14,8 @@
 	readonly table: TableService;
 	readonly objects: ObjectStore;
 	readonly machines: MachineList;
+	/** Absent when targets aren't asked for their health. */
+	readonly targetHealth?: TargetHealthReader;
 };
 
 export type CallerHandler = (request: IncomingMessage, response: ServerResponse) => void;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -1,6 +1,6 @@
 /** The messages that the tasks of one node publish to each other. */
 import type {
-	ClientBlockTable, Member, Restriction, Route, ShiftRow, Target, VersionedConfiguration, VersionedRecord,
+	ClientBlockTable, Member, Restriction, Route, ShiftRow, Target, TargetReport, VersionedConfiguration, VersionedRecord,
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/platform';
 import type {PeerMessage} from '@catkindale/protocol';
@@ -37,6 +37,8 @@
 		| {readonly type: 'target-leaving-seen'; readonly target: string}
 	/** The targets that leave by the platform's list or by their own word. */
 		| {readonly type: 'leaving-targets-changed'; readonly targets: ReadonlySet<string>}
+	/** What a target says of its own health, read by this node or by a peer. */
+		| {readonly type: 'target-reported'; readonly target: Target; readonly report: TargetReport}
 	/** To one member; lost when there is no link to it. */
 		| {readonly type: 'peer-send'; readonly to: string; readonly message: PeerMessage}
 	/** To every member that can be reached. */
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -17,6 +17,13 @@
 	maximumCallsInFlight: z.int().positive().default(8),
 });
 
+const targetHealthSettingsSchema = z.strictObject({
+	driver: z.string().default('http'),
+	path: z.string().startsWith('/').default('/health'),
+	timeoutMilliseconds: z.number().positive().default(1000),
+	maximumCallsInFlight: z.int().positive().default(8),
+});
+
 const limitsSchema = z.strictObject({
 	headerBytes: z.int().positive().default(16_384),
 	bodyBytes: z.int().positive().default(1_073_741_824),
@@ -28,6 +35,7 @@
 
 const timingSchema = z.strictObject({
 	tablePollMilliseconds: z.int().positive().default(500),
+	targetHealthPollMilliseconds: z.int().positive().default(1000),
 	machineListPollMilliseconds: z.int().positive().default(1000),
 	heartbeatMilliseconds: z.int().positive().default(500),
 	freshnessLimitMilliseconds: z.int().positive().default(2500),
@@ -54,6 +62,8 @@
 		table: serviceSettingsSchema,
 		objects: serviceSettingsSchema,
 		machines: serviceSettingsSchema,
+		/** How targets are asked for their health; left out, none is asked. */
+		targetHealth: targetHealthSettingsSchema.optional(),
 	}),
 	/** Addresses of peers to ask when the table can't be reached at start. */
 	peers: z.array(addressSchema).default([]),
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -5,7 +5,7 @@
 } from '@catkindale/common';
 import {createMessageBus, startPlugins} from '@catkindale/kernel';
 import {
-	type DriverSettings, machineListDrivers, objectDrivers, tableDrivers,
+	type DriverSettings, machineListDrivers, objectDrivers, tableDrivers, targetHealthDrivers,
 } from '@catkindale/platform';
 import {
 	type BoundAddresses, type Cuts, type NodeContext, type Platform, nodePlugins,
@@ -29,6 +29,7 @@
 import './restriction-plugin.js';
 import './rollout-plugin.js';
 import './shift-plugin.js';
+import './target-health-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
@@ -70,17 +71,18 @@
 		context,
 		async stop() {
 			await lifeCycle.stop();
-			await Promise.all([platform.table.close(), platform.objects.close(), platform.machines.close()]);
+			await Promise.all([platform.table.close(), platform.objects.close(), platform.machines.close(), platform.targetHealth?.close()]);
 		},
 	};
 }
 
 function openPlatform(settings: Settings): Platform {
-	const {table, objects, machines} = settings.platform;
+	const {table, objects, machines, targetHealth} = settings.platform;
 	return {
 		table: tableDrivers.open(table.driver, getDriverSettings(table)),
 		objects: objectDrivers.open(objects.driver, getDriverSettings(objects)),
 		machines: machineListDrivers.open(machines.driver, getDriverSettings(machines)),
+		...(targetHealth && {targetHealth: targetHealthDrivers.open(targetHealth.driver, targetHealth)}),
 	};
 }
 
--- a/packages/platform/src/driver-registry.ts
+++ b/packages/platform/src/driver-registry.ts
@@ -1,26 +1,37 @@
 /** Drivers of the platform ports register here when their module is loaded. */
 import type {MachineList} from './machine-list-port.js';
 import type {ObjectStore} from './object-store-port.js';
+import type {TargetHealthReader} from './target-health-port.js';
 import type {TableService} from './table-port.js';
 import {UnknownDriverError} from './errors.js';
 
-export type DriverSettings = {
-	/** The base address of the service, for example `http://10.0.0.1:5001`. */
-	readonly address: string;
+/** What bounds the calls of every driver. */
+export type CallLimits = {
 	readonly timeoutMilliseconds: number;
 	readonly maximumCallsInFlight: number;
 };
 
-type Driver<Port> = (settings: DriverSettings) => Port;
+export type DriverSettings = CallLimits & {
+	/** The base address of the service, for example `http://10.0.0.1:5001`. */
+	readonly address: string;
+};
+
+/** Targets are asked at their own addresses. */
+export type TargetHealthSettings = CallLimits & {
+	/** The path of the health endpoint, for example `/health`. */
+	readonly path: string;
+};
+
+type Driver<Port, Settings> = (settings: Settings) => Port;
 
-export type DriverRegistry<Port> = {
-	register: (name: string, driver: Driver<Port>) => void;
+export type DriverRegistry<Port, Settings = DriverSettings> = {
+	register: (name: string, driver: Driver<Port, Settings>) => void;
 	/** Throws {@link UnknownDriverError} for a name that isn't registered. */
-	open: (name: string, settings: DriverSettings) => Port;
+	open: (name: string, settings: Settings) => Port;
 };
 
-function createDriverRegistry<Port>(port: string): DriverRegistry<Port> {
-	const drivers = new Map<string, Driver<Port>>();
+function createDriverRegistry<Port, Settings = DriverSettings>(port: string): DriverRegistry<Port, Settings> {
+	const drivers = new Map<string, Driver<Port, Settings>>();
 	return {
 		register(name, driver) {
 			drivers.set(name, driver);
@@ -39,3 +50,4 @@
 export const tableDrivers = createDriverRegistry<TableService>('table');
 export const objectDrivers = createDriverRegistry<ObjectStore>('object store');
 export const machineListDrivers = createDriverRegistry<MachineList>('machine list');
+export const targetHealthDrivers = createDriverRegistry<TargetHealthReader, TargetHealthSettings>('target health');
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,9 +2,11 @@
 import './machine-list-http.js';
 import './object-store-http.js';
 import './table-http.js';
+import './target-health-http.js';
 
 export * from './driver-registry.js';
 export * from './errors.js';
 export type * from './machine-list-port.js';
 export type * from './object-store-port.js';
 export type * from './table-port.js';
+export type * from './target-health-port.js';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -37,6 +37,7 @@
 export * from './target-admission.js';
 export * from './target-choice.js';
 export * from './target-health.js';
+export * from './target-report-readers.js';
 export * from './ticket-memory.js';
 export * from './token-bucket.js';
 export * from './customer-quota.js';
--- a/packages/policy/src/region-targets.ts
+++ b/packages/policy/src/region-targets.ts
@@ -15,6 +15,8 @@
 	inUse: number;
 	/** Slots that may be in use at once; at most those held. */
 	usable: number;
+	/** Whether its own report asks for less work. */
+	isLowered: boolean;
 	/** Between two requests, a target that should get less than one slot rests. */
 	restUntil: number;
 	/** When it comes back from a pause; 0 if it isn't in one. */
@@ -32,6 +34,10 @@
 	usable: number;
 	/** Targets whose circuit isn't closed. */
 	cutOff: number;
+	/** Targets whose own reports ask for less work. */
+	lowered: number;
+	/** Whether those reports count. */
+	countsReports: boolean;
 	/** Moving average over the answers of all targets. */
 	usualLatency: number | undefined;
 	/** Moving average of how far the answers are from the usual latency. */
@@ -42,16 +48,17 @@
 };
 
 const observationWeight = 0.02;
+const mostLoweredShare = 0.5;
 
 export function createRegionTargets(name: string, spill: RegionSpill): RegionTargets {
 	return {
-		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, usualLatency: undefined, latencyDeviation: 0, failureShare: 0, spill,
+		name, free: [], size: 0, held: 0, inUse: 0, usable: 0, cutOff: 0, lowered: 0, countsReports: true, usualLatency: undefined, latencyDeviation: 0, failureShare: 0, spill,
 	};
 }
 
 export function createCandidate(name: string, region: RegionTargets, health: TargetHealth): Candidate {
 	return {
-		name, region, health, held: 0, inUse: 0, usable: 0, restUntil: 0, wakeAt: 0, freePosition: -1, heapPosition: -1,
+		name, region, health, held: 0, inUse: 0, usable: 0, isLowered: false, restUntil: 0, wakeAt: 0, freePosition: -1, heapPosition: -1,
 	};
 }
 
@@ -74,6 +81,24 @@
 	candidate.freePosition = -1;
 }
 
+/** Notes whether the target's own report asks for less work. */
+export function setLowered(candidate: Candidate, isLowered: boolean): void {
+	candidate.region.lowered += Number(isLowered) - Number(candidate.isLowered);
+	candidate.isLowered = isLowered;
+}
+
+/**
+ * Decides again whether the reports of the region's targets count: not when
+ * more than half of them ask for less, as following them would be an outage of
+ * our own making. Returns whether that has changed.
+ */
+export function weighReports(region: RegionTargets): boolean {
+	const countsReports = region.lowered <= region.size * mostLoweredShare;
+	const isChanged = countsReports !== region.countsReports;
+	region.countsReports = countsReports;
+	return isChanged;
+}
+
 /** Takes in how an attempt at one of the targets ended. */
 export function observeRegion(region: RegionTargets, attempt: Attempt): void {
 	if (attempt.kind === 'shed' || attempt.kind === 'cancelled') {
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -14,10 +14,10 @@
 	createRegionSpill, getSpillLimit, markSpillLimit, markSpillUse, updateRegionSpill,
 } from './region-spill.js';
 import {
-	type Attempt, type TargetReport, createTargetHealth, getExpectedLatency, getSlotFactor, isCallable, startAttempt, updateByReport, updateTargetHealth,
+	type Attempt, type TargetReport, createTargetHealth, getExpectedLatency, getSlotFactor, isCallable, isLoweredByReport, startAttempt, updateByReport, updateTargetHealth,
 } from './target-health.js';
 import {
-	type Candidate, type RegionTargets, addFree, createCandidate, createRegionTargets, observeRegion, removeFree,
+	type Candidate, type RegionTargets, addFree, createCandidate, createRegionTargets, observeRegion, removeFree, setLowered, weighReports,
 } from './region-targets.js';
 
 export type ChoiceTarget = {readonly name: string; readonly region: string};
@@ -61,6 +61,8 @@
 	readonly inUse: number;
 	readonly usable: number;
 	readonly isCutOff: boolean;
+	/** Whether the target's own report asks for less work. */
+	readonly isLowered: boolean;
 };
 
 export type TargetChoiceOptions = {
@@ -98,7 +100,8 @@
 	/** Works out again how many slots may be used and whether one is free. */
 	const refresh = (candidate: Candidate, now: number): void => {
 		const {region, health} = candidate;
-		const part = candidate.held * getSlotFactor(health, region.usualLatency ?? 0, now);
+		setLowered(candidate, isLoweredByReport(health, now));
+		const part = candidate.held * getSlotFactor(health, region, now);
 		const callableAt = health.circuit.kind === 'open' ? health.circuit.until : 0;
 		const wakeAt = candidate.held > 0 ? Math.max(callableAt, candidate.restUntil) : 0;
 		const usable = candidate.held > 0 && isCallable(health, now) ? Math.max(1, Math.round(part)) : 0;
@@ -113,6 +116,14 @@
 		}
 	};
 
+	const refreshRegion = (region: RegionTargets, now: number): void => {
+		for (const candidate of candidates.values()) {
+			if (candidate.region === region) {
+				refresh(candidate, now);
+			}
+		}
+	};
+
 	const wake = (now: number): void => {
 		for (let candidate = paused.peek(); candidate && candidate.wakeAt <= now; candidate = paused.peek()) {
 			setPause(candidate, 0);
@@ -215,6 +226,7 @@
 	const drop = (candidate: Candidate): void => {
 		const {region} = candidate;
 		removeFree(candidate);
+		setLowered(candidate, false);
 		paused.remove(candidate);
 		region.usable -= candidate.usable;
 		region.held -= candidate.held;
@@ -288,7 +300,7 @@
 			candidate.health = updateTargetHealth(candidate.health, attempt, now, mayOpen);
 			observeRegion(region, attempt);
 			region.cutOff += Number(isCutOff(candidate)) - Number(wasCutOff);
-			const duty = candidate.held * getSlotFactor(candidate.health, region.usualLatency ?? 0, now);
+			const duty = candidate.held * getSlotFactor(candidate.health, region, now);
 			// What fails or sheds at once must not come back sooner than what works.
 			const worked = Math.max(attempt.milliseconds, region.usualLatency ?? 0);
 			const rest = duty > 0 && duty < 1 ? (worked / duty) - attempt.milliseconds : 0;
@@ -300,6 +312,9 @@
 			if (candidate) {
 				candidate.health = updateByReport(candidate.health, report);
 				refresh(candidate, now);
+				if (weighReports(candidate.region)) {
+					refreshRegion(candidate.region, now);
+				}
 			}
 		},
 		hasFree(now) {
@@ -320,7 +335,7 @@
 		getState(target) {
 			const candidate = candidates.get(target);
 			return candidate && {
-				held: candidate.held, inUse: candidate.inUse, usable: candidate.usable, isCutOff: isCutOff(candidate),
+				held: candidate.held, inUse: candidate.inUse, usable: candidate.usable, isCutOff: isCutOff(candidate), isLowered: candidate.isLowered,
 			};
 		},
 	};
--- a/packages/policy/src/target-health.ts
+++ b/packages/policy/src/target-health.ts
@@ -118,6 +118,16 @@
 	return {...health, report};
 }
 
+/** Whether the target's own report asks for less work than its slots allow. */
+export function isLoweredByReport(health: TargetHealth, now: number): boolean {
+	return health.report !== undefined && isRestrictingReport(health.report, now);
+}
+
+/** Whether the report still counts and asks for less work than usual. */
+export function isRestrictingReport(report: TargetReport, now: number): boolean {
+	return getReportFactor(report, now) < 1;
+}
+
 /** Whether a request may be sent: not cut off, and at most one probe at a time. */
 export function isCallable(health: TargetHealth, now: number): boolean {
 	switch (health.circuit.kind) {
@@ -144,15 +154,23 @@
 	return aged / (successShare ** 2);
 }
 
+/** What the slot factor of a target depends on beside its own health. */
+export type TargetSurroundings = {
+	/** Usual milliseconds of a request in the target's region; undefined before the first answer. */
+	readonly usualLatency: number | undefined;
+	/** Whether the reports of the region's targets count now. */
+	readonly countsReports: boolean;
+};
+
 /**
  * The part of its slots that the target should get now, above 0 up to 1. A
  * slow target gets less, so that it doesn't fill up while the others are busy.
  */
-export function getSlotFactor(health: TargetHealth, usualLatency: number, now: number): number {
+export function getSlotFactor(health: TargetHealth, {usualLatency = 0, countsReports}: TargetSurroundings, now: number): number {
 	const latency = getExpectedLatency(health, usualLatency, now);
 	const excess = usualLatency > 0 ? latency / (usualLatency * slowRatio) : 0;
 	const slowFactor = excess > 1 ? Math.max(slowFloor, 1 / excess) : 1;
-	return Math.min(slowFactor, getColdFactor(health, now), getSheddingFactor(health, now), getReportFactor(health.report, now));
+	return Math.min(slowFactor, getColdFactor(health, now), getSheddingFactor(health, now), countsReports ? getReportFactor(health.report, now) : 1);
 }
 
 function updateByAnswer(health: TargetHealth, milliseconds: number, now: number): TargetHealth {
--- a/packages/protocol/src/configuration-messages.ts
+++ b/packages/protocol/src/configuration-messages.ts
@@ -25,4 +25,16 @@
 	target: z.string(),
 });
 
+/** What targets told the sender of their own health. */
+export const targetReportsMessageSchema = z.object({
+	type: z.literal('target-reports'),
+	reports: z.array(z.object({
+		target: z.string(),
+		isHealthy: z.boolean(),
+		load: z.number().min(0),
+		/** Milliseconds from the target's answer to the sending of this message. */
+		ageMilliseconds: z.number().min(0),
+	})),
+});
+
 export type ConfigurationMessage = z.infer<typeof configurationMessageSchema>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {type Result, fail, succeed} from '@catkindale/common';
 import {
-	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
+	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema, targetReportsMessageSchema,
 } from './configuration-messages.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 import {rolloutReportMessageSchema} from './rollout-messages.js';
@@ -18,6 +18,7 @@
 	restrictionsMessageSchema,
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
+	targetReportsMessageSchema,
 	...quotaMessageSchemas,
 	...ticketMessageSchemas,
 ]);
--- a/packages/standins/src/target-standin.ts
+++ b/packages/standins/src/target-standin.ts
@@ -25,6 +25,9 @@
 	isDraining: z.boolean().default(false),
 	/** What `/health` reports in place of the truth. */
 	reportedLoad: z.number().min(0).optional(),
+	isReportedHealthy: z.boolean().default(true),
+	/** Whether `/health` gives no answer. */
+	isHealthSilent: z.boolean().default(false),
 });
 
 export type TargetBehaviour = z.infer<typeof targetBehaviourSchema>;
@@ -35,6 +38,8 @@
 	shed: number;
 	inFlight: number;
 	mostInFlight: number;
+	/** How often its health was asked for. */
+	healthReads: number;
 	/** The headers of the last request. */
 	lastHeaders: Record<string, string | string[] | undefined>;
 	/** How often each request body digest was run. */
@@ -56,7 +61,7 @@
 	const random = createRandom(seed);
 	const startedAt = performance.now();
 	const counts: TargetCounts = {
-		received: 0, shed: 0, inFlight: 0, mostInFlight: 0, lastHeaders: {}, runs: {},
+		received: 0, shed: 0, inFlight: 0, mostInFlight: 0, healthReads: 0, lastHeaders: {}, runs: {},
 	};
 
 	const serve = async (request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> => {
@@ -72,7 +77,11 @@
 
 	const standin = await listen(address, async (request, response, url) => {
 		if (url.pathname === '/health') {
-			sendJson(response, statusDone, {load: behaviour.reportedLoad ?? counts.inFlight / behaviour.slots});
+			counts.healthReads += 1;
+			if (!behaviour.isHealthSilent) {
+				sendJson(response, statusDone, {healthy: behaviour.isReportedHealthy, load: behaviour.reportedLoad ?? counts.inFlight / behaviour.slots});
+			}
+
 			return;
 		}
 
