--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -4,7 +4,7 @@
 import {type Result, fail, succeed} from '@catkindale/common';
 import {compactMessage, expandMessage} from './compact-messages.js';
 import {
-	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema,
+	configurationMessageSchema, knownMembersMessageSchema, restrictionsMessageSchema, targetLeavingMessageSchema, targetReportsMessageSchema,
 } from './configuration-messages.js';
 import {encodeFrame} from './frame.js';
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
@@ -21,6 +21,7 @@
 	restrictionsMessageSchema,
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
+	targetReportsMessageSchema,
 	...quotaMessageSchemas,
 	...ticketMessageSchemas,
 ]);
