Take a failing version back after fewer failures

Cause: the harm of versions that fail came almost wholly from the test itself, not from answers under way or from nodes that hadn't halted yet: at one request a second of the first share, a version that fails 30% of its requests took 22 requests, 7 of them failed, to pass the threshold; reports on their way add less than one failure. The threshold was that of a hundred requests from the first request on, the old version's rate was put up by two deviations and 1%, and one slice gave at most a third of the threshold.

Change: sums for certain (80%) and frequent (35%) failures have a threshold that starts at ten requests and no tolerance; the sum for slight trouble and those for slow answers stay as they were. A slice gives at most half.

Found on the way: trouble that both versions share for 5 s took good versions back, before and after this change, since the old version's rate of the long run lags. While the old version's last moments show trouble, they are what a good version is compared with.

--- a/packages/policy/src/evidence-test.ts
+++ b/packages/policy/src/evidence-test.ts
@@ -14,77 +14,113 @@
 	type EvidenceCounts, type RouteEvidence, addEvidence, countAnswers, countSlower, createEvidenceCounts, latencyBounds, scaleEvidence,
 } from './evidence.js';
 
-/** The chance of a false alarm per sum and e-fold growth of the number of requests. */
-const falseAlarmBudget = 0.0003;
-const firstRequests = 100;
-
 /** How much of the old version's evidence is kept from slice to slice, once there is enough. */
 const baselineRetention = 0.98;
 const retainedRequests = 500;
+/** How much of the old version's evidence of the last moments is kept from slice to slice. */
+const recentRetention = 0.5;
+/** Bad answers of the old version in the last moments that show trouble of both versions. */
+const smallestSharedTrouble = 3;
+const sharedDeviations = 2;
 /** Answers of the old version without which nothing is judged slow. */
 const smallestBaseline = 30;
 const slowQuantile = 0.95;
 /** An answer is slow if it takes longer than this many times the old version's quantile. */
 const slowFactor = 1.3;
-const toleratedExcess = 0.01;
-const confidenceDeviations = 2;
 
 type Alternative = {
 	readonly kind: 'failures' | 'slow';
 	/** By how much the rate of a bad version is above the old version's. */
 	readonly excess: number;
+	/** A rate above the old version's by this much is still good. */
+	readonly tolerated: number;
+	/** By how many deviations the old version's rate may be higher than it looks. */
+	readonly deviations: number;
+	/** The chance of a false alarm per e-fold growth of the number of requests. */
+	readonly falseAlarmBudget: number;
+	/** The number of requests from which on the threshold grows. */
+	readonly firstRequests: number;
 	/** The most that one slice may add, so that a short burst alone never decides. */
 	readonly largestPartPerSlice: number;
 };
 
+/**
+ * Failures are independent of each other as long as the version is good, so few
+ * of them decide early. Slow answers come in bursts and need more evidence.
+ */
+const certainFailures = {
+	kind: 'failures', tolerated: 0, deviations: 1, falseAlarmBudget: 0.001, firstRequests: 10, largestPartPerSlice: 0.5,
+} as const;
+const slightTrouble = {
+	tolerated: 0.01, deviations: 2, falseAlarmBudget: 0.0003, firstRequests: 100,
+} as const;
+
 const alternatives: readonly Alternative[] = [
-	{kind: 'failures', excess: 0.35, largestPartPerSlice: 0.34},
-	{kind: 'failures', excess: 0.04, largestPartPerSlice: 0.1},
-	{kind: 'slow', excess: 0.35, largestPartPerSlice: 0.15},
-	{kind: 'slow', excess: 0.1, largestPartPerSlice: 0.05},
+	{...certainFailures, excess: 0.8},
+	{...certainFailures, excess: 0.35},
+	{
+		...slightTrouble, kind: 'failures', excess: 0.04, largestPartPerSlice: 0.1,
+	},
+	{
+		...slightTrouble, kind: 'slow', excess: 0.35, largestPartPerSlice: 0.15,
+	},
+	{
+		...slightTrouble, kind: 'slow', excess: 0.1, largestPartPerSlice: 0.05,
+	},
 ];
 
 /** The state of the test on one route. */
 export type EvidenceTest = {
 	readonly baseline: EvidenceCounts;
+	/** The old version's last moments, in which trouble that both versions share shows. */
+	readonly recent: EvidenceCounts;
 	/** One sum for each alternative. */
 	readonly sums: readonly number[];
 	/** Requests of the new version so far. */
 	readonly requests: number;
 };
 
-type Trial = {readonly requests: number; readonly bad: number; readonly expectedRate: number};
+/** How many of a number of requests were bad. */
+type BadCount = {readonly requests: number; readonly bad: number};
+type Trial = {readonly expected: BadCount; readonly recent: BadCount; readonly seen: BadCount};
 
 export function createEvidenceTest(): EvidenceTest {
-	return {baseline: createEvidenceCounts(), sums: alternatives.map(() => 0), requests: 0};
+	return {
+		baseline: createEvidenceCounts(), recent: createEvidenceCounts(), sums: alternatives.map(() => 0), requests: 0,
+	};
 }
 
 /** Takes in what came in since the last slice. */
 export function updateEvidenceTest(test: EvidenceTest, slice: RouteEvidence): EvidenceTest {
 	const baseline = updateBaseline(test.baseline, slice.from);
-	const trials = {failures: getFailureTrial(baseline, slice.to), slow: getSlowTrial(baseline, slice.to)};
+	const recent = addEvidence(scaleEvidence(test.recent, recentRetention), slice.from);
+	const trials = {failures: getFailureTrial(baseline, recent, slice.to), slow: getSlowTrial(baseline, recent, slice.to)};
 	const requests = test.requests + slice.to.requests;
-	const threshold = getThreshold(requests);
 	const sums = alternatives.map((alternative, index) => {
-		const step = getLogLikelihoodRatio(trials[alternative.kind], alternative.excess);
-		return Math.max(0, (test.sums[index] ?? 0) + Math.min(step, threshold * alternative.largestPartPerSlice));
+		const step = getLogLikelihoodRatio(trials[alternative.kind], alternative);
+		const largestStep = getThreshold(alternative, requests) * alternative.largestPartPerSlice;
+		return Math.max(0, (test.sums[index] ?? 0) + Math.min(step, largestStep));
 	});
-	return {baseline, sums, requests};
+	return {
+		baseline, recent, sums, requests,
+	};
 }
 
 /** Which trouble was found; undefined while there is none. */
 export function getBadness(test: EvidenceTest): Alternative['kind'] | undefined {
-	const threshold = getThreshold(test.requests);
-	const index = test.sums.findIndex(sum => sum >= threshold);
-	return alternatives[index]?.kind;
+	return alternatives.find((alternative, index) => getSuspicionOf(test, alternative, index) >= 1)?.kind;
 }
 
 /** How near the test is to its alarm, from 0 to 1. */
 export function getSuspicion(test: EvidenceTest): number {
-	return Math.min(1, Math.max(...test.sums) / getThreshold(test.requests));
+	return Math.min(1, Math.max(...alternatives.map((alternative, index) => getSuspicionOf(test, alternative, index))));
 }
 
-function getThreshold(requests: number): number {
+function getSuspicionOf(test: EvidenceTest, alternative: Alternative, index: number): number {
+	return (test.sums[index] ?? 0) / getThreshold(alternative, test.requests);
+}
+
+function getThreshold({firstRequests, falseAlarmBudget}: Alternative, requests: number): number {
 	return Math.log((requests + firstRequests) / falseAlarmBudget);
 }
 
@@ -93,18 +129,27 @@
 	return addEvidence(isPlenty ? scaleEvidence(baseline, baselineRetention) : baseline, added);
 }
 
-function getFailureTrial(baseline: EvidenceCounts, candidate: EvidenceCounts): Trial {
-	return {requests: candidate.requests, bad: candidate.failures, expectedRate: getRateBound(baseline.failures, baseline.requests)};
+function getFailureTrial(baseline: EvidenceCounts, recent: EvidenceCounts, candidate: EvidenceCounts): Trial {
+	return {
+		expected: {requests: baseline.requests, bad: baseline.failures},
+		recent: {requests: recent.requests, bad: recent.failures},
+		seen: {requests: candidate.requests, bad: candidate.failures},
+	};
 }
 
-function getSlowTrial(baseline: EvidenceCounts, candidate: EvidenceCounts): Trial {
+/** Undefined while too little is known of the old version. */
+function getSlowTrial(baseline: EvidenceCounts, recent: EvidenceCounts, candidate: EvidenceCounts): Trial | undefined {
 	const answers = countAnswers(baseline);
 	if (answers < smallestBaseline) {
-		return {requests: 0, bad: 0, expectedRate: 1};
+		return undefined;
 	}
 
 	const bucket = getSlowBucket(baseline, answers);
-	return {requests: countAnswers(candidate), bad: countSlower(candidate, bucket), expectedRate: getRateBound(countSlower(baseline, bucket), answers)};
+	return {
+		expected: {requests: answers, bad: countSlower(baseline, bucket)},
+		recent: {requests: countAnswers(recent), bad: countSlower(recent, bucket)},
+		seen: {requests: countAnswers(candidate), bad: countSlower(candidate, bucket)},
+	};
 }
 
 /** The bucket above which an answer is slow. */
@@ -120,20 +165,29 @@
 	return slow === -1 ? latencyBounds.length : slow;
 }
 
-/** An upper confidence bound on the old version's rate, plus what is tolerated. */
-function getRateBound(bad: number, requests: number): number {
+/** The rate that a good version may have now: the old version's, or more while both are in trouble. */
+function getExpectedRate({expected, recent}: Trial, {deviations, tolerated}: Alternative): number {
+	const usual = getRateBound(expected, deviations);
+	const isShared = recent.bad >= smallestSharedTrouble;
+	return Math.max(usual, isShared ? getRateBound(recent, sharedDeviations) : 0) + tolerated;
+}
+
+/** An upper confidence bound on a rate. */
+function getRateBound({requests, bad}: BadCount, deviations: number): number {
 	const rate = (bad + 0.5) / (requests + 1);
 	const deviation = Math.sqrt(rate * (1 - rate) / (requests + 1));
-	return rate + (confidenceDeviations * deviation) + toleratedExcess;
+	return rate + (deviations * deviation);
 }
 
-function getLogLikelihoodRatio({requests, bad, expectedRate}: Trial, excess: number): number {
+function getLogLikelihoodRatio(trial: Trial | undefined, alternative: Alternative): number {
 	const highestRate = 0.99;
-	if (requests === 0 || expectedRate >= highestRate) {
+	const expectedRate = trial ? getExpectedRate(trial, alternative) : 1;
+	if (!trial || trial.seen.requests === 0 || expectedRate >= highestRate) {
 		return 0;
 	}
 
-	const alternativeRate = Math.min(highestRate, expectedRate + excess);
+	const {requests, bad} = trial.seen;
+	const alternativeRate = Math.min(highestRate, expectedRate + alternative.excess);
 	const good = requests - bad;
 	return (bad * Math.log(alternativeRate / expectedRate)) + (good * Math.log((1 - alternativeRate) / (1 - expectedRate)));
 }
