Let a new version fail first where no caller is harmed by it

Cause: a test needs three to five failures before it can tell, whatever the share; that harm can't be tested away without taking good versions back. But a failed idempotent request is answered by the old version, so the evidence can come from these.

Change: in the first step, and while an idempotent route speaks against the new version, only idempotent requests go to it (all, where a service has no others). Each route has only so many requests under way there as its evidence allows: one per node without any, one more for each good answer, half after a failure, and a failure keeps its place until the node has judged the evidence.

Ruled out: keeping unsafe requests back while their own route is under suspicion, since nothing could clear it up then. To harm fewer on an unsafe route alone, the first failure would have to decide.

--- a/packages/cli/src/rollout-versions.ts
+++ b/packages/cli/src/rollout-versions.ts
@@ -11,6 +11,7 @@
 	'failing after a while',
 	'failing only under load',
 	'failing on one route only',
+	'failing on the unsafe route',
 	'slowly leaking',
 ] as const;
 
@@ -44,6 +45,8 @@
 const commonFailureShare = 0.005;
 const none: Trouble = {failureShare: 0, slowdown: 1};
 const weakRoute = 2;
+/** The route whose requests may not be repeated. */
+export const unsafeRoute = 3;
 
 export function isGoodKind(kind: VersionKind): boolean {
 	return kind.startsWith('good');
@@ -85,6 +88,10 @@
 				return route === weakRoute ? {failureShare: 0.8, slowdown: 1} : none;
 			}
 
+			case 'failing on the unsafe route': {
+				return route === unsafeRoute ? {failureShare: 0.8, slowdown: 1} : none;
+			}
+
 			case 'slowly leaking': {
 				return {failureShare: 0, slowdown: 1 + (5 * age / (durationMilliseconds / 2))};
 			}
--- a/packages/cli/src/verification-rollouts.ts
+++ b/packages/cli/src/verification-rollouts.ts
@@ -138,7 +138,8 @@
 
 function sendRequests(watch: Watch, node: FleetNode, count: number): void {
 	for (let request = 0; request < count; request++) {
-		const version = node.chooser.choose('pricing') ?? '1';
+		const choice = node.chooser.chooseForRoute(watch.route);
+		const version = choice.version ?? '1';
 		checkRequest(watch, node, version === '2');
 		const isFailing = version === '2' && watch.fleet.now() >= watch.badFrom;
 		const result: AttemptResult = {kind: isFailing ? 'failed' : 'answered', milliseconds: watch.random.integer(5, 20)};
@@ -146,6 +147,7 @@
 			countFailure(watch);
 		}
 
+		choice.end(isFailing ? 'failed' : 'good');
 		const {route, targets} = watch;
 		const target = targets.find(candidate => candidate.version === version);
 		if (target) {
--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt of an exchange at a selected target, and what later choices learn from it. */
-import type {Target} from '@catkindale/policy';
+import type {Target, TrialEnd} from '@catkindale/policy';
 import type {CallerBody} from './caller-body.js';
 import type {EntryParts, Exchange, ExchangeSignals} from './exchange.js';
 import {
@@ -96,6 +96,17 @@
 	});
 }
 
+/** What a request showed of the version that it tried. */
+export function getTrialEnd(records: readonly AttemptRecord[], version: string | undefined): TrialEnd {
+	const record = records.find(({target}) => target.version === version);
+	const kind = record ? getResultKind(record.outcome) : 'cancelled';
+	if (kind === 'cancelled') {
+		return 'not-sent';
+	}
+
+	return kind === 'answered' ? 'good' : 'failed';
+}
+
 function getResultKind(outcome: ForwardOutcome): AttemptResult['kind'] {
 	switch (outcome.kind) {
 		case 'answered': {
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -11,7 +11,7 @@
 import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import {type AttemptRecord, firstFailureStatus} from './exchange-attempt.js';
+import {type AttemptRecord, firstFailureStatus, getTrialEnd} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
@@ -79,7 +79,8 @@
 /** Runs the request at a target, and at others where that is safe. */
 export async function runExchange(parts: EntryParts, exchange: Exchange, body: CallerBody, signals: ExchangeSignals): Promise<ExchangeResult> {
 	const {route, customer} = exchange;
-	let version = parts.versions.choose(route.service) ?? '';
+	const choice = parts.versions.chooseForRoute(route);
+	let version = choice.version ?? '';
 	const excluded = new Set<string>();
 	const records: AttemptRecord[] = [];
 	const select = async (signal: AbortSignal, deadlineAt = exchange.deadlineAt): Promise<Selection> => parts.selector.select({
@@ -97,17 +98,20 @@
 		const selection = await select(signals.selection, isOnTrial ? getTrialDeadline(parts, exchange) : exchange.deadlineAt);
 		if (selection.kind === 'refused' && isOnTrial && selection.reason !== 'cancelled') {
 			// Nothing was sent, so that any request may go to the settled version instead.
+			choice.end('not-sent');
 			version = settled;
 			continue;
 		}
 
 		if (selection.kind === 'refused') {
+			choice.end('not-sent');
 			return getRefusal(selection, records);
 		}
 
 		excluded.add(selection.target.name);
 		version = parts.versions.chooseForRetry(route.service) ?? '';
 		const ended = await runHedged(parts, exchange, {selection, body, signals}, select);
+		choice.end(getTrialEnd(ended, choice.version));
 		for (const record of ended) {
 			records.push(record);
 			excluded.add(record.target.name);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export * from './errors.js';
 export * from './settings.js';
 export * from './start-node.js';
+export * from './retry-budgets.js';
 export * from './rollout-task.js';
 export type {AttemptResult} from './target-selector.js';
 export * from './version-chooser.js';
--- a/packages/node/src/rollout-evidence.ts
+++ b/packages/node/src/rollout-evidence.ts
@@ -35,7 +35,7 @@
 				return;
 			}
 
-			const name = `${route.method} ${route.path}`;
+			const name = getRouteName(route);
 			const evidence = routes.get(name) ?? {route: name, from: createEvidenceCounts(), to: createEvidenceCounts()};
 			routes.set(name, evidence);
 			const isNew = target.version === options.to;
@@ -46,6 +46,11 @@
 	};
 }
 
+/** The name of a route in the evidence. */
+export function getRouteName({method, path}: Pick<Route, 'method' | 'path'>): string {
+	return `${method} ${path}`;
+}
+
 function addResult(counts: EvidenceCounts, result: AttemptResult, isLatencyCounted: boolean): void {
 	counts.requests += 1;
 	if (failedKinds.has(result.kind)) {
--- a/packages/node/src/rollout-task.ts
+++ b/packages/node/src/rollout-task.ts
@@ -4,12 +4,12 @@
 } from '@catkindale/common';
 import {
 	type Configuration, type HeldShare, type RolloutFollower, type RolloutReport, type RolloutRow, type RolloutWish, type RolloutWrite, type Target,
-	adoptHalt, createRolloutFollower, getHeldShare, getInstanceCount, getWantedRow, planWrite, rolloutRowSchema,
+	adoptHalt, createRolloutFollower, getHeldShare, getInstanceCount, getWantedRow, isIdempotentOnly, planWrite, rolloutRowSchema,
 	updateEvidence, updateFromReport, updateFromTable,
 } from '@catkindale/policy';
 import type {Row, TableService} from '@catkindale/platform';
 import {rowKeys} from './constants.js';
-import {type EvidenceCollector, createEvidenceCollector} from './rollout-evidence.js';
+import {type EvidenceCollector, createEvidenceCollector, getRouteName} from './rollout-evidence.js';
 
 const coldPart = 0.1;
 const longestColdMilliseconds = 15_000;
@@ -24,6 +24,13 @@
 	readonly table: TableService;
 };
 
+export type TaskShare = HeldShare & {
+	readonly targets: readonly string[] | undefined;
+	/** Whether only requests that the old version can answer after a failure take the share. */
+	readonly isIdempotentOnly: boolean;
+	readonly judgement: number;
+};
+
 export type RolloutTask = {
 	readonly parts: RolloutTaskParts;
 	readonly name: string;
@@ -32,6 +39,8 @@
 	wish: RolloutWish;
 	/** The targets of the new version, in the order in which they join. */
 	targets: readonly Target[];
+	/** The service's routes whose requests may be repeated, by the names that the evidence uses. */
+	idempotentRoutes: ReadonlySet<string>;
 	collector: EvidenceCollector | undefined;
 	collectedAttempt: number;
 	sequence: number;
@@ -45,6 +54,7 @@
 		follower: createRolloutFollower(parts.member),
 		wish: {rollout: undefined, configurationVersion: 0, instances: 0},
 		targets: [],
+		idempotentRoutes: new Set(),
 		collector: undefined,
 		collectedAttempt: 0,
 		sequence: 0,
@@ -59,6 +69,8 @@
 	const targets = configuration.targets.filter(target =>
 		target.service === rollout?.service && target.version === rollout.to && !drained.has(target.name));
 	task.targets = rankMembers(task.name, targets.map(target => ({id: target.name, target}))).map(({target}) => target);
+	const idempotent = configuration.routes.filter(route => route.service === rollout?.service && route.idempotent);
+	task.idempotentRoutes = new Set(idempotent.map(route => getRouteName(route)));
 	task.wish = {rollout, configurationVersion: version, instances: targets.length};
 }
 
@@ -140,10 +152,15 @@
 	});
 }
 
-/** The share that the node holds, and the instances that take it. */
-export function getTaskShare(task: RolloutTask, members: readonly string[]): HeldShare & {readonly targets: readonly string[] | undefined} {
+/** The share that the node holds, and the instances and requests that take it. */
+export function getTaskShare(task: RolloutTask, members: readonly string[]): TaskShare {
 	const held = getHeldShare(task.follower, members);
 	const count = getInstanceCount(held.share, task.targets.length);
 	const isWhole = held.share >= 1;
-	return {...held, targets: isWhole ? undefined : task.targets.slice(0, count).map(target => target.name)};
+	return {
+		...held,
+		targets: isWhole ? undefined : task.targets.slice(0, count).map(target => target.name),
+		isIdempotentOnly: isIdempotentOnly(task.follower, task.idempotentRoutes),
+		judgement: task.sequence,
+	};
 }
--- a/packages/node/tests/rollout-version-chooser.test.ts
+++ b/packages/node/tests/rollout-version-chooser.test.ts
@@ -1,8 +1,8 @@
 /** The share of a new version is never exceeded in any window, whatever changes. */
 import {describe, expect, test} from 'vitest';
 import {createManualClock, createRandom} from '@catkindale/common';
-import {configurationSchema} from '@catkindale/policy';
-import {type VersionShare, createVersionChooser} from '../src/version-chooser.js';
+import {type Route, configurationSchema} from '@catkindale/policy';
+import {type VersionChooser, type VersionShare, createVersionChooser} from '../src/version-chooser.js';
 
 const configuration = configurationSchema.parse({
 	regions: [{name: 'oslo', zones: ['oslo-a']}],
@@ -71,3 +71,96 @@
 	chooser.setShare(getShare(fields));
 	expect(chooser.chooseForRetry('pricing')).toBe(expected);
 });
+
+describe('requests of a route at a version on trial', () => {
+	const [lookup, order] = configurationSchema.parse({
+		regions: [{name: 'oslo', zones: ['oslo-a']}],
+		services: [{name: 'pricing', version: '1'}],
+		routes: [
+			{
+				service: 'pricing', method: 'GET', path: '/prices', idempotent: true,
+			},
+			{
+				service: 'pricing', method: 'POST', path: '/orders', idempotent: false,
+			},
+		],
+	}).routes as [Route, Route];
+	const trial = {share: 1, deadlineAt: 5000, judgement: 1};
+
+	function createTrial(fields: Partial<VersionShare> = {}) {
+		const {chooser} = createChooser();
+		chooser.setShare(getShare({...trial, ...fields}));
+		return chooser;
+	}
+
+	function countAdmitted(chooser: VersionChooser, route: Route, requests: number): number {
+		return Array.from({length: requests}, () => chooser.chooseForRoute(route).version).filter(version => version === '2').length;
+	}
+
+	test.each([
+		{name: 'without evidence', ends: [], expected: 1},
+		{name: 'after a good answer', ends: ['good'], expected: 2},
+		{name: 'after good answers', ends: ['good', 'good', 'good'], expected: 4},
+		{name: 'after a request that wasn\'t sent', ends: ['not-sent'], expected: 1},
+		{name: 'after a failure that wasn\'t judged', ends: ['failed'], expected: 0},
+		{name: 'after good answers and a failure', ends: ['good', 'good', 'good', 'good', 'failed'], expected: 2},
+	] as const)('$name: $expected at once, of a hundred that come', ({ends, expected}) => {
+		const chooser = createTrial();
+		for (const end of ends) {
+			chooser.chooseForRoute(lookup).end(end);
+		}
+
+		expect(countAdmitted(chooser, lookup, 100)).toBe(expected);
+	});
+
+	test('a judged failure gives its place back', () => {
+		const chooser = createTrial();
+		chooser.chooseForRoute(lookup).end('failed');
+		chooser.setShare(getShare(trial));
+		expect(countAdmitted(chooser, lookup, 10)).toBe(0);
+		chooser.setShare(getShare({...trial, judgement: 2}));
+		expect(countAdmitted(chooser, lookup, 10)).toBe(1);
+	});
+
+	test('a request that ends twice gives its place back once', () => {
+		const chooser = createTrial();
+		const {end} = chooser.chooseForRoute(lookup);
+		end('not-sent');
+		end('good');
+		expect(countAdmitted(chooser, lookup, 10)).toBe(1);
+	});
+
+	test('one route doesn\'t open another', () => {
+		const chooser = createTrial();
+		for (let request = 0; request < 10; request++) {
+			chooser.chooseForRoute(lookup).end('good');
+		}
+
+		expect(countAdmitted(chooser, order, 10)).toBe(1);
+	});
+
+	test('requests that may not be repeated wait until they are let in', () => {
+		const chooser = createTrial({isIdempotentOnly: true});
+		expect(countAdmitted(chooser, order, 10)).toBe(0);
+		expect(countAdmitted(chooser, lookup, 10)).toBe(1);
+	});
+
+	test('a rollout that is done has no limit', () => {
+		const chooser = createTrial({deadlineAt: undefined});
+		expect(countAdmitted(chooser, order, 10)).toBe(10);
+	});
+
+	test('requests kept from the trial save up no share', () => {
+		const chooser = createTrial({share: 0.1, isIdempotentOnly: true});
+		countAdmitted(chooser, order, 1000);
+		chooser.setShare(getShare({...trial, share: 0.1}));
+		let admitted = 0;
+		for (let request = 0; request < 10; request++) {
+			const choice = chooser.chooseForRoute(order);
+			choice.end('good');
+			admitted += choice.version === '2' ? 1 : 0;
+		}
+
+		expect(admitted).toBeLessThanOrEqual(2);
+	});
+});
--- a/packages/policy/src/evidence-test.ts
+++ b/packages/policy/src/evidence-test.ts
@@ -49,7 +49,7 @@
  * of them decide early. Slow answers come in bursts and need more evidence.
  */
 const certainFailures = {
-	kind: 'failures', tolerated: 0, deviations: 1, falseAlarmBudget: 0.001, firstRequests: 10, largestPartPerSlice: 0.5,
+	kind: 'failures', tolerated: 0, deviations: 1, falseAlarmBudget: 0.0002, firstRequests: 10, largestPartPerSlice: 0.5,
 } as const;
 const slightTrouble = {
 	tolerated: 0.01, deviations: 2, falseAlarmBudget: 0.0003, firstRequests: 100,
--- a/packages/policy/src/rollout-follower.ts
+++ b/packages/policy/src/rollout-follower.ts
@@ -21,6 +21,8 @@
 export const shareLeaseMilliseconds = 2 * millisecondsPerSecond;
 /** How long a node of the next rank waits before it writes in place of the one before it. */
 const rankDelayMilliseconds = 700;
+/** A suspicion from which on only requests that lose nothing by it go to the new version. */
+const smallestSuspicion = 0.2;
 const allRoutes = 'all routes';
 
 export type RolloutFollower = {
@@ -152,6 +154,17 @@
 	return Math.max(0, ...[...follower.tests.values()].map(test => getSuspicion(test)));
 }
 
+/**
+ * Whether only requests that the old version can answer after a failure may go
+ * to the new one: in the first step, and while one of their routes speaks
+ * against it. Evidence then comes from requests that lose nothing by it.
+ * @param routes the routes of such requests; without any, all requests may go
+ */
+export function isIdempotentOnly(follower: RolloutFollower, routes: ReadonlySet<string>): boolean {
+	const isSuspect = [...follower.tests].some(([route, test]) => routes.has(route) && getSuspicion(test) > smallestSuspicion);
+	return routes.size > 0 && (follower.row?.step === 0 || isSuspect);
+}
+
 /** Whether the node knows a halt of the row's present attempt. */
 export function isHalted(follower: RolloutFollower): boolean {
 	return follower.row !== undefined && (follower.halt?.attempt ?? 0) >= follower.row.attempt;
