Tell the ledger in the test of waiting requests that a report is due

The ledger's tick takes whether a report is due since reports go out with heartbeats; the test was written beside that change. Its checks are the same.

--- a/packages/node/tests/request-quotas.test.ts
+++ b/packages/node/tests/request-quotas.test.ts
@@ -36,7 +36,7 @@
 	quotas.ledger.setLedger(joinLedger(emptyLedger, {
 		id: 'ost-1', incarnation: 'run-1', region: 'ost', zone: 'ost-a', callerAddress: '', peerAddress: '', state: 'live',
 	}), clock.monotonic());
-	quotas.ledger.tick();
+	quotas.ledger.tick(true);
 	while (quotas.requests.admit('kiel').kind === 'admitted') {
 		// Uses up the burst.
 	}
