Make the routing table of a configuration once for entry and directory

They get the same configuration from the bus and now share its table. The unit tests of the node passed as before.

--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -10,7 +10,7 @@
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
-import {type RoutingTable, createRoutingTable} from './routing-table.js';
+import {type RoutingTable, getRoutingTable} from './routing-table.js';
 import {getRegionForCaller} from './shift-regions.js';
 import {createTicketPrefix} from './ticket-prefix.js';
 
@@ -54,7 +54,7 @@
 			}),
 			context.bus.subscribe('configuration-changed', ({configuration}) => {
 				state.services = new Set(configuration.services.map(service => service.name));
-				state.routing = createRoutingTable(configuration);
+				state.routing = getRoutingTable(configuration);
 				state.entries = createEntryDirectory(state.entries.members);
 			}),
 		];
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -22,7 +22,7 @@
 import {getRequestKey} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
 import {createRetryBudgets} from './retry-budgets.js';
-import {type RoutingTable, createRoutingTable} from './routing-table.js';
+import {type RoutingTable, getRoutingTable} from './routing-table.js';
 import {createTargetPools} from './target-pools.js';
 import {createTargetSelector} from './target-selector.js';
 import {createVersionChooser} from './version-chooser.js';
@@ -63,7 +63,7 @@
 		};
 		const endings = [
 			bus.subscribe('configuration-changed', ({configuration}) => {
-				state.routing = createRoutingTable(configuration);
+				state.routing = getRoutingTable(configuration);
 				weights = createCustomerWeights(configuration.customers);
 				state.versions.setConfiguration(configuration);
 				state.pools.setTargets(configuration.targets);
--- a/packages/node/src/routing-table.ts
+++ b/packages/node/src/routing-table.ts
@@ -17,6 +17,20 @@
 
 type Found = {readonly store: Route};
 
+const tables = new WeakMap<Configuration, RoutingTable>();
+
+/** The routing table of a configuration, made once for all tasks that need it. */
+export function getRoutingTable(configuration: Configuration): RoutingTable {
+	const known = tables.get(configuration);
+	if (known) {
+		return known;
+	}
+
+	const table = createRoutingTable(configuration);
+	tables.set(configuration, table);
+	return table;
+}
+
 export function createRoutingTable(configuration: Configuration): RoutingTable {
 	const router = createRouter({ignoreTrailingSlash: false, caseSensitive: true});
 	for (const route of configuration.routes) {
