Mark a repeated answer at every entry, not only at the one that ran it

Cause: the headers of an answer that came from another entry are filtered as those of a target, which may not set any of ours; the mark Catkindale-Replayed was lost on that way, so that a caller who repeated at another entry could take the remembered answer for a new run.

Opaque keys were right.

`catkindale diff` says "1 difference".

--- a/packages/cli/src/diff-command.ts
+++ b/packages/cli/src/diff-command.ts
@@ -43,7 +43,7 @@
 		const details = fields.length > 0 ? ` (${fields.join(', ')})` : '';
 		return `${marks[kind]} ${list} ${name}${details}`;
 	});
-	return [`against version ${version}: ${differences.length} differences`, ...lines, ''].join('\n');
+	return [`against version ${version}: ${differences.length} difference${differences.length === 1 ? '' : 's'}`, ...lines, ''].join('\n');
 }
 
 /** A configuration whose lists are all empty. */
--- a/packages/cli/tests/at-most-once.test.ts
+++ b/packages/cli/tests/at-most-once.test.ts
@@ -52,6 +52,18 @@
 		expect(await getRuns(key)).toBe(1);
 	});
 
+	test('a repetition says that it is one, at every entry', async () => {
+		const key = await createKey(form, nodes[0]!);
+		const replies = [await sendRaw(nodes[0]!, key)];
+		for (const node of nodes) {
+			replies.push(await sendRaw(node, key));
+		}
+
+		const marks = replies.map(reply => reply.headers['catkindale-replayed']);
+		expect(marks).toEqual([undefined, ...nodes.map(() => 'true')]);
+		await Promise.all(replies.map(async reply => reply.body.dump()));
+	});
+
 	test('attempts that come together run once and get the same answer', async () => {
 		await behave({serviceMilliseconds: 300});
 		const key = await createKey(form, nodes[0]!);
@@ -227,11 +239,15 @@
 	}, `an answer from ${node.name}`);
 }
 
-async function send(node: TestNode, key: string, signal?: AbortSignal, body = '{"litres": 900}'): Promise<Reply> {
-	const answer = await request(`${node.caller}/orders`, {
+async function send(node: TestNode, key: string, signal?: AbortSignal, body?: string): Promise<Reply> {
+	const answer = await sendRaw(node, key, signal, body);
+	return {status: answer.statusCode, outcome: String(answer.headers['catkindale-outcome']), body: await answer.body.text()};
+}
+
+async function sendRaw(node: TestNode, key: string, signal?: AbortSignal, body = '{"litres": 900}'): ReturnType<typeof request> {
+	return request(`${node.caller}/orders`, {
 		method: 'POST', body, signal, headers: {'x-api-key': callerKey, 'idempotency-key': key},
 	});
-	return {status: answer.statusCode, outcome: String(answer.headers['catkindale-outcome']), body: await answer.body.text()};
 }
 
 async function behave(behaviour: Record<string, number>): Promise<void> {
--- a/packages/node/src/constants.ts
+++ b/packages/node/src/constants.ts
@@ -7,6 +7,7 @@
 	deadline: 'catkindale-deadline',
 	draining: 'catkindale-draining',
 	outcome: 'catkindale-outcome',
+	replayed: 'catkindale-replayed',
 	requestId: 'catkindale-request-id',
 } as const;
 
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -192,6 +192,11 @@
 		}
 
 		const headers = getAnswerHeaders(rawHeaders, read('connection'));
+		const replayed = options.isPeer ? read(headerNames.replayed) : undefined;
+		if (replayed !== undefined) {
+			headers.push(headerNames.replayed, replayed);
+		}
+
 		const head: AnswerHead = options.isPeer ? {status, headers, outcome: requestOutcomes.find(known => known === outcome) ?? 'unknown'} : {status, headers};
 		answer = {
 			kind: 'held', head, isEchoed: echoed !== undefined, chunks: [], bytes: 0,
--- a/packages/node/src/idempotency-outcomes.ts
+++ b/packages/node/src/idempotency-outcomes.ts
@@ -1,10 +1,11 @@
 /** What is remembered of a request that ran once, and what its repetitions are answered. */
 import {Buffer} from 'node:buffer';
 import type {RememberedOutcome} from '@catkindale/policy';
+import {headerNames} from './constants.js';
 import {type ExchangeResult, createProblemResult} from './exchange-result.js';
 
 const maximumRememberedBodyBytes = 16_384;
-const replayedHeader = ['catkindale-replayed', 'true'];
+const replayedHeader = [headerNames.replayed, 'true'];
 
 /** Undefined for a request that provably didn't run. */
 export function getRememberedOutcome(result: ExchangeResult): RememberedOutcome | undefined {
