Let two nodes of each region read the table for all

Cause: every node read configuration, ledger and shifts twice a second each, so the table's reads grew with the fleet (it carries 2,000 a second; 3,900 nodes asked for 23,400 and more). Now the two best-ranked members of a region that can be reached read at that pace. The others rely on the relayed age and on echoes, and read for themselves once either passes 1.5 s, when they are behind, not yet members or back from a pause. The writer of a ledger row passes it on. Calls are counted in catkindale_table_calls_total. Members are judged only when something about them changed, not at each heartbeat.

Ruled out: a slower pace for all; one reader for the fleet. Rollout rows are still read by all nodes while a rollout runs (and shift rows while there is a shift): acting on them needs the table's own word.

--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -10,7 +10,7 @@
 import {rowKeys, roles} from './constants.js';
 import {isKnowledgeCurrent} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
-import {startPeriodicWork} from './periodic-work.js';
+import {startTableReading} from './table-reading.js';
 
 const startOrder = 20;
 
@@ -68,9 +68,9 @@
 			bus.publish({type: 'table-read'});
 		};
 
-		const work = startPeriodicWork(poll, context.settings.timing.tablePollMilliseconds);
+		const reading = startTableReading(context, poll);
 		const endings = [
-			bus.subscribe('configuration-committed', work.runSoon),
+			bus.subscribe('configuration-committed', reading.readSoon),
 			bus.subscribe('configuration-learned', ({record, source}) => {
 				learn(record, source);
 			}),
@@ -108,7 +108,7 @@
 				}
 
 				forwarder.stop();
-				await work.stop();
+				await reading.stop();
 			},
 		};
 	},
--- a/packages/node/src/freshness-plugin.ts
+++ b/packages/node/src/freshness-plugin.ts
@@ -5,7 +5,7 @@
  */
 import {isDeepStrictEqual} from 'node:util';
 import {
-	type Attestation, type Knowledge, type Member, createKnowledge, getKnowledgeAge, getTableAge,
+	type Attestation, type Knowledge, type Member, createKnowledge, getKnowledgeAge, getTableAge, isTableReader,
 } from '@catkindale/policy';
 import type {HeartbeatMessage} from '@catkindale/protocol';
 import {roles} from './constants.js';
@@ -13,6 +13,7 @@
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
+import {getRelayedAgeLimit} from './table-reading.js';
 
 const startOrder = 12;
 
@@ -24,6 +25,7 @@
 		const {bus, clock, logger, settings} = context;
 		const ownId = settings.node.name;
 		const limit = settings.timing.freshnessLimitMilliseconds;
+		const relayedAgeLimit = getRelayedAgeLimit(context);
 		const echoes = createEchoBook();
 		const attestations = new Map<string, Attestation>();
 		const connected = new Set<string>();
@@ -35,10 +37,14 @@
 		let drained: ReadonlySet<string> = new Set();
 		let leaving: ReadonlySet<string> = new Set();
 		let wasCurrent = false;
+		let isReader = true;
+		let isReadingDue = true;
 		let validity: KnowledgeValidity = noValidity;
 		let unavailable: ReadonlySet<string> = new Set();
 
-		const reportUnavailable = (isCurrent: boolean): void => {
+		/** Called when one of the things has changed by which members are judged, which is seldom. */
+		const judgeMembers = (isCurrent: boolean): void => {
+			isReader = isTableReader(ownId, members, id => connected.has(id) && !refusing.has(id));
 			const ids = new Set<string>();
 			for (const {id} of members) {
 				const isUsable = id === ownId ? isCurrent && !isDraining : isPeerUsable(isCurrent, connected.has(id), refusing.has(id));
@@ -53,6 +59,15 @@
 			}
 		};
 
+		/** Tells the tasks that read the table whether this node reads for its region or has to for itself. */
+		const reportReading = (now: number): void => {
+			const isDue = isReader || getTableAge(knowledge, now) > relayedAgeLimit;
+			if (isDue !== isReadingDue) {
+				isReadingDue = isDue;
+				bus.publish({type: 'table-reading-changed', isDue});
+			}
+		};
+
 		const evaluate = (): void => {
 			const now = clock.monotonic();
 			const left = limit - getKnowledgeAge(knowledge, now);
@@ -66,9 +81,29 @@
 			if (isCurrent !== wasCurrent) {
 				wasCurrent = isCurrent;
 				logger.info('freshness', {state: isCurrent ? 'current' : 'out-of-date'});
+				judgeMembers(isCurrent);
 			}
 
-			reportUnavailable(isCurrent);
+			reportReading(now);
+		};
+
+		const evaluateMembers = (): void => {
+			evaluate();
+			judgeMembers(wasCurrent);
+		};
+
+		const setRefusing = (peer: string, isRefusing: boolean): void => {
+			if (refusing.has(peer) === isRefusing) {
+				return;
+			}
+
+			if (isRefusing) {
+				refusing.add(peer);
+			} else {
+				refusing.delete(peer);
+			}
+
+			judgeMembers(wasCurrent);
 		};
 
 		const createHeartbeat = (sequence: number, peer: string): HeartbeatMessage => {
@@ -94,12 +129,7 @@
 
 		const receive = (peer: string, heartbeat: HeartbeatMessage): void => {
 			const sentAt = echoes.receive(peer, heartbeat.sequence, heartbeat.echo);
-			if (heartbeat.isServing) {
-				refusing.delete(peer);
-			} else {
-				refusing.add(peer);
-			}
-
+			setRefusing(peer, !heartbeat.isServing);
 			if (sentAt !== undefined) {
 				attestations.set(peer, {
 					sentAt,
@@ -118,7 +148,7 @@
 		const setMembers = (next: readonly Member[]): void => {
 			members = next;
 			knowledge = {...knowledge, members};
-			evaluate();
+			evaluateMembers();
 		};
 
 		const work = startPeriodicWork(async () => {
@@ -143,6 +173,7 @@
 				echoes.forget(id);
 				attestations.delete(id);
 				connected.add(id);
+				evaluateMembers();
 				beat([id]);
 				if (members.length > 0) {
 					bus.publish({type: 'peer-send', to: id, message: {type: 'known-members', members: [...members]}});
@@ -150,7 +181,7 @@
 			}),
 			bus.subscribe('peer-disconnected', ({id}) => {
 				connected.delete(id);
-				evaluate();
+				evaluateMembers();
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'heartbeat') {
@@ -171,15 +202,15 @@
 			}),
 			bus.subscribe('configuration-changed', ({configuration}) => {
 				drained = new Set(configuration.drains.filter(({kind}) => kind === 'vm').map(({name}) => name));
-				evaluate();
+				evaluateMembers();
 			}),
 			bus.subscribe('machines-listed', ({machines}) => {
 				leaving = new Set(machines.filter(({state}) => state === 'leaving').map(({id}) => id));
-				evaluate();
+				evaluateMembers();
 			}),
 			bus.subscribe('drain-started', () => {
 				isDraining = true;
-				evaluate();
+				evaluateMembers();
 				beat();
 			}),
 		];
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -1,10 +1,11 @@
 /** Keeps this node a member of the fleet and its quotas in step with the ledger. */
-import {slotLoanMarginMilliseconds, slotLoanMilliseconds} from '@catkindale/policy';
+import {isLedgerReadNeeded, slotLoanMarginMilliseconds, slotLoanMilliseconds} from '@catkindale/policy';
 import {roles} from './constants.js';
 import {createMembership} from './membership.js';
 import {getOwnMember, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
 import {startPeriodicWork} from './periodic-work.js';
+import {getRelayedAgeLimit, startTableReading} from './table-reading.js';
 
 const startOrder = 50;
 /** Added to every wait that covers the use of another node, for clock rates and scheduling. */
@@ -28,6 +29,9 @@
 				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				requestMilliseconds: () => longestDeadlineMilliseconds + safetyMarginMilliseconds,
 			},
+			onWritten(row) {
+				bus.publish({type: 'peer-broadcast', message: {type: 'ledger-row', ledger: row}});
+			},
 			onWrite(epoch, outcome) {
 				logger.info('ledger_write', {epoch, outcome});
 			},
@@ -56,7 +60,7 @@
 		};
 
 		const works = [
-			startPeriodicWork(poll, settings.timing.tablePollMilliseconds),
+			startTableReading(context, poll, () => isLedgerReadNeeded(quotas.ledger.view(), getRelayedAgeLimit(context), quotas.clock.own())),
 			startPeriodicWork(tick, settings.timing.heartbeatMilliseconds / 2),
 		];
 		return {
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -29,6 +29,8 @@
 	readonly getOwnMember: () => Member;
 	readonly clock: LeaseClock;
 	readonly limits: MembershipLimits;
+	/** Called with a row that was written for sure, so that members needn't read it. */
+	readonly onWritten?: (ledger: Ledger) => void;
 	readonly onWrite?: (epoch: number, outcome: string) => void;
 };
 
@@ -68,6 +70,7 @@
 		options.onWrite?.(next.epoch, outcome.kind);
 		if (outcome.kind === 'done') {
 			ledger.setLedger(next, undefined);
+			options.onWritten?.(next);
 		}
 
 		return outcome.kind === 'conflict';
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -15,6 +15,8 @@
 		| {readonly type: 'membership-changed'; readonly members: readonly Member[]}
 	/** The table was read by this node just now. */
 		| {readonly type: 'table-read'}
+	/** Whether this node is to read the table at the full pace from now on. */
+		| {readonly type: 'table-reading-changed'; readonly isDue: boolean}
 	/** An operator's change was committed and should be read at once. */
 		| {readonly type: 'configuration-committed'; readonly version: number}
 	/** A committed configuration, from the table, a peer or a change of this node. */
--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -11,7 +11,7 @@
 } from '@catkindale/policy';
 import {longestLookupMilliseconds, rowKeys} from './constants.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
-import {startPeriodicWork} from './periodic-work.js';
+import {startTableReading} from './table-reading.js';
 
 const startOrder = 56;
 
@@ -20,6 +20,8 @@
 	readonly share: Gauge<'shift'>;
 	wanted: ReadonlyMap<string, Shift>;
 	configurationVersion: number;
+	/** Whether a shift is declared or has a row, whose state each directory must know. */
+	hasShifts: boolean;
 };
 
 nodePlugins.register({
@@ -28,18 +30,19 @@
 	order: startOrder,
 	async start(context) {
 		const task: ShiftTask = {
-			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0,
+			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, hasShifts: true,
 		};
-		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
+		const reading = startTableReading(context, async () => pollShifts(task), () => task.hasShifts);
 		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
 			task.wanted = new Map(configuration.shifts.map(shift => [shift.name, shift]));
 			task.configurationVersion = version;
-			work.runSoon();
+			task.hasShifts = true;
+			reading.readSoon();
 		});
 		return {
 			async stop() {
 				end();
-				await work.stop();
+				await reading.stop();
 			},
 		};
 	},
@@ -62,6 +65,7 @@
 		await writeShift(task, name, rows.get(name));
 	}
 
+	task.hasShifts = rows.size > 0 || task.wanted.size > 0;
 	const shifts = [...rows.values()].map(row => shiftRowSchema.parse(row.value));
 	for (const row of shifts) {
 		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -13,6 +13,7 @@
 import {createCuttableTable} from './cut-action.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
+import {createCountedTable} from './table-metrics.js';
 import './admin-plugin.js';
 import './caller-server-plugin.js';
 import './client-blocks-plugin.js';
@@ -48,14 +49,16 @@
 	const logger = parts.logger ?? createLogger(settings.node.name);
 	const cuts: Cuts = {peers: new Set(), isTableCut: false};
 	const opened = parts.platform ?? openPlatform(settings);
-	const platform = settings.testing.allowCuts ? {...opened, table: createCuttableTable(opened.table, cuts)} : opened;
+	const metrics = new Registry();
+	const counted = createCountedTable(opened.table, metrics);
+	const platform = {...opened, table: settings.testing.allowCuts ? createCuttableTable(counted, cuts) : counted};
 	const context: NodeContext = {
 		settings,
 		logger,
 		platform,
 		incarnation: createIdentifier(),
 		clock: parts.clock ?? systemClock,
-		metrics: new Registry(),
+		metrics,
 		bus: createMessageBus<NodeMessage>(),
 		callerHandlers: {},
 		bound: {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -32,6 +32,7 @@
 export * from './ledger.js';
 export * from './ledger-view.js';
 export * from './name-rank.js';
+export * from './table-reading.js';
 export * from './pause-guard.js';
 export * from './slot-floors.js';
 export * from './target-admission.js';
