Don't call a change accepted on the word of a fleet's first node alone

Cause: a quorum is taken over the members that a node knows. In a fleet that starts, the first node knows itself, so it called a change accepted alone, and without the table it took its own word as a quorum for ever. Now a change is accepted only when the members are more than half of the VMs that the platform lists as live, and a node that knows only itself attests nothing (its lease of quotas already ended without the table for the same reason).

Ruled out: waiting a fixed time after the start, which proves nothing when the others start late.

--- a/packages/cli/tests/configuration.test.ts
+++ b/packages/cli/tests/configuration.test.ts
@@ -4,7 +4,7 @@
 	afterAll, beforeAll, beforeEach, describe, expect, test,
 } from 'vitest';
 import {
-	type AdminReply, type TestNode, type TestPlatform, callAdmin, cutNode, endProcesses, getManifest, getPeerAddress, setTableFaults, startFleet,
+	type AdminReply, type TestNode, type TestPlatform, callAdmin, cutNode, endProcesses, getManifest, getPeerAddress, listMachines, setTableFaults, startFleet,
 	startNodeProcess, startPlatformProcesses, waitForServing, waitForVersion, waitUntil,
 } from './helpers.js';
 
@@ -175,3 +175,13 @@
 	const settings = `peers = ${JSON.stringify(peers)}\ntesting = {allowCuts = true}`;
 	nodes[index] = await startNodeProcess(platform, places[index]!, settings);
 }
+
+test('the first node of a fleet that starts doesn\'t call a change accepted by itself', async () => {
+	const starting = await startPlatformProcesses();
+	await listMachines(starting, places.map(({name}) => name));
+	const first = await startNodeProcess(starting, places[0]!);
+	expect(await apply(first)).toMatchObject({status: 202, body: {result: 'committed', version: 1}});
+	const rest = await Promise.all(places.slice(1).map(async place => startNodeProcess(starting, place)));
+	await waitForServing([first, ...rest], places.length);
+	expect(await apply(first)).toMatchObject({status: 200, body: {result: 'accepted', version: 2}});
+});
--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -44,6 +44,9 @@
 			context.bus.subscribe('membership-changed', message => {
 				state.members = message.members;
 			}),
+			context.bus.subscribe('machines-listed', ({machines}) => {
+				state.listedCount = machines.filter(machine => machine.state === 'live').length;
+			}),
 			context.bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'heartbeat' && message.isEstablished) {
 					state.peerVersions.set(from, message.configurationVersion);
--- a/packages/node/src/admin-state.ts
+++ b/packages/node/src/admin-state.ts
@@ -8,6 +8,8 @@
 	/** The highest record that this node knows, with the latest changes. */
 	record: VersionedRecord | undefined;
 	members: readonly Member[];
+	/** How many VMs the platform lists as live; 0 before the list was read. */
+	listedCount: number;
 	restrictions: readonly Restriction[];
 	/** Members that look-ups leave out. */
 	unavailable: ReadonlySet<string>;
@@ -17,7 +19,7 @@
 
 export function createAdminState(): AdminState {
 	return {
-		configuration: undefined, record: undefined, members: [], restrictions: [], unavailable: new Set(), peerVersions: new Map(),
+		configuration: undefined, record: undefined, members: [], listedCount: 0, restrictions: [], unavailable: new Set(), peerVersions: new Map(),
 	};
 }
 
--- a/packages/node/src/change-report.ts
+++ b/packages/node/src/change-report.ts
@@ -3,7 +3,7 @@
  * the change is committed and a quorum of nodes has it, so that no node may
  * take older knowledge for current.
  */
-import {type RegionForce, isQuorum} from '@catkindale/policy';
+import {type RegionForce, isFleetFormed, isQuorum} from '@catkindale/policy';
 import type {AdminAnswer} from './admin-actions.js';
 import {type AdminState, getForce} from './admin-state.js';
 import type {ChangeOutcome} from './configuration-change.js';
@@ -51,7 +51,7 @@
 async function reportCommitted(context: NodeContext, state: AdminState, {version, changeId}: Extract<ChangeOutcome, {kind: 'committed'}>): Promise<AdminAnswer> {
 	const regions = await waitForForce(context, state, version);
 	const report = regions.map(({region, isInForce, missing}) => ({region, state: isInForce ? 'in force' : 'not in force', missing}));
-	if (isQuorum(regions)) {
+	if (isAccepted(state, regions)) {
 		return {
 			status: 200, body: {
 				result: 'accepted', version, changeId, regions: report,
@@ -60,13 +60,18 @@
 	}
 
 	const late = regions.filter(region => !region.isInForce).map(region => region.region).join(', ');
+	const missing = late === '' ? 'on the VMs that haven\'t joined yet' : `in ${late}`;
 	return {
 		status: 202, body: {
-			result: 'committed', version, changeId, regions: report, detail: `committed at version ${version}, not in force in ${late}`,
+			result: 'committed', version, changeId, regions: report, detail: `committed at version ${version}, not in force ${missing}`,
 		},
 	};
 }
 
+function isAccepted(state: AdminState, regions: readonly RegionForce[]): boolean {
+	return isQuorum(regions) && isFleetFormed(state.members.length, state.listedCount);
+}
+
 /** Resolves once all members have the version, or a quorum has and the others are late, or at the time limit. */
 async function waitForForce(context: NodeContext, state: AdminState, version: number): Promise<RegionForce[]> {
 	return new Promise(resolve => {
@@ -74,7 +79,8 @@
 		const check = (): void => {
 			const regions = getForce(state, context.settings.node.name, version);
 			const waited = context.clock.monotonic() - startedAt;
-			const isEnough = regions.every(region => region.isInForce) || (isQuorum(regions) && waited >= allRegionsMilliseconds);
+			const isForced = regions.every(region => region.isInForce) || waited >= allRegionsMilliseconds;
+			const isEnough = isForced && isAccepted(state, regions);
 			if ((regions.length > 0 && isEnough) || waited >= forceTimeoutMilliseconds) {
 				clearInterval(timer);
 				end();
--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -17,6 +17,9 @@
 	readonly isEstablished: boolean;
 };
 
+/** A node that knows only itself can't tell without the table whether others have joined since. */
+const leastAttestingMembers = 2;
+
 export type Knowledge = {
 	readonly ownId: string;
 	/** The highest version that this node knows. */
@@ -45,6 +48,10 @@
 
 /** Milliseconds since a quorum knew no higher version, at most; infinite without a quorum. */
 export function getAttestedAge(knowledge: Knowledge, now: number): number {
+	if (knowledge.members.length < leastAttestingMembers) {
+		return Number.POSITIVE_INFINITY;
+	}
+
 	return getQuorumValue(knowledge.members, id => {
 		if (id === knowledge.ownId) {
 			return knowledge.isEstablished ? 0 : Number.POSITIVE_INFINITY;
--- a/packages/policy/src/quorum.ts
+++ b/packages/policy/src/quorum.ts
@@ -50,6 +50,15 @@
 	return reached * 2 > regions.length;
 }
 
+/**
+ * Whether the members are more than half of the VMs that the platform lists as
+ * live. Before that a quorum of the members says nothing: the first node of a
+ * fleet that starts would be a majority by itself.
+ */
+export function isFleetFormed(memberCount: number, listedCount: number): boolean {
+	return memberCount * 2 > listedCount;
+}
+
 function getMajorityValue(values: readonly number[]): number {
 	const sorted = values.toSorted((left, right) => left - right);
 	return sorted[Math.floor(sorted.length / 2)] ?? Number.POSITIVE_INFINITY;
