Go on when a row is junk, and refuse strangers beyond a number

Causes: a ledger or shift row that something else wrote threw in a poll and ended the process; a node held any number of connections whose peer had proved nothing. An unreadable row is now told in the log (ledger_unreadable, shift_unreadable) and the node goes on with what it holds; it never writes over such a row.

Ruled out: a smaller bound for an address; the test of 200 half-open connections shows that they cost little, and many nodes may share an address.

Conclusion: rollout rows still throw when they are junk (rollout-task).

--- a/packages/cli/tests/hostile.test.ts
+++ b/packages/cli/tests/hostile.test.ts
@@ -16,6 +16,8 @@
 
 const closeLimitMilliseconds = 5000;
 const halfOpenConnections = 200;
+/** Far more than a node lets try to prove themselves from one address. */
+const silentConnections = 600;
 const nonce = 'a-nonce-of-the-stranger';
 const hello = {
 	type: 'hello', protocolVersion, id: 'stranger', incarnation: 'one', nonce,
@@ -147,10 +149,34 @@
 	await expectUnchanged();
 });
 
+test('connections beyond a number that prove nothing are refused at once, and the node goes on', async () => {
+	const [host, port] = peer.split(':');
+	const sockets = Array.from({length: silentConnections}, () => connect(Number(port), host).on('error', () => undefined).resume());
+	await waitUntil(() => sockets.some(socket => socket.closed) || undefined, 'a connection was refused');
+	await node.waitFor(/event=(peer_connections_refused)/v);
+	const metrics = await request(`${node.metrics}/metrics`);
+	expect(await metrics.body.text()).toMatch(/^catkindale_peer_connections_refused_total [1-9]/mv);
+	await expectUnchanged();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+});
+
+test.each([
+	{row: 'membership/fleet', event: /(ledger_unreadable)/v},
+	{row: 'shift/of-nobody', event: /(shift_unreadable)/v},
+])('a row $row that something else wrote is told in the log, and the node goes on', async ({row, event}) => {
+	const read = await request(`${platform.table}/rows?key=${encodeURIComponent(row)}`);
+	const {rows} = await read.body.json() as {rows: Array<{version: number; value: unknown}>};
+	const version = rows[0]?.version ?? 0;
+	await writeRow(row, version, {nobody: 'knows'});
+	await node.waitFor(event);
+	await expectUnchanged();
+	await writeRow(row, version + 1, rows[0]?.value ?? {});
+});
+
 test('a configuration row that something else wrote stops neither the node nor its configuration', async () => {
-	const writes = [{key: 'configuration', expectedVersion: 1, value: {nobody: 'knows'}}];
-	const answer = await request(`${platform.table}/transactions`, {method: 'POST', body: JSON.stringify({changeId: 'junk', writes})});
-	await answer.body.dump();
+	await writeRow('configuration', 1, {nobody: 'knows'});
 	await node.waitFor(/(table_read_failed) row=configuration/v);
 	await expectUnchanged();
 	const applied = await callAdmin(node, 'POST', '/v1/configuration', getManifest({oslo: ['oslo-a']}, [], 'hostile-key'));
@@ -175,6 +201,12 @@
 	return {socket, theirNonce};
 }
 
+async function writeRow(key: string, expectedVersion: number, value: unknown): Promise<void> {
+	const body = JSON.stringify({changeId: `junk-${key}-${expectedVersion}`, writes: [{key, expectedVersion, value}]});
+	const answer = await request(`${platform.table}/transactions`, {method: 'POST', body});
+	await answer.body.dump();
+}
+
 function encodeProof(secret: string, theirNonce: string): Buffer {
 	const code = createProofCode({
 		secret, id: hello.id, incarnation: hello.incarnation, ownNonce: nonce, peerNonce: theirNonce,
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -29,6 +29,9 @@
 				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				requestMilliseconds: () => longestDeadlineMilliseconds + safetyMarginMilliseconds,
 			},
+			onUnreadable(reason) {
+				logger.error('ledger_unreadable', {reason});
+			},
 			onWritten(row) {
 				bus.publish({type: 'peer-broadcast', message: {type: 'ledger-row', ledger: row}});
 			},
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -4,6 +4,7 @@
  * changes are compare-and-set writes that are decided anew from each read, so
  * that a conflict or a lost answer needs no further care.
  */
+import {z} from 'zod';
 import {createIdentifier} from '@catkindale/common';
 import type {TableService} from '@catkindale/platform';
 import {
@@ -29,6 +30,8 @@
 	readonly getOwnMember: () => Member;
 	readonly clock: LeaseClock;
 	readonly limits: MembershipLimits;
+	/** Called when the row is there and isn't a ledger; the node goes on with what it holds. */
+	readonly onUnreadable?: (reason: string) => void;
 	/** Called with a row that was written for sure, so that members needn't read it. */
 	readonly onWritten?: (ledger: Ledger) => void;
 	readonly onWrite?: (epoch: number, outcome: string) => void;
@@ -59,9 +62,14 @@
 		}
 
 		const row = outcome.value;
-		const known = row ? ledgerSchema.parse(row.value) : emptyLedger;
-		ledger.setLedger(known, readAt);
-		return {ledger: known, rowVersion: row?.version ?? 0};
+		const parsed = row ? ledgerSchema.safeParse(row.value) : {success: true as const, data: emptyLedger};
+		if (!parsed.success) {
+			options.onUnreadable?.(z.prettifyError(parsed.error));
+			return undefined;
+		}
+
+		ledger.setLedger(parsed.data, readAt);
+		return {ledger: parsed.data, rowVersion: row?.version ?? 0};
 	};
 
 	/** Whether another write came first. */
--- a/packages/node/src/mesh-plugin.ts
+++ b/packages/node/src/mesh-plugin.ts
@@ -6,6 +6,7 @@
 import type {Member} from '@catkindale/policy';
 import {roles} from './constants.js';
 import {getAddress, listenOn} from './http-server.js';
+import {createMeshAdmission} from './mesh-admission.js';
 import {type MeshLink, openLink} from './mesh-link.js';
 import {createMeshTraffic} from './mesh-traffic.js';
 import {nodePlugins} from './node-context.js';
@@ -27,10 +28,11 @@
 		const openLinks = new Set<MeshLink>();
 		const dialing = new Set<string>();
 		const traffic = createMeshTraffic(context, openLinks);
+		const admission = createMeshAdmission(context);
 		let members: readonly Member[] = [];
 		let isLedgerRead = false;
 
-		const adopt = (socket: Socket, dialed?: string): void => {
+		const adopt = (socket: Socket, dialed?: string, onUnprovenEnd = (): void => undefined): void => {
 			const link = openLink({
 				socket,
 				own,
@@ -39,6 +41,7 @@
 				handshakeTimeoutMilliseconds,
 				silenceMilliseconds: Math.max(minimumSilenceMilliseconds, heartbeatsBeforeSilence * settings.timing.heartbeatMilliseconds),
 				onReady(ready) {
+					onUnprovenEnd();
 					const id = ready.peer?.id ?? '';
 					const previous = links.get(id);
 					if (previous && isPreferredLink(own.id, previous, ready)) {
@@ -58,6 +61,10 @@
 					}
 				},
 				onClosed(closed, reason) {
+					if (!closed.peer) {
+						onUnprovenEnd();
+					}
+
 					openLinks.delete(closed);
 					traffic.add(closed);
 					dialing.delete(dialed ?? '');
@@ -97,7 +104,15 @@
 		};
 
 		const server = createServer(socket => {
-			adopt(socket);
+			const address = socket.remoteAddress ?? '';
+			if (!admission.admit(address)) {
+				socket.destroy();
+				return;
+			}
+
+			adopt(socket, undefined, () => {
+				admission.release(address);
+			});
 		});
 		context.bound.peer = await listenOn(server, settings.listen.peer);
 		const endings = [
--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -4,6 +4,7 @@
  * moment follows from the row alone, so that all directories agree.
  */
 import {Gauge} from 'prom-client';
+import {z} from 'zod';
 import {createIdentifier} from '@catkindale/common';
 import type {Row} from '@catkindale/platform';
 import {
@@ -15,6 +16,8 @@
 
 const startOrder = 56;
 
+type ReadShift = {readonly shift: ShiftRow; readonly rowVersion: number};
+
 type ShiftTask = {
 	readonly context: NodeContext;
 	readonly share: Gauge<'shift'>;
@@ -60,13 +63,13 @@
 		return;
 	}
 
-	const rows = new Map(outcome.value.map((row: Row) => [row.key.slice(rowKeys.shiftPrefix.length), row]));
+	const rows = getReadableRows(context, outcome.value);
 	for (const name of new Set([...rows.keys(), ...task.wanted.keys()])) {
 		await writeShift(task, name, rows.get(name));
 	}
 
 	task.hasShifts = rows.size > 0 || task.wanted.size > 0;
-	const shifts = [...rows.values()].map(row => shiftRowSchema.parse(row.value));
+	const shifts = [...rows.values()].map(({shift}) => shift);
 	for (const row of shifts) {
 		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
 	}
@@ -74,17 +77,32 @@
 	context.bus.publish({type: 'shifts-changed', shifts});
 }
 
+/** The rows by the names of their shifts; a row that something else wrote is left out, and nothing is written over it. */
+function getReadableRows(context: NodeContext, rows: readonly Row[]): Map<string, ReadShift> {
+	const readable = new Map<string, ReadShift>();
+	for (const {key, version, value} of rows) {
+		const parsed = shiftRowSchema.safeParse(value);
+		if (parsed.success) {
+			readable.set(key.slice(rowKeys.shiftPrefix.length), {shift: parsed.data, rowVersion: version});
+		} else {
+			context.logger.error('shift_unreadable', {row: key, reason: z.prettifyError(parsed.error)});
+		}
+	}
+
+	return readable;
+}
+
 /** Writes the row if the configuration asks for another one. A conflict is read at the next poll. */
-async function writeShift(task: ShiftTask, name: string, row: Row | undefined): Promise<void> {
+async function writeShift(task: ShiftTask, name: string, row: ReadShift | undefined): Promise<void> {
 	const {context, configurationVersion} = task;
-	const known = row && shiftRowSchema.parse(row.value);
+	const known = row?.shift;
 	const now = context.clock.wall();
 	const value = getWantedRow(known, task.wanted.get(name), configurationVersion, now) ?? (known && renewShift(known, now));
 	if (!value) {
 		return;
 	}
 
-	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.version ?? 0, value}]);
+	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.rowVersion ?? 0, value}]);
 	context.logger.info('shift_write', {shift: name, share: value.wantedShare, outcome: outcome.kind});
 }
 
