--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -4,6 +4,7 @@
  * moment follows from the row alone, so that all directories agree.
  */
 import {Gauge} from 'prom-client';
+import {z} from 'zod';
 import {createIdentifier} from '@catkindale/common';
 import type {Row} from '@catkindale/platform';
 import {
@@ -11,15 +12,19 @@
 } from '@catkindale/policy';
 import {longestLookupMilliseconds, rowKeys} from './constants.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
-import {startPeriodicWork} from './periodic-work.js';
+import {startTableReading} from './table-reading.js';
 
 const startOrder = 56;
 
+type ReadShift = {readonly shift: ShiftRow; readonly rowVersion: number};
+
 type ShiftTask = {
 	readonly context: NodeContext;
 	readonly share: Gauge<'shift'>;
 	wanted: ReadonlyMap<string, Shift>;
 	configurationVersion: number;
+	/** Whether a shift is declared or has a row, whose state each directory must know. */
+	hasShifts: boolean;
 };
 
 nodePlugins.register({
@@ -28,18 +33,19 @@
 	order: startOrder,
 	async start(context) {
 		const task: ShiftTask = {
-			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0,
+			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, hasShifts: true,
 		};
-		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
+		const reading = startTableReading(context, async () => pollShifts(task), () => task.hasShifts);
 		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
 			task.wanted = new Map(configuration.shifts.map(shift => [shift.name, shift]));
 			task.configurationVersion = version;
-			work.runSoon();
+			task.hasShifts = true;
+			reading.readSoon();
 		});
 		return {
 			async stop() {
 				end();
-				await work.stop();
+				await reading.stop();
 			},
 		};
 	},
@@ -57,12 +63,13 @@
 		return;
 	}
 
-	const rows = new Map(outcome.value.map((row: Row) => [row.key.slice(rowKeys.shiftPrefix.length), row]));
+	const rows = getReadableRows(context, outcome.value);
 	for (const name of new Set([...rows.keys(), ...task.wanted.keys()])) {
 		await writeShift(task, name, rows.get(name));
 	}
 
-	const shifts = [...rows.values()].map(row => shiftRowSchema.parse(row.value));
+	task.hasShifts = rows.size > 0 || task.wanted.size > 0;
+	const shifts = [...rows.values()].map(({shift}) => shift);
 	for (const row of shifts) {
 		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
 	}
@@ -70,17 +77,32 @@
 	context.bus.publish({type: 'shifts-changed', shifts});
 }
 
+/** The rows by the names of their shifts; a row that something else wrote is left out, and nothing is written over it. */
+function getReadableRows(context: NodeContext, rows: readonly Row[]): Map<string, ReadShift> {
+	const readable = new Map<string, ReadShift>();
+	for (const {key, version, value} of rows) {
+		const parsed = shiftRowSchema.safeParse(value);
+		if (parsed.success) {
+			readable.set(key.slice(rowKeys.shiftPrefix.length), {shift: parsed.data, rowVersion: version});
+		} else {
+			context.logger.error('shift_unreadable', {row: key, reason: z.prettifyError(parsed.error)});
+		}
+	}
+
+	return readable;
+}
+
 /** Writes the row if the configuration asks for another one. A conflict is read at the next poll. */
-async function writeShift(task: ShiftTask, name: string, row: Row | undefined): Promise<void> {
+async function writeShift(task: ShiftTask, name: string, row: ReadShift | undefined): Promise<void> {
 	const {context, configurationVersion} = task;
-	const known = row && shiftRowSchema.parse(row.value);
+	const known = row?.shift;
 	const now = context.clock.wall();
 	const value = getWantedRow(known, task.wanted.get(name), configurationVersion, now) ?? (known && renewShift(known, now));
 	if (!value) {
 		return;
 	}
 
-	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.version ?? 0, value}]);
+	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.rowVersion ?? 0, value}]);
 	context.logger.info('shift_write', {shift: name, share: value.wantedShare, outcome: outcome.kind});
 }
 
