--- a/packages/standins/src/target-standin.ts
+++ b/packages/standins/src/target-standin.ts
@@ -23,6 +23,8 @@
 	crossedShare: z.number().min(0).max(1).default(0),
 	/** Whether each answer says that the target is leaving. */
 	isDraining: z.boolean().default(false),
+	/** Whether each request is noted for `/log`. */
+	isLogging: z.boolean().default(false),
 	/** What `/health` reports in place of the truth. */
 	reportedLoad: z.number().min(0).optional(),
 });
@@ -41,6 +43,14 @@
 	runs: Record<string, number>;
 };
 
+/** One request as it arrived. */
+export type TargetArrival = {
+	/** Milliseconds of the wall clock, with fractions. */
+	readonly at: number;
+	readonly requestId: string;
+	readonly customer: string | undefined;
+};
+
 export type TargetStandin = Standin & {
 	counts: () => TargetCounts;
 	behave: (behaviour: Partial<TargetBehaviour>) => void;
@@ -58,6 +68,7 @@
 	const counts: TargetCounts = {
 		received: 0, shed: 0, inFlight: 0, mostInFlight: 0, lastHeaders: {}, runs: {},
 	};
+	const arrivals: TargetArrival[] = [];
 
 	const serve = async (request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> => {
 		const isCold = performance.now() - startedAt < behaviour.coldMilliseconds;
@@ -87,7 +98,16 @@
 			return;
 		}
 
+		if (url.pathname === '/log') {
+			sendJson(response, statusDone, arrivals);
+			return;
+		}
+
 		counts.received += 1;
+		if (behaviour.isLogging) {
+			arrivals.push(createArrival(request));
+		}
+
 		counts.lastHeaders = request.headers;
 		if (counts.inFlight >= behaviour.slots) {
 			counts.shed += 1;
@@ -112,6 +132,15 @@
 	};
 }
 
+function createArrival(request: IncomingMessage): TargetArrival {
+	const customer = request.headers['catkindale-customer'];
+	return {
+		at: performance.timeOrigin + performance.now(),
+		requestId: String(request.headers['catkindale-request-id'] ?? ''),
+		customer: customer === undefined ? undefined : String(customer),
+	};
+}
+
 /** Aborts when the caller cancels: the slot is free again at once. */
 function getCancellation(response: ServerResponse): AbortSignal {
 	const cancellation = new AbortController();
