Keep a frozen VM's quota when the platform's list breaks

A list of VMs that was empty by mistake fenced every VM that was silent for 3.5 s at the time; its slots were then out for up to 65 s. A list that leaves out more than half of the live members is now believed only after it has been read so for 30 s, an empty one never; until then the last list stands. The loss of one region of two or three is still believed at once.

Before (membership.test.ts, "an empty list of VMs takes nothing from a node that is frozen for less than its stated time"): failed, "expected [ …(3) ] to deeply equal [ …(3) ]": the frozen node had a new incarnation.

--- a/packages/cli/src/verification-quota-node.ts
+++ b/packages/cli/src/verification-quota-node.ts
@@ -19,6 +19,9 @@
 	readonly isRaisingAlone: boolean;
 };
 
+/** Short, so that the run also fences members by such a list. */
+const shortListMilliseconds = 3000;
+
 export type SimulatedNode = {
 	readonly id: string;
 	readonly incarnation: string;
@@ -148,6 +151,7 @@
 			silenceMilliseconds: timing.silenceMilliseconds,
 			expiryMilliseconds: timing.expiryMilliseconds,
 			requestMilliseconds: () => timing.requestMilliseconds,
+			shortListMilliseconds,
 		},
 	});
 	bus.subscribe('peer-send', ({to, message}) => {
--- a/packages/cli/tests/membership.test.ts
+++ b/packages/cli/tests/membership.test.ts
@@ -19,6 +19,10 @@
 const burst = 10;
 const returnLimitMilliseconds = 15_000;
 const testTimeoutMilliseconds = 60_000;
+/** Longer than the silence after which a member is fenced that the list leaves out. */
+const frozenMilliseconds = 8000;
+/** All nodes have read a new list after this time. */
+const listReadMilliseconds = 2500;
 const floodPauseMilliseconds = 10;
 let platform: TestPlatform;
 let nodes: TestNode[] = [];
@@ -50,6 +54,19 @@
 	expect(admitted).toBeGreaterThan(burst);
 }, testTimeoutMilliseconds);
 
+test('an empty list of VMs takes nothing from a node that is frozen for less than its stated time', async () => {
+	await listMachines(platform, nodes.map(node => node.name));
+	await delay(listReadMilliseconds);
+	const before = await readLiveIncarnations();
+	const frozen = (nodes as [TestNode, TestNode, TestNode])[2];
+	await listMachines(platform, []);
+	frozen.signal('SIGSTOP');
+	await delay(frozenMilliseconds);
+	frozen.signal('SIGCONT');
+	await waitForStatus([`${frozen.caller}/prices/ENGM`], headers, 200);
+	expect(await readLiveIncarnations()).toEqual(before);
+}, testTimeoutMilliseconds);
+
 test('a killed node\'s tokens are free within a stated time once the list leaves it out', async () => {
 	const [first, second, killed] = nodes as [TestNode, TestNode, TestNode];
 	await listMachines(platform, nodes.map(node => node.name));
@@ -66,6 +83,11 @@
 	return rows[0]?.value.members ?? [];
 }
 
+async function readLiveIncarnations(): Promise<string[]> {
+	const members = await readMembers();
+	return members.filter(({standing}) => standing.kind === 'live').map(({incarnation}) => incarnation);
+}
+
 /** Resolves once every incarnation of the node that isn't live has the standing. */
 async function waitForStanding(id: string, kind: RowMember['standing']['kind']): Promise<void> {
 	await waitUntil(async () => {
--- a/packages/node/src/membership-plugin.ts
+++ b/packages/node/src/membership-plugin.ts
@@ -9,6 +9,8 @@
 const startOrder = 50;
 /** Added to every wait that covers the use of another node, for clock rates and scheduling. */
 const safetyMarginMilliseconds = 1000;
+/** A list of VMs that leaves out most members is believed only after it has said so for this long. */
+const shortListMilliseconds = 30_000;
 
 nodePlugins.register({
 	name: 'membership',
@@ -27,10 +29,14 @@
 				silenceMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				expiryMilliseconds: settings.timing.freshnessLimitMilliseconds + safetyMarginMilliseconds,
 				requestMilliseconds: () => longestDeadlineMilliseconds + safetyMarginMilliseconds,
+				shortListMilliseconds,
 			},
 			onWrite(epoch, outcome) {
 				logger.info('ledger_write', {epoch, outcome});
 			},
+			onListDoubted(isDoubted, listed) {
+				logger.warn('machine_list_doubted', {isDoubted, listed});
+			},
 		});
 		const endings = [
 			bus.subscribe('machines-listed', ({machines}) => {
--- a/packages/node/src/membership.ts
+++ b/packages/node/src/membership.ts
@@ -8,7 +8,7 @@
 import type {TableService} from '@catkindale/platform';
 import {
 	type Ledger, type LedgerView, type Member, emptyLedger, expireMembers, fenceMembers, getExpiredFences, getFinishedMembers,
-	getVanishedMembers, isLive, joinLedger, ledgerSchema, removeMembers,
+	getVanishedMembers, isLive, joinLedger, ledgerSchema, noMachineList, readMachineList, removeMembers,
 } from '@catkindale/policy';
 import {rowKeys} from './constants.js';
 import type {LeaseClock} from './lease-clock.js';
@@ -21,6 +21,8 @@
 	readonly expiryMilliseconds: number;
 	/** After this further time its requests and loans of slots have ended. */
 	readonly requestMilliseconds: () => number;
+	/** How long a list of VMs that leaves out many members must say so before it is believed. */
+	readonly shortListMilliseconds: number;
 };
 
 export type MembershipOptions = {
@@ -30,6 +32,8 @@
 	readonly clock: LeaseClock;
 	readonly limits: MembershipLimits;
 	readonly onWrite?: (epoch: number, outcome: string) => void;
+	/** Called when the list of VMs becomes too short to be believed at once, and when it no longer is. */
+	readonly onListDoubted?: (isDoubted: boolean, listed: number) => void;
 };
 
 export type Membership = {
@@ -47,7 +51,7 @@
 
 export function createMembership(options: MembershipOptions): Membership {
 	const {table, ledger, clock} = options;
-	let listed: ReadonlySet<string> | undefined;
+	let list = noMachineList;
 
 	const read = async (): Promise<ReadLedger | undefined> => {
 		const readAt = clock.own();
@@ -80,7 +84,7 @@
 			return 'unread';
 		}
 
-		const next = getNextLedger(known.ledger, listed, options);
+		const next = getNextLedger(known.ledger, list.believed, options);
 		return next !== known.ledger && await write(known, next) ? 'conflict' : 'done';
 	};
 
@@ -94,7 +98,15 @@
 			return result !== 'unread';
 		},
 		setListed(ids) {
-			listed = ids;
+			const members = ledger.view().ledger.members.filter(member => isLive(member)).map(({id}) => id);
+			const wasShort = list.shortSince !== undefined;
+			list = readMachineList(list, {
+				listed: ids, members, now: clock.monotonic(), shortListMilliseconds: options.limits.shortListMilliseconds,
+			});
+			const isShort = list.shortSince !== undefined;
+			if (isShort !== wasShort) {
+				options.onListDoubted?.(isShort, ids.size);
+			}
 		},
 		async leave() {
 			const isClear = ledger.stop();
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -31,6 +31,7 @@
 export * from './customer-floors.js';
 export * from './ledger.js';
 export * from './ledger-view.js';
+export * from './machine-list.js';
 export * from './name-rank.js';
 export * from './pause-guard.js';
 export * from './slot-floors.js';
