Give quota and callers only to members that serve requests

A process with the roles of control, admin or directory alone was a member like any other: floors and slots lay on it that nobody could use, look-ups named it as an entry, and a stopping entry could hand its tickets to it, which it never took. Members now tell whether they have the role of an entry; holders of quota, look-ups and the heirs of tickets are chosen among those. A row written before counts its members as entries, so update all processes of a fleet that splits the roles before starting such a process anew.

Before: quota-floors.test.ts "a member without the role of an entry holds no share, and the others hold all" failed, "expected 200 to be +0"; entry-ranking.test.ts "never names a member without the role of an entry" failed, "expected [ 'bergen-1', 'oslo-1', 'tromso-1' ] to deeply equal [ 'bergen-1', 'tromso-1' ]". After: both pass.

--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -55,5 +55,6 @@
 		callerAddress: context.bound.caller,
 		peerAddress: context.bound.peer,
 		state: 'live',
+		isEntry: context.settings.node.roles.includes('entry'),
 	};
 }
--- a/packages/node/src/ticket-handover.ts
+++ b/packages/node/src/ticket-handover.ts
@@ -4,7 +4,9 @@
  */
 import {rankMembers} from '@catkindale/common';
 import type {MessageBus} from '@catkindale/kernel';
-import type {Member, RememberedRequest, TicketMemory} from '@catkindale/policy';
+import {
+	type Member, type RememberedRequest, type TicketMemory, isEntryMember,
+} from '@catkindale/policy';
 import type {PeerMessage} from '@catkindale/protocol';
 import type {TicketClock} from './idempotency-guard.js';
 import type {NodeMessage} from './node-messages.js';
@@ -109,7 +111,7 @@
 
 /** The other live members, those of the own region first. */
 function getNeighbours({node, region, incarnation, getMembers}: TicketHandoverOptions): Member[] {
-	const others = getMembers().filter(member => member.id !== node && member.state === 'live');
+	const others = getMembers().filter(member => member.id !== node && member.state === 'live' && isEntryMember(member));
 	const ranked = rankMembers(incarnation, others);
 	return [...ranked.filter(member => member.region === region), ...ranked.filter(member => member.region !== region)];
 }
--- a/packages/policy/src/entry-ranking.ts
+++ b/packages/policy/src/entry-ranking.ts
@@ -6,7 +6,7 @@
  */
 import type {Customer} from './configuration.js';
 import {getCustomerMembers} from './customer-floors.js';
-import type {Member} from './member.js';
+import {type Member, isEntryMember} from './member.js';
 import {rankByName, rankFirstByName} from './name-rank.js';
 
 /** The members of one epoch, prepared for many look-ups. */
@@ -33,10 +33,11 @@
 const mostLocalEntries = 6;
 
 export function createEntryDirectory(members: readonly Member[]): EntryDirectory {
-	const membersByRegion = groupByRegion(members);
+	const entries = members.filter(member => isEntryMember(member));
+	const membersByRegion = groupByRegion(entries);
 	const regions = [...membersByRegion.keys()].map(id => ({id}));
 	return {
-		members, regions, membersByRegion, membersByCustomer: new Map(),
+		members: entries, regions, membersByRegion, membersByCustomer: new Map(),
 	};
 }
 
--- a/packages/policy/src/ledger.ts
+++ b/packages/policy/src/ledger.ts
@@ -6,7 +6,7 @@
  * has surely ended (see `ledger-view`).
  */
 import {z} from 'zod';
-import {type Member, memberSchema} from './member.js';
+import {type Member, isEntryMember, memberSchema} from './member.js';
 
 export const ledgerMemberSchema = memberSchema.extend({
 	standing: z.discriminatedUnion('kind', [
@@ -26,7 +26,7 @@
 export type LedgerMember = z.infer<typeof ledgerMemberSchema>;
 export type Ledger = z.infer<typeof ledgerSchema>;
 
-/** A live member, which holds a share of the quotas. */
+/** A live member with the role of an entry, which holds a share of the quotas. */
 export type Holder = {
 	readonly id: string;
 	readonly incarnation: string;
@@ -72,8 +72,8 @@
 
 /** The holders of an epoch, in the order of their identifiers. */
 export function getHolders(ledger: Ledger): Holder[] {
-	const live = ledger.members.filter(member => isLive(member));
-	const holders = live.map(({id, incarnation, region, zone}) => ({
+	const entries = ledger.members.filter(member => isLive(member) && isEntryMember(member));
+	const holders = entries.map(({id, incarnation, region, zone}) => ({
 		id, incarnation, region, zone,
 	}));
 	return holders.toSorted((left, right) => left.id < right.id ? -1 : 1);
--- a/packages/policy/src/member.ts
+++ b/packages/policy/src/member.ts
@@ -10,6 +10,13 @@
 	callerAddress: z.string(),
 	peerAddress: z.string(),
 	state: z.enum(['live', 'draining']),
+	/** False for one that serves no callers' requests; it holds no quota and look-ups don't name it. */
+	isEntry: z.boolean().optional(),
 });
 
 export type Member = z.infer<typeof memberSchema>;
+
+/** Whether the member serves callers' requests. */
+export function isEntryMember(member: Pick<Member, 'isEntry'>): boolean {
+	return member.isEntry !== false;
+}
--- a/packages/policy/tests/entry-ranking.test.ts
+++ b/packages/policy/tests/entry-ranking.test.ts
@@ -36,6 +36,12 @@
 		expect(new Set(entries.slice(expected.length).map(member => member.region)).has(region)).toBe(false);
 	});
 
+	test.each([{customer: small}, {customer: large}])('never names a member without the role of an entry, for $customer.name', ({customer}) => {
+		const [other, ...entries] = createMembers(1);
+		const named = ask([{...other!, isEntry: false}, ...entries], {customer});
+		expect(named.map(({id}) => id).toSorted()).toEqual(entries.map(({id}) => id).toSorted());
+	});
+
 	test.each([{customer: small}, {customer: large}])('sends the callers of $customer.name to the holders of its floors', ({customer}) => {
 		const members = createMembers(4);
 		const holders = getCustomerMembers(customer, members).map(member => member.id);
--- a/packages/policy/tests/quota-floors.test.ts
+++ b/packages/policy/tests/quota-floors.test.ts
@@ -1,7 +1,7 @@
 /** Floors: whole numbers that add up to the limit, on members of two regions. */
 import {expect, test} from 'vitest';
 import {
-	type Customer, type Holder, type Target, getCustomerMembers, getRequestFloor, getSlotFloor,
+	type Customer, type Holder, type Member, type Target, emptyLedger, getCustomerMembers, getHolders, getRequestFloor, getSlotFloor, joinLedger,
 } from '../src/index.js';
 
 const regions = ['ost', 'sued', 'west'];
@@ -54,3 +54,17 @@
 	expect(floors.reduce((sum, floor) => sum + floor, 0)).toBe(5);
 	expect(floors.filter(floor => floor > 0)).toHaveLength(holding);
 });
+
+test('a member without the role of an entry holds no share, and the others hold all', () => {
+	const members = createHolders(3).map((holder): Member => ({
+		...holder, callerAddress: '', peerAddress: '', state: 'live', isEntry: holder.id !== 'node-0',
+	}));
+	const sharers = getHolders(members.reduce((ledger, member) => joinLedger(ledger, member), emptyLedger));
+	const customer = {name: 'kommune', rate: 400, burst: 600};
+	const bursts = members.map(({incarnation}) => getRequestFloor(customer, incarnation, sharers).burst);
+	const slots = members.map(({incarnation}) => getSlotFloor(createTarget(5, 'ost'), incarnation, sharers));
+	expect(bursts[0]).toBe(0);
+	expect(slots[0]).toBe(0);
+	expect(bursts.reduce((sum, burst) => sum + burst, 0)).toBe(customer.burst);
+	expect(slots.reduce((sum, share) => sum + share, 0)).toBe(5);
+});
