--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -33,6 +33,7 @@
 export * from './customer-floors.js';
 export * from './ledger.js';
 export * from './ledger-view.js';
+export * from './machine-list.js';
 export * from './name-rank.js';
 export * from './table-reading.js';
 export * from './pause-guard.js';
