Go on when an operator's request is malformed or cut off, or a row is junk

Cause: a node ended with an unhandled error where an outcome was due: - "GET // HTTP/1.1" at the operators' port, before the token was looked at, because the URL class throws on such a path; - an operator's request whose connection ended in the middle of its body; - a row under rollout/ or a claim of an idempotency key that something else wrote, because its check threw in the task's periodic work.

The row of a claim has no test of its own: it answers not-run, as when the table can't be reached.

Ruled out: catching everything at the top, which would hide broken invariants.

--- a/packages/cli/tests/hostile.test.ts
+++ b/packages/cli/tests/hostile.test.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {readFile} from 'node:fs/promises';
 import {type Socket, connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import fc from 'fast-check';
 import {
 	afterAll, beforeAll, expect, test,
@@ -11,13 +12,16 @@
 	createFrameReader, createProofCode, encodeFrame, handshakeFrameBytes, maximumFrameBytes, parsePeerMessage, protocolVersion,
 } from '@catkindale/protocol';
 import {
-	type TestNode, type TestPlatform, applyManifest, callAdmin, endProcesses, getManifest, getPeerAddress, peerSecret, startFleet, startPlatformProcesses, waitUntil,
+	type TestNode, type TestPlatform, applyManifest, callAdmin, endProcesses, getManifest, getPeerAddress, operatorToken, peerSecret, startFleet, startPlatformProcesses, waitUntil,
 } from './helpers.js';
 
 const closeLimitMilliseconds = 5000;
 const halfOpenConnections = 200;
 /** Far more than a node lets try to prove themselves from one address. */
 const silentConnections = 600;
+const cutMilliseconds = 200;
+/** More than an operator's request may hold. */
+const endlessBody = 'x'.repeat(0x1_00_00_00);
 const nonce = 'a-nonce-of-the-stranger';
 const hello = {
 	type: 'hello', protocolVersion, id: 'stranger', incarnation: 'one', nonce,
@@ -149,6 +153,21 @@
 	await expectUnchanged();
 });
 
+test.each([
+	{name: 'a path that is no address', lines: ['GET // HTTP/1.1'], body: ''},
+	{name: 'a body that is cut off', lines: ['POST /v1/configuration HTTP/1.1', 'content-length: 1000'], body: 'rate = 5'},
+	{name: 'a body that never ends', lines: ['POST /v1/configuration HTTP/1.1', 'transfer-encoding: chunked'], body: `${endlessBody.length.toString(16)}\r\n${endlessBody}`},
+])('$name at the operators\' port changes nothing, and the node goes on', async ({lines, body}) => {
+	const [host, port] = node.admin.split(':');
+	const socket = connect(Number(port), host).on('error', () => undefined).resume();
+	const head = [...lines, 'host: node', `authorization: Bearer ${operatorToken}`, '', ''];
+	socket.write(head.join('\r\n') + body);
+	await delay(cutMilliseconds);
+	socket.destroy();
+	await delay(cutMilliseconds);
+	await expectUnchanged();
+});
+
 test('connections beyond a number that prove nothing are refused at once, and the node goes on', async () => {
 	const [host, port] = peer.split(':');
 	const sockets = Array.from({length: silentConnections}, () => connect(Number(port), host).on('error', () => undefined).resume());
@@ -175,10 +194,37 @@
 	await writeRow(row, version + 1, rows[0]?.value ?? {});
 });
 
+test('a rollout\'s row that something else wrote is told in the log and to operators, and the node goes on', async () => {
+	const row = 'rollout/pricing-2';
+	await writeRow(row, 0, {nobody: 'knows'});
+	await applyManifest([node], `${getManifest({oslo: ['oslo-a']}, [], 'hostile-key')}
+[[targets]]
+name = "pricing-2"
+service = "pricing"
+version = "2"
+region = "oslo"
+zone = "oslo-a"
+address = "127.0.0.1:9"
+slots = 1
+[[rollouts]]
+name = "pricing-2"
+service = "pricing"
+from = "1"
+to = "2"
+deadline = "2100-01-01T00:00:00Z"
+`);
+	await node.waitFor(/(rollout_unreadable) rollout=pricing-2/v);
+	const status = await callAdmin(node, 'GET', '/v1/rollouts');
+	expect(status).toMatchObject({status: 200, body: {rollouts: [], unreadable: [row]}});
+	const halt = await callAdmin(node, 'POST', '/v1/rollouts/halt?name=pricing-2');
+	expect(halt).toMatchObject({status: 409, body: {result: 'refused'}});
+	await expectUnchanged(2);
+});
+
 test('a configuration row that something else wrote stops neither the node nor its configuration', async () => {
-	await writeRow('configuration', 1, {nobody: 'knows'});
+	await writeRow('configuration', 2, {nobody: 'knows'});
 	await node.waitFor(/(table_read_failed) row=configuration/v);
-	await expectUnchanged();
+	await expectUnchanged(2);
 	const applied = await callAdmin(node, 'POST', '/v1/configuration', getManifest({oslo: ['oslo-a']}, [], 'hostile-key'));
 	expect(applied).toMatchObject({status: 503, body: {result: 'refused'}});
 });
@@ -214,9 +260,9 @@
 	return encodeFrame({type: 'proof', code});
 }
 
-async function expectUnchanged(): Promise<void> {
+async function expectUnchanged(version = 1): Promise<void> {
 	const status = await callAdmin(node, 'GET', '/v1/status');
-	expect(status).toMatchObject({status: 200, body: {configurationVersion: 1, knownVersion: 1, restrictions: []}});
+	expect(status).toMatchObject({status: 200, body: {configurationVersion: version, knownVersion: version, restrictions: []}});
 	expect(node.child.exitCode).toBeNull();
 }
 
--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -2,11 +2,11 @@
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
-import {text} from 'node:stream/consumers';
 import {hashText} from '@catkindale/common';
 import {type AdminAnswer, findAdminAction} from './admin-actions.js';
+import {maximumAdminBodyBytes, readAdminBody} from './admin-body.js';
 import {type AdminState, createAdminState} from './admin-state.js';
-import {closeGracefully, listenOn} from './http-server.js';
+import {closeGracefully, listenOn, splitUrl} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getRequestKey} from './request-headers.js';
 import './apply-action.js';
@@ -71,22 +71,35 @@
 
 async function serve(context: NodeContext, state: AdminState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const answer = await getAnswer(context, state, request);
+	if (!answer) {
+		response.destroy();
+		return;
+	}
+
 	response.writeHead(answer.status, {'content-type': 'application/json'});
 	response.end(JSON.stringify(answer.body));
 }
 
-async function getAnswer(context: NodeContext, state: AdminState, request: IncomingMessage): Promise<AdminAnswer> {
-	const url = new URL(request.url ?? '/', 'http://admin');
+/** Undefined if the operator went away in the middle of the request. */
+async function getAnswer(context: NodeContext, state: AdminState, request: IncomingMessage): Promise<AdminAnswer | undefined> {
 	if (!isOperatorToken(getRequestKey(request) ?? '', context.settings.secrets.operatorToken)) {
 		return {status: 401, body: {result: 'refused', detail: 'the operator\'s token is missing or wrong'}};
 	}
 
-	const action = findAdminAction(request.method ?? 'GET', url.pathname);
+	const {path, query} = splitUrl(request.url ?? '/');
+	const action = findAdminAction(request.method ?? 'GET', path);
 	if (!action) {
-		return {status: 404, body: {result: 'refused', detail: `there is no action ${request.method} ${url.pathname}`}};
+		return {status: 404, body: {result: 'refused', detail: `there is no action ${request.method} ${path}`}};
+	}
+
+	const body = await readAdminBody(request);
+	if (body.ok) {
+		return action.run(context, state, {query, body: body.value});
 	}
 
-	return action.run(context, state, {query: url.searchParams, body: await text(request)});
+	return body.error === 'cut-off'
+		? undefined
+		: {status: 413, body: {result: 'refused', detail: `the body is above ${maximumAdminBodyBytes} bytes`}};
 }
 
 function isOperatorToken(given: string, expected: string): boolean {
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -7,6 +7,7 @@
 import {
 	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSite, getEntries,
 } from '@catkindale/policy';
+import {splitUrl} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
@@ -73,7 +74,7 @@
 });
 
 function answer(context: NodeContext, state: DirectoryState, request: IncomingMessage, response: ServerResponse): void {
-	const query = new URL(request.url ?? '/', 'http://directory').searchParams;
+	const {query} = splitUrl(request.url ?? '/');
 	const service = query.get('service') ?? '';
 	if (!state.services.has(service)) {
 		sendProblem(response, {
--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -63,3 +63,9 @@
 
 	return address.value;
 }
+
+/** The path and the parameters of a request's address. Unlike the URL class it takes any text, such as `//`. */
+export function splitUrl(url: string): {readonly path: string; readonly query: URLSearchParams} {
+	const [path = '', ...rest] = url.split('?');
+	return {path, query: new URLSearchParams(rest.join('?'))};
+}
--- a/packages/node/src/idempotency-claims.ts
+++ b/packages/node/src/idempotency-claims.ts
@@ -195,7 +195,11 @@
 					return {kind: 'unavailable'};
 				}
 
-				const existing = claimSchema.parse(result.row.value);
+				const {data: existing} = claimSchema.safeParse(result.row.value);
+				if (!existing) {
+					return {kind: 'unavailable'};
+				}
+
 				if (existing.state !== 'released' && !abandoned.has(result.row.changeId)) {
 					return {kind: 'existing', value: existing};
 				}
--- a/packages/node/src/rollout-actions.ts
+++ b/packages/node/src/rollout-actions.ts
@@ -21,11 +21,13 @@
 	path: '/v1/rollouts',
 	async run(context) {
 		const outcome = await context.platform.table.list(rowKeys.rolloutPrefix);
+		const read = outcome.kind === 'done' ? outcome.value.map(row => ({row, parsed: rolloutRowSchema.safeParse(row.value)})) : [];
 		const rows = outcome.kind === 'done'
-			? outcome.value.map(row => rolloutRowSchema.parse(row.value))
+			? read.flatMap(({parsed}) => parsed.data ?? [])
 			: [...getRolloutTasks(context).values()].flatMap(task => task.follower.row ?? []);
+		const unreadable = read.filter(({parsed}) => !parsed.success).map(({row}) => row.key);
 		const source = outcome.kind === 'done' ? 'table' : 'this node\'s knowledge; the table can\'t be read';
-		return {status: 200, body: {source, rollouts: rows.map(row => describeRow(context, row))}};
+		return {status: 200, body: {source, rollouts: rows.map(row => describeRow(context, row)), unreadable}};
 	},
 });
 
@@ -75,7 +77,11 @@
 			return {status: 404, body: {result: 'refused', detail: `there is no rollout "${name}"`}};
 		}
 
-		const row = rolloutRowSchema.parse(read.value.value);
+		const {data: row} = rolloutRowSchema.safeParse(read.value.value);
+		if (!row) {
+			return {status: 409, body: {result: 'refused', detail: `the row "${key}" of the table is no rollout`}};
+		}
+
 		const refusal = getRefusal(row, change);
 		if (refusal) {
 			return refusal;
--- a/packages/node/src/rollout-task.ts
+++ b/packages/node/src/rollout-task.ts
@@ -1,4 +1,5 @@
 /** One node's part in one rollout: the follower's state, its evidence and its writes. */
+import {z} from 'zod';
 import {
 	type Clock, type Logger, createIdentifier, rankMembers,
 } from '@catkindale/common';
@@ -74,10 +75,15 @@
 	task.wish = {rollout, configurationVersion: version, instances: targets.length};
 }
 
-/** Takes in the row as the table holds it; undefined if there is none. */
+/** Takes in the row as the table holds it; undefined if there is none. A row that something else wrote tells nothing. */
 export function readRow(task: RolloutTask, row: Row | undefined, readAt: number): void {
-	const parsed = row && rolloutRowSchema.parse(row.value);
-	task.follower = updateFromTable(task.follower, parsed, row?.version ?? 0, readAt);
+	const parsed = row && rolloutRowSchema.safeParse(row.value);
+	if (parsed?.success === false) {
+		task.parts.logger.error('rollout_unreadable', {rollout: task.name, reason: z.prettifyError(parsed.error)});
+		return;
+	}
+
+	task.follower = updateFromTable(task.follower, parsed?.data, row?.version ?? 0, readAt);
 	prepareCollector(task, task.follower.row);
 }
 
