Keep the bytes between two regions within the link's quota

Cause: the manifest had links and nothing counted what crosses them; `isRegionOpen` was never connected. Bodies of requests and answers between an entry and a target of another region now need a reservation before each read. The nodes of the link's two regions hold parts of its bucket as a function of the ledger's epoch, raised and lowered as slots are. Interactive bodies go first and bulk keeps a tenth. A region with interactive bodies waiting or no room isn't chosen.

Ruled out: counting afterwards (exceeds by all answers in flight), an assumed size per request.

The count of the randomised run moved its ideal buckets to a file of their own; what it asserts of customers and slots is unchanged.

Left: parts aren't lent between nodes; bulk bodies that wait hold a slot; requests handed from entry to entry aren't counted.

--- /dev/null
+++ b/packages/cli/src/verification-ideal-buckets.ts
@@ -0,0 +1,47 @@
+/** One ideal token bucket for each name, as if a single place admitted for all nodes. */
+import {millisecondsPerSecond} from '@catkindale/common';
+import type {RequestFloor} from '@catkindale/policy';
+
+export type IdealBuckets = {
+	/** Takes tokens, and returns what is left; below 0, the nodes have given out too much. */
+	take: (name: string, tokens: number) => number;
+	/** Fills all buckets before the limits change. */
+	fillAll: () => void;
+};
+
+type Bucket = {tokens: number; filledAt: number; rate: number; burst: number};
+
+/** Node clocks run up to 0.1 % fast. */
+const clockTolerance = 1.001;
+
+export function createIdealBuckets(getLimits: () => ReadonlyMap<string, RequestFloor>, now: () => number): IdealBuckets {
+	const buckets = new Map<string, Bucket>();
+
+	const fill = (name: string): Bucket => {
+		const {rate, burst} = getLimits().get(name) ?? {rate: 0, burst: 0};
+		const bucket = buckets.get(name) ?? {
+			tokens: burst, filledAt: now(), rate, burst,
+		};
+		const grown = Math.max(rate, bucket.rate) * clockTolerance * (now() - bucket.filledAt) / millisecondsPerSecond;
+		const raised = Math.max(0, burst - bucket.burst);
+		const tokens = Math.min(burst, bucket.tokens + grown + raised);
+		const filled = {
+			tokens, filledAt: now(), rate, burst,
+		};
+		buckets.set(name, filled);
+		return filled;
+	};
+
+	return {
+		take(name, tokens) {
+			const bucket = fill(name);
+			bucket.tokens -= tokens;
+			return bucket.tokens;
+		},
+		fillAll() {
+			for (const name of buckets.keys()) {
+				fill(name);
+			}
+		},
+	};
+}
--- a/packages/cli/src/verification-quota-count.ts
+++ b/packages/cli/src/verification-quota-count.ts
@@ -1,39 +1,40 @@
 /**
  * The omniscient count of the quotas' randomised run: one ideal bucket for
- * each customer over all nodes, and the requests in flight at each target.
+ * each customer and each link over all nodes, and the requests in flight at
+ * each target.
  */
-import {assertInvariant, millisecondsPerSecond} from '@catkindale/common';
+import {assertInvariant} from '@catkindale/common';
 import type {NodeQuotas} from '@catkindale/node';
-import type {Configuration, RequestFloor} from '@catkindale/policy';
+import {
+	type Configuration, type RequestFloor, getLinkBurst, getLinkName,
+} from '@catkindale/policy';
+import {createIdealBuckets} from './verification-ideal-buckets.js';
 
 export type QuotaCount = {
 	/** Notes which versions are in force on some node now; the largest limits among them count. */
 	setVersions: (versions: ReadonlySet<number>) => void;
 	addVersion: (version: number, configuration: Configuration) => void;
 	admit: (customer: string) => void;
+	/** Bytes cross the link. */
+	cross: (link: string, bytes: number) => void;
 	start: (target: string) => void;
 	finish: (target: string) => void;
 	/** Checks what all nodes together could give out at this instant. */
 	checkHeld: (held: readonly NodeQuotas[]) => void;
-	readonly totals: {admitted: number; started: number};
+	readonly totals: {admitted: number; started: number; crossed: number};
 };
 
-type Bucket = {tokens: number; filledAt: number; rate: number; burst: number};
-
 /** A lowered limit counts once no node has had an older version in force for so long. */
 const lowerRateMilliseconds = 3000;
 const lowerSlotsMilliseconds = 20_000;
-/** Node clocks run up to 0.1 % fast. */
-const clockTolerance = 1.001;
 const roundingTolerance = 1e-6;
 
 export function createQuotaCount(seed: number, now: () => number): QuotaCount {
 	const configurations = new Map<number, Configuration>();
 	const leftAt = new Map<number, number>();
-	const buckets = new Map<string, Bucket>();
 	const inFlight = new Map<string, number>();
 	let targets: ReadonlySet<string> = new Set();
-	const totals = {admitted: 0, started: 0};
+	const totals = {admitted: 0, started: 0, crossed: 0};
 
 	const getInForce = (lagMilliseconds: number): Configuration[] => [...configurations]
 		.filter(([version]) => (leftAt.get(version) ?? now()) + lagMilliseconds >= now())
@@ -52,21 +53,20 @@
 	const getSlots = (target: string): number => Math.max(0, ...getInForce(lowerSlotsMilliseconds)
 		.flatMap(configuration => configuration.targets.filter(candidate => candidate.name === target).map(candidate => candidate.slots)));
 
-	const fill = (name: string): Bucket => {
-		const {rate, burst} = getLimits().get(name) ?? {rate: 0, burst: 0};
-		const bucket = buckets.get(name) ?? {
-			tokens: burst, filledAt: now(), rate, burst,
-		};
-		const grown = Math.max(rate, bucket.rate) * clockTolerance * (now() - bucket.filledAt) / millisecondsPerSecond;
-		const raised = Math.max(0, burst - bucket.burst);
-		const tokens = Math.min(burst, bucket.tokens + grown + raised);
-		const filled = {
-			tokens, filledAt: now(), rate, burst,
-		};
-		buckets.set(name, filled);
-		return filled;
+	/** Bytes that were reserved under a higher limit still cross as long as a request may last. */
+	const getLinkLimits = (): Map<string, RequestFloor> => {
+		const limits = new Map<string, RequestFloor>();
+		for (const link of getInForce(lowerSlotsMilliseconds).flatMap(configuration => configuration.links)) {
+			const known = limits.get(getLinkName(link)) ?? {rate: 0, burst: 0};
+			limits.set(getLinkName(link), {rate: Math.max(link.bytesPerSecond, known.rate), burst: Math.max(getLinkBurst(link), known.burst)});
+		}
+
+		return limits;
 	};
 
+	const buckets = createIdealBuckets(getLimits, now);
+	const linkBuckets = createIdealBuckets(getLinkLimits, now);
+
 	return {
 		totals,
 		addVersion(version, configuration) {
@@ -82,16 +82,21 @@
 				}
 			}
 
-			for (const name of buckets.keys()) {
-				fill(name);
-			}
+			buckets.fillAll();
+			linkBuckets.fillAll();
 		},
 		admit(name) {
-			const bucket = fill(name);
-			bucket.tokens -= 1;
+			const left = buckets.take(name, 1);
 			totals.admitted += 1;
-			assertInvariant(bucket.tokens >= -roundingTolerance, 'requests admitted by all nodes <= burst + rate x window', {
-				seed, customer: name, at: now(), excess: -bucket.tokens,
+			assertInvariant(left >= -roundingTolerance, 'requests admitted by all nodes <= burst + rate x window', {
+				seed, customer: name, at: now(), excess: -left,
+			});
+		},
+		cross(link, bytes) {
+			const left = linkBuckets.take(link, bytes);
+			totals.crossed += bytes;
+			assertInvariant(left >= -roundingTolerance, 'bytes that cross a link <= burst + rate x window', {
+				seed, link, at: now(), excess: -left,
 			});
 		},
 		start(target) {
@@ -112,6 +117,14 @@
 				});
 			}
 
+			for (const [name, {rate, burst}] of getLinkLimits()) {
+				const usable = held.map(quotas => quotas.links.getUsable(name));
+				const total = {rate: getSum(usable.map(part => part.rate)), burst: getSum(usable.map(part => part.burst))};
+				assertInvariant(total.burst <= burst + roundingTolerance && total.rate <= rate + roundingTolerance, 'parts of a link\'s quota add up to no more than the quota', {
+					seed, link: name, at: now(), burst: total.burst, burstLimit: burst, rate: total.rate, rateLimit: rate,
+				});
+			}
+
 			for (const target of targets) {
 				const free = getSum(held.map(quotas => quotas.slots.getFree(target)));
 				const used = inFlight.get(target) ?? 0;
--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -6,6 +6,7 @@
 import {createRandom} from '@catkindale/common';
 import {type Configuration, configurationSchema} from '@catkindale/policy';
 import type {PeerMessage} from '@catkindale/protocol';
+import {createLinks, startTransfers} from './verification-link-load.js';
 import {type QuotaCount, createQuotaCount} from './verification-quota-count.js';
 import {type QuotaTiming, type SimulatedNode, createSimulatedNode} from './verification-quota-node.js';
 import {
@@ -21,6 +22,9 @@
 	isRaisingAlone: false,
 };
 
+/** What callers ask of the nodes: requests at their targets, or bodies that cross between regions. */
+export type FleetLoad = 'requests' | 'links';
+
 const regions = ['ost', 'sued', 'west'];
 const runMilliseconds = 60_000;
 const warmUpMilliseconds = 4000;
@@ -50,6 +54,7 @@
 	readonly table: FakeTable;
 	readonly count: QuotaCount;
 	readonly timing: QuotaTiming;
+	readonly load: FleetLoad;
 	readonly nodes: Map<string, SimulatedNode>;
 	/** All nodes that may still act, also those that were replaced while paused or cut off. */
 	readonly processes: Set<SimulatedNode>;
@@ -62,18 +67,19 @@
 };
 
 /** Runs one fleet; throws an InvariantError when a limit is exceeded. Returns what was admitted and started. */
-export async function runQuotaFleet(seed: number, timing: QuotaTiming = productTiming): Promise<QuotaCount['totals']> {
+export async function runQuotaFleet(seed: number, timing: QuotaTiming = productTiming, load: FleetLoad = 'requests'): Promise<QuotaCount['totals']> {
 	const world = createWorld(createRandom(seed));
 	const fleet: Fleet = {
 		world,
 		timing,
+		load,
 		table: createFakeTable(world),
 		count: createQuotaCount(seed, world.now),
 		nodes: new Map(),
 		processes: new Set(),
 		cut: new Set(),
 		faults: pickFaults(world),
-		configuration: {version: 0, configuration: createConfiguration(world)},
+		configuration: {version: 0, configuration: createConfiguration(world, load)},
 		incarnations: 0,
 	};
 	const nodeCount = world.random.integer(2, 5);
@@ -89,7 +95,7 @@
 		fleet.count.checkHeld([...fleet.processes].map(node => node.quotas));
 	});
 	repeat(world, requestMilliseconds, () => {
-		sendRequest(fleet);
+		sendLoad(fleet);
 	});
 	await world.runUntil(warmUpMilliseconds);
 	repeat(world, world.random.integer(shortestFaultMilliseconds, longestFaultMilliseconds), () => {
@@ -150,10 +156,12 @@
 	}
 }
 
-function createConfiguration({random}: World): Configuration {
+function createConfiguration(world: World, load: FleetLoad): Configuration {
+	const {random} = world;
 	return configurationSchema.parse({
+		links: load === 'links' ? createLinks(world, regions) : [],
 		regions: regions.map(name => ({name, zones: [`${name}-a`]})),
-		customers: customers.map(name => name === 'large'
+		customers: (load === 'links' ? [] : customers).map(name => name === 'large'
 			? {name, rate: random.integer(10, 60), burst: random.integer(8, 60)}
 			: {name, rate: random.integer(1, 5), burst: random.integer(1, 6)}),
 		targets: targets.map((name, index) => ({
@@ -164,7 +172,7 @@
 
 function changeConfiguration(fleet: Fleet): void {
 	const version = fleet.configuration.version + 1;
-	fleet.configuration = {version, configuration: createConfiguration(fleet.world)};
+	fleet.configuration = {version, configuration: createConfiguration(fleet.world, fleet.load)};
 	fleet.count.addVersion(version, fleet.configuration.configuration);
 	countVersions(fleet);
 	for (const node of fleet.nodes.values()) {
@@ -209,9 +217,26 @@
 	return nodes[fleet.world.random.integer(0, nodes.length - 1)];
 }
 
-function sendRequest(fleet: Fleet): void {
-	const {random, now} = fleet.world;
+function sendLoad(fleet: Fleet): void {
 	const node = pickNode(fleet);
+	switch (fleet.load) {
+		case 'requests': {
+			sendRequest(fleet, node);
+			break;
+		}
+
+		case 'links': {
+			if (node?.isAlive && !node.isPaused) {
+				startTransfers(fleet, node);
+			}
+
+			break;
+		}
+	}
+}
+
+function sendRequest(fleet: Fleet, node: SimulatedNode | undefined): void {
+	const {random, now} = fleet.world;
 	const customer = customers[random.integer(0, customers.length - 1)] ?? '';
 	const target = targets[random.integer(0, targets.length - 1)] ?? '';
 	const bunch = random.fraction() < 0.1 ? 20 : 1;
@@ -362,12 +387,25 @@
 		// Requests may reach the node before anything that has waited for it.
 		node.resume(isFrozen ? milliseconds : 0, () => {
 			for (let index = 0; index < 20; index++) {
-				sendRequestTo(fleet, node);
+				resumeLoad(fleet, node);
 			}
 		});
 	});
 }
 
+function resumeLoad(fleet: Fleet, node: SimulatedNode): void {
+	switch (fleet.load) {
+		case 'requests': {
+			sendRequestTo(fleet, node);
+			break;
+		}
+
+		case 'links': {
+			startTransfers(fleet, node);
+		}
+	}
+}
+
 function sendRequestTo(fleet: Fleet, node: SimulatedNode): void {
 	for (const customer of node.isAlive ? customers : []) {
 		if (node.quotas.requests.admit(customer).kind === 'admitted') {
--- a/packages/cli/src/verification-quota-node.ts
+++ b/packages/cli/src/verification-quota-node.ts
@@ -21,6 +21,7 @@
 
 export type SimulatedNode = {
 	readonly id: string;
+	readonly region: string;
 	readonly incarnation: string;
 	readonly quotas: NodeQuotas;
 	isAlive: boolean;
@@ -84,6 +85,7 @@
 	let deferred: Array<() => void> = [];
 	const node: SimulatedNode = {
 		id,
+		region,
 		incarnation: options.incarnation,
 		quotas,
 		isAlive: true,
@@ -134,6 +136,7 @@
 		if (timing.isRaisingAlone) {
 			quotas.requests.raise();
 			quotas.slots.raise(new Set());
+			quotas.links.raise(new Set());
 		}
 	};
 
--- a/packages/cli/src/verifications.ts
+++ b/packages/cli/src/verifications.ts
@@ -1,6 +1,7 @@
 /** Loads every randomised run, so that it registers itself. */
 import './verification-at-most-once.js';
 import './verification-fairness.js';
+import './verification-links.js';
 import './verification-quotas.js';
 import './verification-retry-budget.js';
 import './verification-rollouts.js';
--- /dev/null
+++ b/packages/cli/tests/links.test.ts
@@ -0,0 +1,94 @@
+/** The bodies that all nodes together let cross between two regions keep within the link. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+import {request} from 'undici';
+import {
+	type TestNode, applyManifest, endProcesses, getManifest, startFleet, startPlatformProcesses, startTargets, waitUntil,
+} from './helpers.js';
+
+const key = 'links-key';
+const headers = {authorization: `Bearer ${key}`};
+const bytesPerSecond = 2_000_000;
+const burstBytes = 1_000_000;
+const sampleMilliseconds = 100;
+const bergen = {name: 'bergen-1', region: 'bergen', zone: 'bergen-a'};
+const places = [
+	{name: 'oslo-1', region: 'oslo', zone: 'oslo-a'}, {name: 'oslo-2', region: 'oslo', zone: 'oslo-a'}, bergen,
+];
+let callers: TestNode[] = [];
+
+beforeAll(async () => {
+	const platform = await startPlatformProcesses();
+	const nodes = await startFleet(platform, places);
+	// The callers' region has no target of its own, so that all bodies cross the link.
+	const targets = await startTargets([bergen]);
+	const links = [['oslo', 'bergen'], ['bergen', 'oslo']].map(([from, to]) => `[[links]]
+from = "${from}"
+to = "${to}"
+bytesPerSecond = ${bytesPerSecond}
+burstBytes = ${burstBytes}
+`);
+	await applyManifest(nodes, `${links.join('')}${getManifest({oslo: ['oslo-a'], bergen: ['bergen-a']}, targets, key)}`);
+	callers = nodes.slice(0, 2);
+	await waitUntil(async () => {
+		const rates = await Promise.all(callers.map(async node => readMetric(node, 'catkindale_link_quota_bytes_per_second', 'bergen')));
+		return rates.every(rate => rate > 0) || undefined;
+	}, 'quota of the link at both nodes');
+});
+
+afterAll(endProcesses);
+
+test('downloads over two nodes keep within the link in every window and come whole', async () => {
+	const bytes = 1_000_000;
+	const sampling = sampleUntilStopped();
+	const sizes = await Promise.all([0, 1, 2, 3, 4, 5].map(async index => {
+		const answer = await request(`${callers[index % 2]!.caller}/prices/ENGM?bytes=${bytes}`, {headers});
+		const body = await answer.body.bytes();
+		return body.length;
+	}));
+	const samples = await sampling.stop();
+	expect(sizes).toEqual(sizes.map(() => bytes));
+	expect(samples.at(-1)!.bytes - samples[0]!.bytes).toBe(bytes * sizes.length);
+	for (const [index, first] of samples.entries()) {
+		for (const last of samples.slice(index + 1)) {
+			const windowSeconds = (last.endedAt - first.startedAt) / 1000;
+			expect(last.bytes - first.bytes).toBeLessThanOrEqual(burstBytes + (bytesPerSecond * windowSeconds));
+		}
+	}
+});
+
+type Sample = {readonly startedAt: number; readonly endedAt: number; readonly bytes: number};
+
+/** Samples the bytes from bergen that all nodes have counted. */
+function sampleUntilStopped(): {readonly stop: () => Promise<Sample[]>} {
+	const samples: Sample[] = [];
+	const state = {isStopped: false};
+	const run = async (): Promise<void> => {
+		do {
+			const startedAt = performance.now();
+			const counts = await Promise.all(callers.map(async node => readMetric(node, 'catkindale_link_bytes_total', 'bergen')));
+			samples.push({startedAt, endedAt: performance.now(), bytes: counts.reduce((sum, count) => sum + count, 0)});
+			await delay(sampleMilliseconds);
+		} while (!state.isStopped);
+	};
+
+	const running = run();
+	return {
+		async stop() {
+			await delay(sampleMilliseconds * 3);
+			state.isStopped = true;
+			await running;
+			return samples;
+		},
+	};
+}
+
+/** The sum of a metric of the link from the region, over its classes. */
+async function readMetric(node: TestNode, name: string, from: string): Promise<number> {
+	const answer = await request(`${node.metrics}/metrics`);
+	const text = await answer.body.text();
+	const lines = text.split('\n').filter(line => line.startsWith(`${name}{from="${from}"`));
+	return lines.reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0);
+}
--- a/packages/cli/tests/quotas.test.ts
+++ b/packages/cli/tests/quotas.test.ts
@@ -1,23 +1,36 @@
 /** The randomised run of the quotas finds each mechanism that is switched off. */
 import {expect, test} from 'vitest';
-import {productTiming, runQuotaFleet} from '../src/verification-quota-fleet.js';
+import {type FleetLoad, productTiming, runQuotaFleet} from '../src/verification-quota-fleet.js';
 import type {QuotaTiming} from '../src/verification-quota-node.js';
 
-type Case = {readonly name: string; readonly change: Partial<QuotaTiming>; readonly invariant: RegExp};
+type Case = {readonly name: string; readonly change: Partial<QuotaTiming>; readonly invariant: RegExp; readonly load?: FleetLoad};
 
 const mostSeeds = 100;
 const anyInvariant = /add up to no more|burst \+ rate x window|<= slots|<= its slots/v;
+const linkInvariant = /cross a link|of a link's quota/v;
 
 test.each<Case>([
 	{name: 'raising before all members agree', change: {isRaisingAlone: true}, invariant: anyInvariant},
 	{name: 'using floors without a lease', change: {leaseMilliseconds: Number.POSITIVE_INFINITY}, invariant: anyInvariant},
 	{name: 'reusing a fenced share before its lease has ended', change: {expiryMilliseconds: 0}, invariant: anyInvariant},
 	{name: 'reusing slots before the requests on them have ended', change: {requestMilliseconds: 0}, invariant: /slots/v},
-])('$name breaks a limit', async ({change, invariant}) => {
+	{
+		name: 'raising parts of a link before all members agree', change: {isRaisingAlone: true}, invariant: linkInvariant, load: 'links',
+	},
+	{
+		name: 'using parts of a link without a lease', change: {leaseMilliseconds: Number.POSITIVE_INFINITY}, invariant: linkInvariant, load: 'links',
+	},
+	{
+		name: 'reusing a fenced part of a link before its lease has ended', change: {expiryMilliseconds: 0, requestMilliseconds: 0}, invariant: linkInvariant, load: 'links',
+	},
+	{
+		name: 'reusing a part of a link before the bodies on it have ended', change: {requestMilliseconds: 0}, invariant: linkInvariant, load: 'links',
+	},
+])('$name breaks a limit', async ({change, invariant, load}) => {
 	let message = '';
 	for (let seed = 1; seed <= mostSeeds && message === ''; seed++) {
 		try {
-			await runQuotaFleet(seed, {...productTiming, ...change});
+			await runQuotaFleet(seed, {...productTiming, ...change}, load);
 		} catch (error) {
 			message = String(error);
 		}
@@ -26,6 +39,11 @@
 	expect(message).toMatch(invariant);
 });
 
+test('bodies cross the links in the randomised run', async () => {
+	const totals = await runQuotaFleet(1, productTiming, 'links');
+	expect(totals.crossed).toBeGreaterThan(0);
+});
+
 test('a VM that was replaced while cut off holds nothing once its lease has ended', async () => {
 	// Seed 1156 broke a customer's rate when a lone member renewed its own lease.
 	await expect(runQuotaFleet(1156)).resolves.toMatchObject({admitted: expect.any(Number) as number});
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -15,6 +15,8 @@
 import {createHedgeDelays} from './hedge-delays.js';
 import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
 import {type Idempotency, createIdempotency} from './idempotency-parts.js';
+import {createLinkMeter} from './link-meter.js';
+import {registerLinkMetrics} from './link-metrics.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
 import {sendProblem} from './problem.js';
@@ -44,7 +46,9 @@
 	order: startOrder,
 	async start(context) {
 		const {bus, settings} = context;
-		const {requests, slots} = getNodeQuotas(context);
+		const {requests, slots, links} = getNodeQuotas(context);
+		const meter = createLinkMeter(links, settings.node.region);
+		registerLinkMetrics(context.metrics, links.getStates);
 		let weights = createCustomerWeights([]);
 		const state: EntryState = {
 			context,
@@ -53,8 +57,9 @@
 			idempotency: createIdempotency(context),
 			quotas: requests,
 			selector: createTargetSelector({
-				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics, getWeight: customer => weights.getWeight(customer),
+				quota: slots, region: settings.node.region, clock: context.clock, registry: context.metrics, isRegionOpen: meter.isRegionOpen, getWeight: customer => weights.getWeight(customer),
 			}),
+			links: meter,
 			pools: createTargetPools(settings.limits.connectionsPerTarget),
 			versions: createVersionChooser(),
 			retries: createRetryBudgets(),
--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -67,12 +67,14 @@
 	}
 }
 
-function start(parts: EntryParts, exchange: Exchange, {selection, body, onClaim}: AttemptParts): Attempt {
+function start(parts: EntryParts, exchange: Exchange, {selection, body, signals, onClaim}: AttemptParts): Attempt {
 	const {request, response, requestId, customer, key} = exchange;
 	const {target} = selection;
 	const deadlineMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
 	return startAttempt({
-		pool: parts.pools.getPool(target),
+		pool: parts.links.getDispatcher(parts.pools.getPool(target), {
+			region: target.region, class: exchange.route.class, deadlineMilliseconds, signal: signals.attempt,
+		}),
 		method: request.method ?? 'GET',
 		path: request.url ?? '/',
 		headers: getForwardHeaders(request, {
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -15,6 +15,7 @@
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
+import type {LinkMeter} from './link-meter.js';
 import type {NodeContext} from './node-context.js';
 import {type Problem, sendProblem} from './problem.js';
 import type {RetryBudgets} from './retry-budgets.js';
@@ -29,6 +30,7 @@
 	readonly routing: RoutingTable;
 	readonly selector: TargetSelector;
 	readonly pools: TargetPools;
+	readonly links: LinkMeter;
 	readonly versions: VersionChooser;
 	readonly retries: RetryBudgets;
 	readonly hedges: HedgeDelays;
@@ -235,6 +237,12 @@
 
 function getLossProblem({cause}: ForwardOutcome & {readonly kind: 'not-sent' | 'lost'}, outcome: RequestOutcome): Problem {
 	switch (cause) {
+		case 'link': {
+			return {
+				status: 503, outcome, reason: 'link-used-up', detail: 'the link to the target\'s region had no room in time', retryAfterMilliseconds,
+			};
+		}
+
 		case 'deadline': {
 			return {
 				status: 504, outcome, reason: 'deadline', detail: 'the deadline has passed',
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -12,10 +12,11 @@
 } from './answer.js';
 import {CallerBodyError} from './caller-body.js';
 import {headerNames} from './constants.js';
+import type {RequestDispatcher} from './link-meter.js';
 import {getAnswerHeaders} from './request-headers.js';
 
 export type ForwardOptions = {
-	readonly pool: Dispatcher;
+	readonly pool: RequestDispatcher;
 	readonly method: string;
 	readonly path: string;
 	readonly headers: string[];
@@ -32,7 +33,8 @@
 	readonly claimResponse: () => ServerResponse | undefined;
 };
 
-export type LossCause = 'target' | 'deadline' | 'caller-gone' | 'superseded' | 'body-too-large' | 'body-too-slow';
+/** `link` says that the quota of a link between regions gave no room in time. */
+export type LossCause = 'target' | 'deadline' | 'link' | 'caller-gone' | 'superseded' | 'body-too-large' | 'body-too-slow';
 
 /** What became of the request at this target. */
 export type ForwardOutcome
@@ -52,7 +54,8 @@
 	abort: (cause: LossCause) => void;
 };
 
-class AttemptAbort extends Error {
+/** Why an attempt was ended early. */
+export class AttemptAbort extends Error {
 	constructor(readonly abortCause: LossCause, message: string) {
 		super(message);
 	}
--- /dev/null
+++ b/packages/node/src/link-meter.ts
@@ -0,0 +1,252 @@
+/**
+ * Keeps the bodies of requests to other regions, and of their answers, within
+ * the quotas of the links. Bytes are reserved before they may come: a request
+ * is sent, and an answer read on, only with a reservation for the next read.
+ */
+import {Buffer} from 'node:buffer';
+import {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import {type RequestClass, getLinkName, linkReadBytes} from '@catkindale/policy';
+import {AttemptAbort} from './forward.js';
+import type {LinkQuotas, LinkTransfer} from './link-quotas.js';
+
+export type RequestDispatcher = Pick<Dispatcher, 'dispatch'>;
+
+export type LinkMeter = {
+	/** Whether both ways between this region and the other let another request cross. */
+	isRegionOpen: (region: string) => boolean;
+	/** The dispatcher for one request to a target of the region. */
+	getDispatcher: (pool: Dispatcher, crossing: Crossing) => RequestDispatcher;
+};
+
+export type Crossing = {
+	/** The region of the target. */
+	readonly region: string;
+	readonly class: RequestClass;
+	readonly deadlineMilliseconds: number;
+	/** Aborted when the caller goes away. */
+	readonly signal: AbortSignal;
+};
+
+const largestPartBytes = 65_536;
+/** The part of its time that a request may wait for the link; the rest is for the target. */
+const longestWaitPart = 0.5;
+
+export function createLinkMeter(links: LinkQuotas, ownRegion: string): LinkMeter {
+	const getNames = (region: string): {readonly there: string; readonly back: string} => ({
+		there: getLinkName({from: ownRegion, to: region}),
+		back: getLinkName({from: region, to: ownRegion}),
+	});
+
+	return {
+		isRegionOpen(region) {
+			const {there, back} = getNames(region);
+			return links.isOpen(there) && links.isOpen(back);
+		},
+		getDispatcher(pool, crossing) {
+			const {region, class: requestClass} = crossing;
+			const {there, back} = getNames(region);
+			if (region === ownRegion || !(links.isLimited(there) || links.isLimited(back))) {
+				return pool;
+			}
+
+			return {
+				dispatch(options, handler) {
+					const request = links.open(there, requestClass);
+					const answer = links.open(back, requestClass);
+					const callOff = closeWhenUseless(answer, crossing);
+					const metered = meterAnswer(handler, {request, answer, body: options.body});
+					answer.reserve(linkReadBytes, isReserved => {
+						callOff();
+						if (isReserved) {
+							pool.dispatch(meterRequest(options, request), metered);
+						} else {
+							metered.onResponseError?.(unusedController, new AttemptAbort('link', 'the link had no room in time'));
+						}
+					});
+					return true;
+				},
+			};
+		},
+	};
+}
+
+/** Ends the waiting of a request that is too late for an answer or whose caller has gone; returns how to call it off. */
+function closeWhenUseless(transfer: LinkTransfer, {deadlineMilliseconds, signal}: Crossing): () => void {
+	const timer = setTimeout(transfer.close, deadlineMilliseconds * longestWaitPart);
+	signal.addEventListener('abort', transfer.close);
+	return () => {
+		clearTimeout(timer);
+		signal.removeEventListener('abort', transfer.close);
+	};
+}
+
+function meterRequest(options: Dispatcher.DispatchOptions, transfer: LinkTransfer): Dispatcher.DispatchOptions {
+	const {body} = options;
+	if (Buffer.isBuffer(body)) {
+		return {...options, body: Readable.from(sendMetered([body], transfer)), headers: addLength(options.headers, body.length)};
+	}
+
+	return body instanceof Readable ? {...options, body: Readable.from(sendMetered(body, transfer))} : options;
+}
+
+/** The body of a request, each part once it is reserved; it ends early with the transfer. */
+async function * sendMetered(chunks: Iterable<Buffer> | AsyncIterable<Buffer>, transfer: LinkTransfer): AsyncGenerator<Buffer> {
+	for await (const chunk of chunks) {
+		for (let start = 0; start < chunk.length; start += largestPartBytes) {
+			const part = chunk.subarray(start, start + largestPartBytes);
+			const isReserved = await new Promise<boolean>(resolve => {
+				transfer.reserve(part.length, resolve);
+			});
+			if (!isReserved) {
+				return;
+			}
+
+			transfer.use(part.length);
+			yield part;
+		}
+	}
+}
+
+/** A body of known length keeps it although it is sent in parts. */
+function addLength(headers: Dispatcher.DispatchOptions['headers'], length: number): Dispatcher.DispatchOptions['headers'] {
+	const list = Array.isArray(headers) ? headers : [];
+	const hasLength = list.some((header, index) => index % 2 === 0 && header.toLowerCase() === 'content-length');
+	return hasLength ? list : [...list, 'content-length', String(length)];
+}
+
+type MeteredParts = {
+	readonly request: LinkTransfer;
+	readonly answer: LinkTransfer;
+	/** The request's body as it was given. */
+	readonly body: Dispatcher.DispatchOptions['body'];
+};
+
+function meterAnswer(handler: Dispatcher.DispatchHandler, {request, answer, body}: MeteredParts): Dispatcher.DispatchHandler {
+	let shared: SharedController | undefined;
+	/** Bytes of the answer that are still to come; infinite if it doesn't tell its length. */
+	let remaining = Infinity;
+	const getShared = (controller: Dispatcher.DispatchController): SharedController => {
+		shared ??= createSharedController(controller);
+		return shared;
+	};
+
+	const close = (): void => {
+		request.close();
+		answer.close();
+	};
+
+	/** Reserves what the next read may bring; until then nothing is read. */
+	const reserveNext = (controller: SharedController): void => {
+		const missing = Math.min(linkReadBytes, remaining) - answer.getReserved();
+		if (missing > 0) {
+			controller.hold();
+			answer.reserve(missing, isReserved => {
+				if (isReserved) {
+					controller.letGo();
+				}
+			});
+		} else if (missing < 0) {
+			answer.release(-missing);
+		}
+	};
+
+	return {
+		onRequestStart(controller, context) {
+			handler.onRequestStart?.(getShared(controller), context);
+		},
+		onResponseStart(controller, status, headers, message) {
+			const length = Number(headers['content-length'] ?? Number.NaN);
+			if (status >= 200 && Number.isFinite(length)) {
+				remaining = length;
+				reserveNext(getShared(controller));
+			}
+
+			handler.onResponseStart?.(getShared(controller), status, headers, message);
+		},
+		onResponseData(controller, chunk) {
+			remaining -= chunk.length;
+			answer.use(chunk.length);
+			reserveNext(getShared(controller));
+			handler.onResponseData?.(getShared(controller), chunk);
+		},
+		onResponseEnd(controller, trailers) {
+			close();
+			handler.onResponseEnd?.(getShared(controller), trailers);
+		},
+		onResponseError(controller, error) {
+			close();
+			if (body instanceof Readable) {
+				body.destroy();
+			}
+
+			handler.onResponseError?.(getShared(controller), error);
+		},
+	};
+}
+
+/** Of a request that was never handed to a connection. */
+const unusedController: Dispatcher.DispatchController = {
+	aborted: true,
+	paused: false,
+	reason: null,
+	abort() {
+		// Nothing was begun.
+	},
+	pause() {
+		// Nothing comes.
+	},
+	resume() {
+		// Nothing comes.
+	},
+};
+
+/** A controller that two may pause; it goes on only when neither does. */
+type SharedController = Dispatcher.DispatchController & {hold: () => void; letGo: () => void};
+
+function createSharedController(controller: Dispatcher.DispatchController): SharedController {
+	let isPaused = false;
+	let isHeld = false;
+	const goOn = (): void => {
+		if (!isPaused && !isHeld) {
+			controller.resume();
+		}
+	};
+
+	return {
+		get aborted() {
+			return controller.aborted;
+		},
+		get paused() {
+			return controller.paused;
+		},
+		get reason() {
+			return controller.reason;
+		},
+		get rawHeaders() {
+			return controller.rawHeaders ?? null;
+		},
+		get rawTrailers() {
+			return controller.rawTrailers ?? null;
+		},
+		abort(reason) {
+			controller.abort(reason);
+		},
+		pause() {
+			isPaused = true;
+			controller.pause();
+		},
+		resume() {
+			isPaused = false;
+			goOn();
+		},
+		hold() {
+			isHeld = true;
+			controller.pause();
+		},
+		letGo() {
+			isHeld = false;
+			goOn();
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/src/link-metrics.ts
@@ -0,0 +1,47 @@
+/** What operators see of the links between regions: bytes that crossed, this node's quota, transfers that wait. */
+import {Counter, Gauge, type Registry} from 'prom-client';
+import {requestClasses} from '@catkindale/policy';
+import type {LinkState} from './link-quotas.js';
+
+/** Registers the metrics; `getStates` is called at each scrape. */
+export function registerLinkMetrics(registry: Registry, getStates: () => readonly LinkState[]): void {
+	const registers = [registry];
+	const crossed = new Counter({
+		name: 'catkindale_link_bytes_total',
+		help: 'Bytes of bodies that this node let cross between two regions',
+		labelNames: ['from', 'to', 'class'],
+		registers,
+		collect() {
+			crossed.reset();
+			for (const {from, to, crossed: bytes} of getStates()) {
+				for (const requestClass of requestClasses) {
+					crossed.inc({from, to, class: requestClass}, bytes[requestClass]);
+				}
+			}
+		},
+	});
+	const quota = new Gauge({
+		name: 'catkindale_link_quota_bytes_per_second',
+		help: 'Part of a link that this node may use',
+		labelNames: ['from', 'to'],
+		registers,
+		collect() {
+			quota.reset();
+			for (const {from, to, floor} of getStates()) {
+				quota.set({from, to}, floor.rate);
+			}
+		},
+	});
+	const waiting = new Gauge({
+		name: 'catkindale_link_waiting',
+		help: 'Bodies that wait for quota of a link',
+		labelNames: ['from', 'to'],
+		registers,
+		collect() {
+			waiting.reset();
+			for (const {from, to, waiting: count} of getStates()) {
+				waiting.set({from, to}, count);
+			}
+		},
+	});
+}
--- a/packages/node/src/node-quotas.ts
+++ b/packages/node/src/node-quotas.ts
@@ -3,6 +3,7 @@
 import type {MessageBus} from '@catkindale/kernel';
 import type {PeerMessage} from '@catkindale/protocol';
 import {type LeaseClock, createLeaseClock} from './lease-clock.js';
+import {type LinkQuotas, createLinkQuotas} from './link-quotas.js';
 import type {NodeContext} from './node-context.js';
 import type {NodeMessage} from './node-messages.js';
 import {type QuotaLedger, createQuotaLedger} from './quota-ledger.js';
@@ -15,6 +16,7 @@
 	readonly ledger: QuotaLedger;
 	readonly requests: RequestQuotas;
 	readonly slots: SlotQuota;
+	readonly links: LinkQuotas;
 	readonly clock: LeaseClock;
 	/** Ends the subscriptions. */
 	end: () => void;
@@ -75,8 +77,11 @@
 			bus.publish({type: 'slots-gained', target});
 		},
 	});
+	const links = createLinkQuotas({
+		schedule: scheduleTimer, ...options, clock, lease,
+	});
 	const ledger = createQuotaLedger({
-		...options, clock, lease, requests, slots,
+		...options, clock, lease, requests, slots, links,
 	});
 	const ending = bus.subscribe('peer-received', ({from, message}) => {
 		requests.receive(from, message);
@@ -87,10 +92,12 @@
 		ledger,
 		requests,
 		slots,
+		links,
 		clock,
 		end() {
 			ending();
 			ledger.end();
+			links.end();
 		},
 	};
 }
--- a/packages/node/src/quota-ledger.ts
+++ b/packages/node/src/quota-ledger.ts
@@ -11,6 +11,7 @@
 } from '@catkindale/policy';
 import type {LedgerReportMessage} from '@catkindale/protocol';
 import type {LeaseClock} from './lease-clock.js';
+import type {LinkQuotas} from './link-quotas.js';
 import type {NodeMessage} from './node-messages.js';
 import type {QuotaLease} from './quota-lease.js';
 import type {RequestQuotas} from './request-quotas.js';
@@ -24,6 +25,7 @@
 	readonly lease: QuotaLease;
 	readonly requests: RequestQuotas;
 	readonly slots: SlotQuota;
+	readonly links: LinkQuotas;
 	readonly pauseLimitMilliseconds: number;
 };
 
@@ -44,7 +46,7 @@
 const ticksPerReport = 2;
 
 export function createQuotaLedger(options: QuotaLedgerOptions): QuotaLedger {
-	const {bus, clock, lease, requests, slots, ownId} = options;
+	const {bus, clock, lease, requests, slots, links, ownId} = options;
 	let view = createLedgerView(options.incarnation);
 	let holders: readonly Holder[] = [];
 	let reported: LedgerMark = {epoch: 0, version: 0};
@@ -76,6 +78,7 @@
 		const shares = {incarnation: view.incarnation, holders: isStopped ? [] : holders};
 		requests.lower(shares);
 		slots.lower(shares);
+		links.lower(shares);
 	};
 
 	const raise = (): void => {
@@ -89,6 +92,7 @@
 
 		if (isSlotRaiseAllowed(view)) {
 			slots.raise(getOverhang(view));
+			links.raise(getOverhang(view));
 		}
 	};
 
@@ -98,7 +102,7 @@
 			reported = getMark(view);
 		}
 
-		const overhang = [...slots.getOverhang()];
+		const overhang = [...slots.getOverhang(), ...links.getOverhang()];
 		for (const member of view.ledger.members) {
 			if (member.id === ownId) {
 				continue;
@@ -143,6 +147,7 @@
 		lease.end();
 		requests.lower({incarnation: view.incarnation, holders: []});
 		slots.lower({incarnation: view.incarnation, holders: []});
+		links.lower({incarnation: view.incarnation, holders: []});
 		return view.incarnation;
 	};
 
@@ -171,6 +176,7 @@
 		view = updateVersion(view, version);
 		requests.setCustomers(configuration.customers);
 		slots.setTargets(configuration.targets);
+		links.setLinks(configuration.links);
 		lower();
 		report();
 		raise();
@@ -202,6 +208,7 @@
 			renewLease();
 			requests.tick();
 			slots.tick();
+			links.tick();
 			raise();
 			ticks += 1;
 			if (ticks % ticksPerReport === 0 || (!isReportedCurrent() && !requests.hasOverhang())) {
@@ -212,7 +219,7 @@
 			isStopped = true;
 			lease.end();
 			lower();
-			return !requests.hasOverhang() && slots.getOverhang().size === 0;
+			return !requests.hasOverhang() && slots.getOverhang().size === 0 && links.getOverhang().size === 0;
 		},
 		renew,
 		end() {
--- a/packages/policy/src/configuration-check.ts
+++ b/packages/policy/src/configuration-check.ts
@@ -124,6 +124,20 @@
 		}
 	}
 
+	const pairs = new Set<string>();
+	for (const [index, {from, to}] of configuration.links.entries()) {
+		const pair = `${from} to ${to}`;
+		if (from === to) {
+			report(['links', index, 'to'], 'a link joins two regions');
+		}
+
+		if (pairs.has(pair)) {
+			report(['links', index, 'to'], `the link from "${from}" to "${to}" is declared twice`);
+		}
+
+		pairs.add(pair);
+	}
+
 	for (const [index, block] of configuration.clientBlocks.entries()) {
 		expectKnown(regions, block.region, ['clientBlocks', index, 'region'], report);
 	}
--- a/packages/policy/src/configuration.ts
+++ b/packages/policy/src/configuration.ts
@@ -8,6 +8,7 @@
 const positive = z.number().positive();
 const share = z.number().min(0).max(1);
 const defaultDeadlineMilliseconds = 10_000;
+const leastLinkBurstBytes = 262_144;
 
 /** Classes of requests; interactive ones go first, bulk keeps a minimum. */
 export const requestClasses = ['interactive', 'bulk'] as const;
@@ -17,7 +18,10 @@
 export const linkSchema = z.strictObject({
 	from: name,
 	to: name,
+	/** Bytes of requests' and answers' bodies that may cross, from all nodes together. */
 	bytesPerSecond: positive,
+	/** Bytes that may cross at once; those of one second by default. */
+	burstBytes: z.int().min(leastLinkBurstBytes).optional(),
 });
 
 export const customerSchema = z.strictObject({
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -9,6 +9,8 @@
 export * from './entry-ranking.js';
 export * from './evidence.js';
 export * from './evidence-test.js';
+export * from './link-floors.js';
+export * from './link-quota.js';
 export * from './member.js';
 export * from './latency-quantile.js';
 export * from './retry-budget.js';
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -89,6 +89,9 @@
 	/** The regions whose targets serve without a limit: the own one, or all when it has no target. */
 	const isHome = (region: RegionTargets): boolean => region.name === options.region || (regions.get(options.region)?.size ?? 0) === 0;
 
+	/** Whether requests may go there: always within the own region, elsewhere as the link allows. */
+	const isReachable = (region: RegionTargets): boolean => region.name === options.region || isRegionOpen(region.name);
+
 	const setPause = (candidate: Candidate, wakeAt: number): void => {
 		paused.remove(candidate);
 		candidate.wakeAt = wakeAt;
@@ -156,7 +159,7 @@
 	};
 
 	const chooseAtHome = (request: ChoiceRequest, now: number): Candidate | undefined => {
-		const chosen = [...regions.values()].filter(region => isHome(region)).map(region => chooseIn(region, request.excluded, now));
+		const chosen = [...regions.values()].filter(region => isHome(region) && isReachable(region)).map(region => chooseIn(region, request.excluded, now));
 		const found = chosen.filter(candidate => candidate !== undefined);
 		return found.toSorted((left, right) => getScore(left, now) - getScore(right, now))[0];
 	};
@@ -191,7 +194,7 @@
 		const isHomeIll = !home || home.usable === 0 || home.failureShare > failingShare;
 		const found: Candidate[] = [];
 		for (const region of regions.values()) {
-			if (isHome(region) || region.free.length === 0 || !isRegionOpen(region.name) || !isSpillUseful(region, request)) {
+			if (isHome(region) || region.free.length === 0 || !isReachable(region) || !isSpillUseful(region, request)) {
 				continue;
 			}
 
@@ -319,7 +322,7 @@
 		},
 		hasFree(now) {
 			wake(now);
-			return [...regions.values()].some(region => isHome(region) && region.free.length > 0);
+			return [...regions.values()].some(region => isHome(region) && region.free.length > 0 && isReachable(region));
 		},
 		getUsableSlots() {
 			const atHome = sumRegions(region => isHome(region) ? region.usable : 0);
