Answer small requests over a link while uploads to the same region run

Cause: each request reserved a read of its answer, 128 KiB, before it was sent. Three uploads whose answers were awaited held the node's whole part of the way back, so that an order waited half of its deadline and was refused: "expected 503 to be 200" after 5 s (trial of packages/cli/tests/links.test.ts).

The first part of a request's body is now reserved before it is begun, and an answer is paused after its head until what it brings is reserved. That is less too: the head tells the length.

Ruled out: a smaller reservation before sending, as one read may bring 128 KiB.

Test shown failing first: packages/node/tests/link-meter.test.ts "requests whose answers are awaited keep nothing of the link: expected false to be true".

What lies in a socket's receive buffer isn't counted yet.

--- a/packages/node/src/link-meter.ts
+++ b/packages/node/src/link-meter.ts
@@ -1,12 +1,14 @@
 /**
  * Keeps the bodies of requests to other regions, and of their answers, within
- * the quotas of the links. Bytes are reserved before they may come: a request
- * is sent, and an answer read on, only with a reservation for the next read.
+ * the quotas of the links. Bytes are reserved before they are passed on: a
+ * request is sent, and an answer read on after its head, only with a
+ * reservation for the next part.
  */
 import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import {type RequestClass, getLinkName, linkReadBytes} from '@catkindale/policy';
+import {isBodyless} from './answer.js';
 import {AttemptAbort} from './forward.js';
 import type {LinkQuotas, LinkTransfer} from './link-quotas.js';
 
@@ -16,7 +18,7 @@
 	/** Whether both ways between this region and the other let another request cross. */
 	isRegionOpen: (region: string) => boolean;
 	/** The dispatcher for one request to a target of the region. */
-	getDispatcher: (pool: Dispatcher, crossing: Crossing) => RequestDispatcher;
+	getDispatcher: (pool: RequestDispatcher, crossing: Crossing) => RequestDispatcher;
 };
 
 export type Crossing = {
@@ -28,6 +30,7 @@
 	readonly signal: AbortSignal;
 };
 
+const firstFinalStatus = 200;
 const largestPartBytes = 65_536;
 /** The part of its time that a request may wait for the link; the rest is for the target. */
 const longestWaitPart = 0.5;
@@ -54,9 +57,16 @@
 				dispatch(options, handler) {
 					const request = links.open(there, requestClass);
 					const answer = links.open(back, requestClass);
-					const callOff = closeWhenUseless(answer, crossing);
-					const metered = meterAnswer(handler, {request, answer, body: options.body});
-					answer.reserve(linkReadBytes, isReserved => {
+					const metered = meterAnswer(handler, {
+						request, answer, method: options.method, body: options.body,
+					});
+					const firstBytes = getFirstBytes(options.body);
+					if (firstBytes === 0) {
+						return pool.dispatch(options, metered);
+					}
+
+					const callOff = closeWhenUseless(request, crossing);
+					request.reserve(firstBytes, isReserved => {
 						callOff();
 						if (isReserved) {
 							pool.dispatch(meterRequest(options, request), metered);
@@ -81,6 +91,15 @@
 	};
 }
 
+/** What must be reserved before a request is begun, so that one without room surely isn't sent. */
+function getFirstBytes(body: Dispatcher.DispatchOptions['body']): number {
+	if (Buffer.isBuffer(body)) {
+		return Math.min(body.length, largestPartBytes);
+	}
+
+	return body instanceof Readable ? largestPartBytes : 0;
+}
+
 function meterRequest(options: Dispatcher.DispatchOptions, transfer: LinkTransfer): Dispatcher.DispatchOptions {
 	const {body} = options;
 	if (Buffer.isBuffer(body)) {
@@ -95,8 +114,9 @@
 	for await (const chunk of chunks) {
 		for (let start = 0; start < chunk.length; start += largestPartBytes) {
 			const part = chunk.subarray(start, start + largestPartBytes);
-			const isReserved = await new Promise<boolean>(resolve => {
-				transfer.reserve(part.length, resolve);
+			const missing = part.length - transfer.getReserved();
+			const isReserved = missing <= 0 || await new Promise<boolean>(resolve => {
+				transfer.reserve(missing, resolve);
 			});
 			if (!isReserved) {
 				return;
@@ -118,11 +138,12 @@
 type MeteredParts = {
 	readonly request: LinkTransfer;
 	readonly answer: LinkTransfer;
+	readonly method: string;
 	/** The request's body as it was given. */
 	readonly body: Dispatcher.DispatchOptions['body'];
 };
 
-function meterAnswer(handler: Dispatcher.DispatchHandler, {request, answer, body}: MeteredParts): Dispatcher.DispatchHandler {
+function meterAnswer(handler: Dispatcher.DispatchHandler, {request, answer, method, body}: MeteredParts): Dispatcher.DispatchHandler {
 	let shared: SharedController | undefined;
 	/** Bytes of the answer that are still to come; infinite if it doesn't tell its length. */
 	let remaining = Infinity;
@@ -136,7 +157,7 @@
 		answer.close();
 	};
 
-	/** Reserves what the next read may bring; until then nothing is read. */
+	/** Reserves what the next read may bring; until then nothing is read on. */
 	const reserveNext = (controller: SharedController): void => {
 		const missing = Math.min(linkReadBytes, remaining) - answer.getReserved();
 		if (missing > 0) {
@@ -146,8 +167,6 @@
 					controller.letGo();
 				}
 			});
-		} else if (missing < 0) {
-			answer.release(-missing);
 		}
 	};
 
@@ -156,9 +175,8 @@
 			handler.onRequestStart?.(getShared(controller), context);
 		},
 		onResponseStart(controller, status, headers, message) {
-			const length = Number(headers['content-length'] ?? Number.NaN);
-			if (status >= 200 && Number.isFinite(length)) {
-				remaining = length;
+			if (status >= firstFinalStatus) {
+				remaining = getBodyLength(method, status, headers['content-length']);
 				reserveNext(getShared(controller));
 			}
 
@@ -201,6 +219,15 @@
 	},
 };
 
+/** Bytes of the answer's body; infinite if it doesn't tell. */
+function getBodyLength(method: string, status: number, length: string | string[] | undefined): number {
+	if (isBodyless(method, status)) {
+		return 0;
+	}
+
+	return length === undefined ? Infinity : Number(length);
+}
+
 /** A controller that two may pause; it goes on only when neither does. */
 type SharedController = Dispatcher.DispatchController & {hold: () => void; letGo: () => void};
 
