Don't take a target for slow because its caller's download or upload is long

Cause: the time to the head of an answer was optional and never set, so that latency counted the whole body. After six downloads of 1 MB over a full link, a small order was refused at once, as it seemed that it couldn't be in time: "expected 504 to be 200" (packages/cli/tests/links.test.ts).

The entry now times each attempt from the whole request to the head of its answer.

Ruled out: timing from the start of the request, which would count a caller's slow upload and the wait for a link.

A target that takes a large body in slowly isn't seen by this.

--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of an exchange at a selected target, and what later choices learn from it. */
 import type {Target} from '@catkindale/policy';
+import {type TimedDispatcher, createTimedDispatcher} from './attempt-timing.js';
 import type {CallerBody} from './caller-body.js';
 import type {EntryParts, Exchange, ExchangeSignals} from './exchange.js';
 import {
@@ -16,6 +17,8 @@
 	readonly onClaim?: () => void;
 };
 
+type TimedAttempt = Attempt & Pick<TimedDispatcher, 'getHeadMilliseconds'>;
+
 export type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
 
 export type RunningAttempt = {
@@ -36,7 +39,7 @@
 	};
 }
 
-async function finishAttempt(parts: EntryParts, exchange: Exchange, {selection, signals}: AttemptParts, attempt: Attempt | undefined): Promise<AttemptRecord> {
+async function finishAttempt(parts: EntryParts, exchange: Exchange, {selection, signals}: AttemptParts, attempt: TimedAttempt | undefined): Promise<AttemptRecord> {
 	const {clock, bus} = parts.context;
 	const {target} = selection;
 	const startedAt = clock.monotonic();
@@ -47,7 +50,12 @@
 	signals.attempt.addEventListener('abort', cancel);
 	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller went away'};
 	signals.attempt.removeEventListener('abort', cancel);
-	const result: AttemptResult = {kind: getResultKind(outcome), milliseconds: clock.monotonic() - startedAt};
+	const headMilliseconds = attempt?.getHeadMilliseconds();
+	const result: AttemptResult = {
+		kind: getResultKind(outcome),
+		milliseconds: clock.monotonic() - startedAt,
+		...(headMilliseconds !== undefined && {headMilliseconds}),
+	};
 	learn(parts, exchange, {target, outcome}, result);
 	selection.finish(result);
 	bus.publish({
@@ -67,12 +75,13 @@
 	}
 }
 
-function start(parts: EntryParts, exchange: Exchange, {selection, body, signals, onClaim}: AttemptParts): Attempt {
+function start(parts: EntryParts, exchange: Exchange, {selection, body, signals, onClaim}: AttemptParts): TimedAttempt {
 	const {request, response, requestId, customer, key} = exchange;
 	const {target} = selection;
 	const deadlineMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
-	return startAttempt({
-		pool: parts.links.getDispatcher(parts.pools.getPool(target), {
+	const timed = createTimedDispatcher(parts.pools.getPool(target), parts.context.clock);
+	const attempt = startAttempt({
+		pool: parts.links.getDispatcher(timed, {
 			region: target.region, class: exchange.route.class, deadlineMilliseconds, signal: signals.attempt,
 		}),
 		method: request.method ?? 'GET',
@@ -96,6 +105,7 @@
 			return response;
 		},
 	});
+	return {...attempt, getHeadMilliseconds: timed.getHeadMilliseconds};
 }
 
 function getResultKind(outcome: ForwardOutcome): AttemptResult['kind'] {
