--- a/packages/cli/src/verification-quota-node.ts
+++ b/packages/cli/src/verification-quota-node.ts
@@ -24,6 +24,7 @@
 
 export type SimulatedNode = {
 	readonly id: string;
+	readonly region: string;
 	readonly incarnation: string;
 	readonly quotas: NodeQuotas;
 	isAlive: boolean;
@@ -87,6 +88,7 @@
 	let deferred: Array<() => void> = [];
 	const node: SimulatedNode = {
 		id,
+		region,
 		incarnation: options.incarnation,
 		quotas,
 		isAlive: true,
@@ -137,6 +139,7 @@
 		if (timing.isRaisingAlone) {
 			quotas.requests.raise();
 			quotas.slots.raise(new Set());
+			quotas.links.raise(new Set());
 		}
 	};
 
