Keep a key granted when a node comes back that missed the record of its withdrawal

A node that was cut off while it held a withdrawal, and came back after more than 64 changes, didn't find the record of it in the row's history any more. It took the withdrawal for unrecorded, told all nodes and recorded it once more: a key that had been granted anew meanwhile was withdrawn in the whole fleet. Changes that recorded a restriction now stay in the history behind the latest 64, up to 128 of them. Ruled out: letting restrictions lapse (one that isn't recorded would stop being in force); a history without bound.

--- a/packages/cli/tests/keys.test.ts
+++ b/packages/cli/tests/keys.test.ts
@@ -4,12 +4,18 @@
 	afterAll, beforeAll, beforeEach, describe, expect, test,
 } from 'vitest';
 import {hashText} from '@catkindale/common';
+import {type ConfigurationRecord, appendChange} from '@catkindale/policy';
+import {request} from 'undici';
 import {
 	type TestNode, type TestPlatform, applyManifest, callAdmin, cutNode, endProcesses, getManifest, getPeerAddress, sendRequest, setTableFaults, startFleet,
 	startNodeProcess, startPlatformProcesses, startTargets, waitForServing, waitForStatus, waitUntil,
 } from './helpers.js';
 
 const withdrawalLimitMilliseconds = 3000;
+/** More than the latest changes that the row keeps in any case. */
+const changesMeanwhile = 80;
+/** A node that holds a restriction records it within this time. */
+const recordMilliseconds = 6000;
 const key = 'key-to-withdraw';
 const headers = {authorization: `Bearer ${key}`};
 const regions = {oslo: ['oslo-a'], bergen: ['bergen-a'], tromso: ['tromso-a']};
@@ -113,6 +119,23 @@
 		await waitForAnyService();
 	});
 
+	test('stays granted when a node comes back that has missed the record of the withdrawal', async () => {
+		const away = nodes[2]!;
+		const others = nodes.slice(0, 2);
+		await cutNode(away, [], true);
+		expect(await withdraw(away)).toMatchObject({body: {result: 'restricted'}});
+		await waitForStatus(prices, headers, 401);
+		await cutNode(away, others, true);
+		await waitForNoRestrictions(others);
+		expect(await grant()).toMatchObject({status: 200, body: {result: 'accepted'}});
+		await writeChanges(changesMeanwhile);
+		await cutNode(away, [], false);
+		await waitForNoRestrictions();
+		await waitForAnyService();
+		const answers = await sendFor(recordMilliseconds);
+		expect(answers.filter(status => status === 401)).toEqual([]);
+	});
+
 	test('can\'t be granted while its withdrawal isn\'t recorded', async () => {
 		await setTableFaults(platform, {outage: true});
 		await withdraw(nodes[1]!);
@@ -125,9 +148,35 @@
 	return callAdmin(nodes[0]!, 'POST', '/v1/keys/grant', JSON.stringify({customer: 'wideroe', hash: hashText(key)}));
 }
 
-async function waitForNoRestrictions(): Promise<void> {
+/** Writes changes that change nothing, as operators elsewhere might. */
+async function writeChanges(count: number): Promise<void> {
+	for (let change = 0; change < count; change++) {
+		const read = await request(`${platform.table}/rows?key=configuration`);
+		const {rows} = await read.body.json() as {rows: Array<{version: number; value: ConfigurationRecord}>};
+		const {version, value} = rows[0]!;
+		const changeId = `change ${change}`;
+		const history = appendChange(value.history, {version: version + 1, changeId, author: 'berit'});
+		const body = JSON.stringify({changeId, writes: [{key: 'configuration', expectedVersion: version, value: {...value, history}}]});
+		const written = await request(`${platform.table}/transactions`, {method: 'POST', body});
+		expect(written.statusCode).toBe(200);
+		await written.body.dump();
+	}
+}
+
+async function sendFor(milliseconds: number): Promise<number[]> {
+	const statuses: number[] = [];
+	const endsAt = performance.now() + milliseconds;
+	while (performance.now() < endsAt) {
+		statuses.push(...await sendAll());
+		await delay(100);
+	}
+
+	return statuses;
+}
+
+async function waitForNoRestrictions(asked: readonly TestNode[] = nodes): Promise<void> {
 	await waitUntil(async () => {
-		const statuses = await Promise.all(nodes.map(async node => callAdmin(node, 'GET', '/v1/status')));
+		const statuses = await Promise.all(asked.map(async node => callAdmin(node, 'GET', '/v1/status')));
 		return statuses.every(status => (status.body.restrictions as unknown[]).length === 0) || undefined;
 	}, 'all restrictions recorded');
 }
--- a/packages/policy/src/configuration-record.ts
+++ b/packages/policy/src/configuration-record.ts
@@ -12,7 +12,7 @@
 });
 
 export const configurationRecordSchema = z.object({
-	/** The latest changes, oldest first; the last one wrote this version. */
+	/** The latest changes and, further back, those that recorded a restriction; oldest first. The last one wrote this version. */
 	history: z.array(committedChangeSchema),
 	configuration: configurationSchema,
 });
@@ -24,8 +24,15 @@
 export type VersionedRecord = ConfigurationRecord & {readonly version: number};
 
 const maximumHistory = 64;
+/**
+ * Changes that recorded a restriction are kept for longer: a node that was
+ * away would otherwise record the restriction once more.
+ */
+const maximumRestrictionHistory = 128;
 
 /** The history after one more change. */
 export function appendChange(history: readonly CommittedChange[], change: CommittedChange): CommittedChange[] {
-	return [...history, change].slice(-maximumHistory);
+	const all = [...history, change];
+	const earlier = all.slice(0, -maximumHistory).filter(({restriction}) => restriction !== undefined);
+	return [...earlier.slice(-maximumRestrictionHistory), ...all.slice(-maximumHistory)];
 }
--- a/packages/policy/tests/quota-floors.test.ts
+++ b/packages/policy/tests/quota-floors.test.ts
@@ -59,7 +59,12 @@
 	const members = createHolders(3).map((holder): Member => ({
 		...holder, callerAddress: '', peerAddress: '', state: 'live', isEntry: holder.id !== 'node-0',
 	}));
-	const sharers = getHolders(members.reduce((ledger, member) => joinLedger(ledger, member), emptyLedger));
+	let ledger = emptyLedger;
+	for (const member of members) {
+		ledger = joinLedger(ledger, member);
+	}
+
+	const sharers = getHolders(ledger);
 	const customer = {name: 'kommune', rate: 400, burst: 600};
 	const bursts = members.map(({incarnation}) => getRequestFloor(customer, incarnation, sharers).burst);
 	const slots = members.map(({incarnation}) => getSlotFloor(createTarget(5, 'ost'), incarnation, sharers));
