Tell the operator what to do when a key can't be granted yet

A grant that was refused because the key's withdrawal isn't recorded said so, but not whose withdrawal it was, that nothing was changed, that it is recorded by itself, nor what to do if it isn't.

Before (keys.test.ts, "can't be granted while its withdrawal isn't recorded"): failed, "expected 'a withdrawal of this key isn't recor…' to contain 'withdrawn by anna'". After: all 10 cases of keys.test.ts pass. The case is stricter than it was: it also asks for the text and for the grant that succeeds afterwards.

--- a/packages/cli/tests/keys.test.ts
+++ b/packages/cli/tests/keys.test.ts
@@ -140,7 +140,15 @@
 		await setTableFaults(platform, {outage: true});
 		await withdraw(nodes[1]!);
 		await waitForStatus(prices, headers, 401);
-		expect(await grant()).toMatchObject({status: 409, body: {result: 'refused'}});
+		const refused = await grant();
+		expect(refused).toMatchObject({status: 409, body: {result: 'refused'}});
+		for (const part of ['withdrawn by anna', 'nothing was changed', 'catkindale status', 'grant the key again', 'restore the table service']) {
+			expect(refused.body.detail).toContain(part);
+		}
+
+		await setTableFaults(platform, {});
+		await waitForNoRestrictions();
+		expect(await grant()).toMatchObject({status: 200, body: {result: 'accepted'}});
 	});
 });
 
--- a/packages/node/src/key-action.ts
+++ b/packages/node/src/key-action.ts
@@ -4,7 +4,9 @@
  */
 import {z} from 'zod';
 import {createIdentifier, fail, succeed} from '@catkindale/common';
-import {type Configuration, type CustomerKey, keySchema} from '@catkindale/policy';
+import {
+	type Configuration, type CustomerKey, type Restriction, keySchema,
+} from '@catkindale/policy';
 import {registerAdminAction} from './admin-actions.js';
 import {reportChange} from './change-report.js';
 import {type ConfigurationEdit, editConfiguration} from './configuration-change.js';
@@ -26,8 +28,9 @@
 		}
 
 		const {customer, hash} = body.value;
-		if (state.restrictions.some(restriction => restriction.kind === 'key-withdrawn' && restriction.hash === hash)) {
-			return {status: 409, body: {result: 'refused', detail: 'a withdrawal of this key isn\'t recorded in the table yet; try again once "catkindale status" no longer lists it'}};
+		const withdrawal = state.restrictions.find(restriction => restriction.kind === 'key-withdrawn' && restriction.hash === hash);
+		if (withdrawal) {
+			return {status: 409, body: {result: 'refused', detail: describeWithdrawal(withdrawal), restriction: withdrawal.id}};
 		}
 
 		const outcome = await editConfiguration(context, addKey({customer, hash}), {author: body.value.author});
@@ -50,6 +53,12 @@
 	},
 });
 
+function describeWithdrawal({id, author}: Restriction): string {
+	return `the key was withdrawn by ${author} (${id}), and the table doesn't hold this yet; nothing was changed. `
+		+ 'The withdrawal is recorded by itself within seconds once the table can be written. '
+		+ 'Wait until "catkindale status" no longer lists it, then grant the key again; if it stays there, restore the table service';
+}
+
 function addKey(key: CustomerKey): ConfigurationEdit {
 	return (current: Configuration) => {
 		if (current.customers.every(customer => customer.name !== key.customer)) {
