--- a/packages/cli/tests/outage.test.ts
+++ b/packages/cli/tests/outage.test.ts
@@ -31,8 +31,9 @@
 
 beforeEach(async () => {
 	await setTableFaults(platform, {});
-	await Promise.all(nodes.map(async node => cutNode(node, [], false)));
-	await waitForServing(nodes, nodes.length);
+	const running = nodes.filter(({child}) => child.exitCode === null && child.signalCode === null);
+	await Promise.all(running.map(async node => cutNode(node, [], false)));
+	await waitForServing(running, running.length);
 });
 
 afterAll(endProcesses);
@@ -83,6 +84,20 @@
 	expect(answer.reason).not.toBe('knowledge-out-of-date');
 });
 
+test('a single node left while the table is down refuses, and serves again once the table is back', async () => {
+	const [, second, last] = nodes as [TestNode, TestNode, TestNode];
+	await setTableFaults(platform, {outage: true});
+	second.signal('SIGKILL');
+	await second.exit();
+	const address = `${last.caller}/prices/ENGM`;
+	await waitForStatus([address], headers, 503);
+	expect(await sendRequest(address, headers)).toMatchObject({reason: 'knowledge-out-of-date'});
+	await delay(longOutageMilliseconds);
+	expect(await sendRequest(`${last.caller}/airfields`)).toMatchObject({status: 503, reason: 'no-slot'});
+	await setTableFaults(platform, {});
+	await waitForStatus([address], headers, 200);
+});
+
 /** Sends to each node in turn and returns the statuses seen. */
 async function sendDuring(entries: readonly TestNode[], milliseconds: number): Promise<Set<number>> {
 	const statuses = new Set<number>();
