Keep a new version's share small until enough requests have judged it

Cause: ten requests in a step were enough for the next one, so that at one request a second and 10 minutes a bad version reached the whole share before it was found, and slow versions were completed wrongly.

Chosen: above 15% the share needs `minimumRequests` (30; the manifest may say otherwise) of the new version; from 30% of the time on the share rises early to at most 15% if the present one brings too few. What is still not judged by the deadline is reverted with "too little traffic to judge: 22 of 30 requests".

The test shown failing first: decideRollout of step 2 with 22 judged requests advanced.

--- a/packages/policy/src/configuration.ts
+++ b/packages/policy/src/configuration.ts
@@ -8,6 +8,7 @@
 const positive = z.number().positive();
 const share = z.number().min(0).max(1);
 const defaultDeadlineMilliseconds = 10_000;
+export const defaultMinimumRequests = 30;
 
 /** Classes of requests; interactive ones go first, bulk keeps a minimum. */
 export const requestClasses = ['interactive', 'bulk'] as const;
@@ -74,6 +75,8 @@
 	deadline: z.iso.datetime({offset: true}),
 	/** The largest share that the new version may take in one step. */
 	cap: share.default(1),
+	/** Requests of the new version without which its share stays small. */
+	minimumRequests: z.int().min(0).default(defaultMinimumRequests),
 });
 
 export const shiftSchema = z.strictObject({
--- a/packages/policy/src/rollout-decision.ts
+++ b/packages/policy/src/rollout-decision.ts
@@ -15,6 +15,8 @@
 	readonly isInForceEverywhere: boolean;
 	/** Requests of the new version that were counted in this step. */
 	readonly samples: number;
+	/** Requests of the new version that were judged in this attempt. */
+	readonly judged: number;
 	/** How near the evidence is to a halt, from 0 to 1. */
 	readonly suspicion: number;
 };
@@ -23,6 +25,10 @@
 
 /** Requests of the new version without which a step isn't judged; the first share is too small to ask for any. */
 export const smallestSample = 10;
+/** The largest share that a version may take before it was judged on enough requests. */
+const largestUnjudgedShare = 0.15;
+/** The part of the time after which a share that brings too few requests rises ahead of the plan. */
+const lowTrafficPart = 0.3;
 /** A suspicion above which a step must wait until it is cleared up. */
 const largestSuspicion = 0.4;
 
@@ -55,26 +61,40 @@
 	const dwell = getShortestDwell(row, row.shares.length);
 	const stepsLeft = row.shares.length - row.step - 1;
 	if (timeLeft <= 0 || timeLeft < stepsLeft * dwell) {
-		return {kind: 'revert', reason: `can't be completed before the deadline; ${getHindrance(evidence)}`};
+		return {kind: 'revert', reason: `can't be completed before the deadline; ${getHindrance(row, evidence)}`};
 	}
 
-	if (now < getStepEnd(row, row.step, row.shares.length) || now < row.steppedAt + dwell) {
+	const isWatched = now >= getStepEnd(row, row.step, row.shares.length) || needsMoreTraffic(row, evidence, now);
+	if (!isWatched || now < row.steppedAt + dwell) {
 		return {kind: 'hold', reason: 'the step is being watched'};
 	}
 
-	if (!evidence.isInForceEverywhere || (row.step > 0 && evidence.samples < smallestSample)) {
-		return {kind: 'hold', reason: getHindrance(evidence)};
-	}
-
-	if (evidence.suspicion > largestSuspicion) {
-		return {kind: 'hold', reason: getHindrance(evidence)};
+	const isSampled = row.step === 0 || evidence.samples >= smallestSample || needsMoreTraffic(row, evidence, now);
+	if (!evidence.isInForceEverywhere || !isSampled || isTooLittleJudged(row, evidence) || evidence.suspicion > largestSuspicion) {
+		return {kind: 'hold', reason: getHindrance(row, evidence)};
 	}
 
 	const reason = `judged good on ${evidence.samples} requests`;
 	return {kind: stepsLeft === 0 ? 'complete' : 'advance', reason};
 }
 
-function getHindrance(evidence: RolloutEvidence): string {
+/**
+ * Whether the share should rise ahead of the plan, since the present one brings
+ * too few requests to judge by; only as far as a version may come unjudged.
+ */
+function needsMoreTraffic(row: RolloutRow, evidence: RolloutEvidence, now: number): boolean {
+	const nextShare = row.shares[row.step + 1] ?? 1;
+	const isLate = now >= row.startedAt + ((row.deadlineAt - row.startedAt) * lowTrafficPart);
+	return isLate && row.step > 0 && nextShare <= largestUnjudgedShare && evidence.judged < row.minimumRequests;
+}
+
+/** Whether the next share would be too large for what is known of the version. */
+function isTooLittleJudged({shares, step, minimumRequests}: RolloutRow, {judged}: RolloutEvidence): boolean {
+	const nextShare = shares[step + 1] ?? 1;
+	return nextShare > largestUnjudgedShare && judged < minimumRequests;
+}
+
+function getHindrance(row: RolloutRow, evidence: RolloutEvidence): string {
 	if (!evidence.isInForceEverywhere) {
 		return 'the step isn\'t in force everywhere';
 	}
@@ -83,6 +103,10 @@
 		return 'the new version is under suspicion';
 	}
 
+	if (isTooLittleJudged(row, evidence)) {
+		return `too little traffic to judge: ${evidence.judged} of ${row.minimumRequests} requests of the new version`;
+	}
+
 	return evidence.samples < smallestSample
 		? `only ${evidence.samples} requests of the new version were counted`
 		: 'the steps took too long';
--- a/packages/policy/src/rollout-follower.ts
+++ b/packages/policy/src/rollout-follower.ts
@@ -207,10 +207,16 @@
 		halt: isHalted(follower) ? follower.halt : undefined,
 		isInForceEverywhere: members.every(member => isInForceAt(follower, member, now)),
 		samples: follower.samples,
+		judged: countJudged(follower),
 		suspicion: getHighestSuspicion(follower),
 	}, now.wall);
 }
 
+/** Requests of the new version that were judged in this attempt. */
+function countJudged({tests}: RolloutFollower): number {
+	return [...tests].reduce((sum, [route, test]) => sum + (route === allRoutes ? 0 : test.requests), 0);
+}
+
 /** A member that was silent past its lease holds no share. */
 function isInForceAt(follower: RolloutFollower, member: string, now: Moment): boolean {
 	const received = follower.reports.get(member);
--- a/packages/policy/src/rollout-row.ts
+++ b/packages/policy/src/rollout-row.ts
@@ -5,7 +5,7 @@
  */
 import {z} from 'zod';
 import {assertInvariant} from '@catkindale/common';
-import type {Rollout} from './configuration.js';
+import {type Rollout, defaultMinimumRequests} from './configuration.js';
 import {getPlannedShares} from './rollout-plan.js';
 
 export const rolloutPhases = ['running', 'halted', 'done', 'reverted'] as const;
@@ -29,6 +29,8 @@
 	/** Rises when an operator resumes or replaces the rollout; a halt counts for the attempts up to its own. */
 	attempt: z.int(),
 	cap: z.number(),
+	/** Requests of the new version without which its share stays small. */
+	minimumRequests: z.int().default(defaultMinimumRequests),
 	startedAt: z.number(),
 	deadlineAt: z.number(),
 	shares: z.array(z.number()).min(1),
@@ -76,6 +78,7 @@
 		configurationVersion: wish.configurationVersion,
 		attempt: (previous?.attempt ?? 0) + 1,
 		cap: rollout.cap,
+		minimumRequests: rollout.minimumRequests,
 		startedAt: now,
 		deadlineAt: Date.parse(rollout.deadline),
 		shares: getPlannedShares(rollout.cap, wish.instances),
--- a/packages/policy/tests/rollout-decision.test.ts
+++ b/packages/policy/tests/rollout-decision.test.ts
@@ -6,10 +6,10 @@
 
 const minute = 60_000;
 const rollout = {
-	name: 'pricing-2', service: 'pricing', from: '1', to: '2', deadline: new Date(10 * minute).toISOString(), cap: 1,
+	name: 'pricing-2', service: 'pricing', from: '1', to: '2', deadline: new Date(10 * minute).toISOString(), cap: 1, minimumRequests: 50,
 };
 const good: RolloutEvidence = {
-	halt: undefined, isInForceEverywhere: true, samples: 1000, suspicion: 0.1,
+	halt: undefined, isInForceEverywhere: true, samples: 1000, judged: 1000, suspicion: 0.1,
 };
 const bad: RolloutEvidence = {...good, halt: {attempt: 1, by: 'evidence', reason: 'failures on GET /prices'}};
 const stopped: RolloutEvidence = {...good, halt: {attempt: 1, by: 'operator', reason: 'operator'}};
@@ -66,6 +66,21 @@
 		{
 			name: 'waits for a sample', row: {step: 1}, evidence: {...good, samples: 1}, now: 6.1 * minute, expected: 'hold',
 		},
+		{
+			name: 'goes on to a share that needs little evidence', row: {step: 1}, evidence: {...good, judged: 10}, now: 6.1 * minute, expected: 'advance',
+		},
+		{
+			name: 'goes on early to a share that brings enough requests', row: {step: 1}, evidence: {...good, samples: 2, judged: 10}, now: 3.1 * minute, expected: 'advance',
+		},
+		{
+			name: 'keeps the share small while too few requests were judged', row: {step: 2}, evidence: {...good, judged: 49}, now: 8 * minute, expected: 'hold',
+		},
+		{
+			name: 'goes on once enough requests were judged', row: {step: 2}, evidence: {...good, judged: 50}, now: 8 * minute, expected: 'advance',
+		},
+		{
+			name: 'goes on with little traffic where the operator wants so', row: {step: 2, minimumRequests: 0}, evidence: {...good, judged: 10}, now: 8 * minute, expected: 'advance',
+		},
 		{
 			name: 'waits while the new version is under suspicion', row: {step: 1}, evidence: {...good, suspicion: 0.5}, now: 6.1 * minute, expected: 'hold',
 		},
@@ -95,6 +110,11 @@
 	});
 });
 
+test('a rollout with too little traffic is taken back and says so', () => {
+	const decision = decideRollout(getRow({step: 2}), {...good, judged: 22}, 9.4 * minute);
+	expect(decision).toMatchObject({kind: 'revert', reason: expect.stringContaining('too little traffic to judge: 22 of 50 requests') as string});
+});
+
 describe('a change of the row', () => {
 	test.each([
 		{phase: 'done' as const, change: 'revert' as const},
