Refuse a manifest that would undo a rollout that is done

Cause: a pipeline that applies the manifest from before a rollout again, with or without the rollout, moved all traffic back to the old version at once, outside any cap and without a word.

Change: apply compares the manifest with the rollouts' rows. If the rows can't be read the change is refused, as it was already when the configuration's row couldn't.

Shown failing first on the code before (rollout.test.ts, "a good version is done before its deadline"): expected { status: 200 } to match object { status: 409 }. The tests of rollout.test.ts share one service and start from the old version again, which they now have to allow; what they assert is unchanged or more.

Not excluded: a rollout that becomes done between the check and the commit.

--- a/packages/cli/tests/rollout.test.ts
+++ b/packages/cli/tests/rollout.test.ts
@@ -44,7 +44,7 @@
 	return {oldTarget, newTarget};
 }
 
-async function applyRollout(name: string, targets: {oldTarget: string; newTarget: string}, newSlots = slots): Promise<void> {
+async function applyRollout(name: string, targets: {oldTarget: string; newTarget: string}, newSlots = slots): Promise<string> {
 	const place = {region: 'oslo', zone: 'oslo-a'};
 	const manifest = getManifest(regions, [
 		{
@@ -56,10 +56,12 @@
 	], key).replace(/(name = "\S+-new"\nservice = "pricing"\nversion = )"1"/v, '$1"2"');
 	const deadline = new Date(Date.now() + deadlineMilliseconds).toISOString();
 	const rollout = `[[rollouts]]\nname = "${name}"\nservice = "pricing"\nfrom = "1"\nto = "2"\ndeadline = "${deadline}"\n`;
-	const applied = await callAdmin(nodes[0]!, 'POST', '/v1/configuration', manifest + rollout);
+	// Each test starts from the old version again.
+	const applied = await callAdmin(nodes[0]!, 'POST', '/v1/configuration?allow-move-back=true', manifest + rollout);
 	expect(applied).toMatchObject({status: 200});
 	version = Number(applied.body.version);
 	await waitForVersion(nodes, version);
+	return manifest;
 }
 
 async function getRollout(name: string): Promise<ListedRollout | undefined> {
@@ -107,7 +109,7 @@
 
 test('a good version is done before its deadline', async () => {
 	const targets = await startVersions({});
-	await applyRollout('good', targets);
+	const oldManifest = await applyRollout('good', targets);
 	const load = startLoad();
 	const rollout = await waitForPhase('good', ['done', 'reverted']);
 	expect(rollout).toMatchObject({phase: 'done'});
@@ -117,6 +119,16 @@
 		await waitForCalls(load, 50);
 		return await countReceived(targets.oldTarget) === before || undefined;
 	}, 'all requests at the new version');
+	const stale = await callAdmin(nodes[0]!, 'POST', '/v1/configuration', oldManifest);
+	expect(stale).toMatchObject({status: 409, body: {result: 'refused', issues: [expect.stringContaining('serves version "2" since rollout "good" was done')]}});
+	const cleaned = oldManifest.replace(/(\[\[services\]\]\nname = "pricing"\nversion = )"1"/v, '$1"2"');
+	const applied = await callAdmin(nodes[0]!, 'POST', '/v1/configuration', cleaned);
+	expect(applied).toMatchObject({status: 200});
+	await waitForVersion(nodes, Number(applied.body.version));
+	const before = await countReceived(targets.oldTarget);
+	await waitForCalls(load, 50);
+	expect(await countReceived(targets.oldTarget)).toBe(before);
+	expect(await callAdmin(nodes[0]!, 'POST', '/v1/configuration', oldManifest)).toMatchObject({status: 409});
 	await load.stop();
 	expect(load.failures()).toBe(0);
 }, testTimeoutMilliseconds);
--- a/packages/node/src/apply-action.ts
+++ b/packages/node/src/apply-action.ts
@@ -1,8 +1,18 @@
-/** `POST /v1/configuration?if-version=N&author=…`: applies a manifest as one change. */
-import {registerAdminAction} from './admin-actions.js';
+/**
+ * `POST /v1/configuration?if-version=N&author=…`: applies a manifest as one
+ * change. One that would undo a rollout that is done is refused, unless
+ * `allow-move-back=true` asks for it.
+ */
+import {
+	type Configuration, type StaleVersion, findStaleVersions, rolloutRowSchema,
+} from '@catkindale/policy';
+import {type AdminAnswer, registerAdminAction} from './admin-actions.js';
+import type {AdminState} from './admin-state.js';
 import {reportChange} from './change-report.js';
 import {commitConfiguration} from './configuration-change.js';
+import {rowKeys} from './constants.js';
 import {formatManifestIssue, parseManifest} from './manifest.js';
+import type {NodeContext} from './node-context.js';
 
 registerAdminAction({
 	name: 'apply',
@@ -14,6 +24,11 @@
 			return {status: 422, body: {result: 'refused', issues: manifest.error.map(issue => formatManifestIssue(issue))}};
 		}
 
+		const refusal = request.query.get('allow-move-back') === 'true' ? undefined : await refuseMoveBack(context, state, manifest.value);
+		if (refusal) {
+			return refusal;
+		}
+
 		const ifVersion = request.query.get('if-version');
 		const expected = ifVersion === null ? state.record?.version ?? 0 : Number(ifVersion);
 		const author = request.query.get('author') ?? undefined;
@@ -22,3 +37,26 @@
 		return reportChange(context, state, outcome);
 	},
 });
+
+/** The refusal of a manifest that names the version before a rollout that is done. */
+async function refuseMoveBack(context: NodeContext, state: AdminState, next: Configuration): Promise<AdminAnswer | undefined> {
+	const current = state.record?.configuration;
+	if (!current) {
+		return undefined;
+	}
+
+	const outcome = await context.platform.table.list(rowKeys.rolloutPrefix);
+	if (outcome.kind !== 'done') {
+		return {status: 503, body: {result: 'refused', detail: 'the table can\'t be read; nothing was changed'}};
+	}
+
+	const rows = outcome.value.map(row => rolloutRowSchema.parse(row.value));
+	const stale = findStaleVersions(current, next, rows);
+	return stale.length > 0 ? {status: 409, body: {result: 'refused', issues: stale.map(version => describeStaleVersion(version))}} : undefined;
+}
+
+function describeStaleVersion({service, rollout, from, to}: StaleVersion): string {
+	const trouble = `service "${service}" serves version "${to}" since rollout "${rollout}" was done, the manifest would move all its traffic back to "${from}" at once`;
+	const remedies = `set its version to "${to}" and remove the rollout, declare a rollout from "${to}" to "${from}", or allow the move back`;
+	return `${trouble}: ${remedies}`;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -18,6 +18,7 @@
 export * from './rollout-report.js';
 export * from './rollout-row.js';
 export * from './shift.js';
+export * from './stale-version.js';
 export * from './trial-admission.js';
 export * from './attempt.js';
 export * from './customer-flows.js';
