Check the bodies of operators' actions in one place

Keys, drains, rates and cuts each parsed their body and answered its faults with the same lines. They now name a schema and get the body checked.

--- a/packages/node/src/action-body.ts
+++ b/packages/node/src/action-body.ts
@@ -1,11 +1,31 @@
-/** Parses the JSON body of an operator's action; a fault becomes the answer. */
+/** Operators' actions with a JSON body; a fault of the body becomes the answer. */
 import {z} from 'zod';
 import {
 	type Result, fail, getErrorMessage, succeed,
 } from '@catkindale/common';
-import type {AdminAnswer} from './admin-actions.js';
+import {type AdminAction, type AdminAnswer, registerAdminAction} from './admin-actions.js';
+import type {AdminState} from './admin-state.js';
+import type {NodeContext} from './node-context.js';
 
-export function parseActionBody<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.infer<Schema>, AdminAnswer> {
+type BodyAction<Schema extends z.ZodType> = Pick<AdminAction, 'name' | 'path'> & {
+	readonly schema: Schema;
+	readonly run: (context: NodeContext, state: AdminState, body: z.infer<Schema>) => Promise<AdminAnswer>;
+};
+
+/** Registers a `POST` action that gets its body checked. */
+export function registerBodyAction<Schema extends z.ZodType>({name, path, schema, run}: BodyAction<Schema>): void {
+	registerAdminAction({
+		name,
+		method: 'POST',
+		path,
+		async run(context, state, request) {
+			const body = parseActionBody(schema, request.body);
+			return body.ok ? run(context, state, body.value) : body.error;
+		},
+	});
+}
+
+function parseActionBody<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.infer<Schema>, AdminAnswer> {
 	let data: unknown;
 	try {
 		data = JSON.parse(body);
--- a/packages/node/src/cut-action.ts
+++ b/packages/node/src/cut-action.ts
@@ -5,29 +5,22 @@
  */
 import {z} from 'zod';
 import type {TableService} from '@catkindale/platform';
-import {parseActionBody} from './action-body.js';
-import {registerAdminAction} from './admin-actions.js';
+import {registerBodyAction} from './action-body.js';
 import type {Cuts} from './node-context.js';
 
 const cutsSchema = z.strictObject({peers: z.array(z.string()).default([]), table: z.boolean().default(false)});
 
 const cutReason = 'the connection is cut';
 
-registerAdminAction({
+registerBodyAction({
 	name: 'cuts',
-	method: 'POST',
 	path: '/v1/testing/cuts',
-	async run(context, _state, request) {
+	schema: cutsSchema,
+	async run(context, _state, {peers, table}) {
 		if (!context.settings.testing.allowCuts) {
 			return {status: 403, body: {result: 'refused', detail: 'the settings don\'t allow cuts'}};
 		}
 
-		const body = parseActionBody(cutsSchema, request.body);
-		if (!body.ok) {
-			return body.error;
-		}
-
-		const {peers, table} = body.value;
 		context.cuts.peers = new Set(peers);
 		context.cuts.isTableCut = table;
 		return {status: 200, body: {result: 'done'}};
--- a/packages/node/src/drain-action.ts
+++ b/packages/node/src/drain-action.ts
@@ -6,8 +6,7 @@
 import {z} from 'zod';
 import {createIdentifier, fail, succeed} from '@catkindale/common';
 import {type Drain, customerSchema, drainSchema} from '@catkindale/policy';
-import {parseActionBody} from './action-body.js';
-import {registerAdminAction} from './admin-actions.js';
+import {registerBodyAction} from './action-body.js';
 import {reportChange} from './change-report.js';
 import {type ConfigurationEdit, editConfiguration} from './configuration-change.js';
 import {restrict} from './restriction-action.js';
@@ -18,36 +17,27 @@
 	customer: customerSchema.shape.name, rate: customerSchema.shape.rate, burst: customerSchema.shape.burst, author,
 });
 
-registerAdminAction({
+registerBodyAction({
 	name: 'drain',
-	method: 'POST',
 	path: '/v1/drains',
-	async run(context, state, request) {
-		const body = parseActionBody(drainBodySchema, request.body);
-		if (!body.ok) {
-			return body.error;
-		}
-
-		const drain = {kind: body.value.kind, name: body.value.name};
-		if (!body.value.undo) {
+	schema: drainBodySchema,
+	async run(context, state, {undo, author: drainedBy, ...drain}) {
+		if (!undo) {
 			return restrict(context, state, {
-				id: createIdentifier(), kind: 'drained', drain, author: body.value.author,
+				id: createIdentifier(), kind: 'drained', drain, author: drainedBy,
 			});
 		}
 
-		const outcome = await editConfiguration(context, removeDrain(drain), {author: body.value.author});
+		const outcome = await editConfiguration(context, removeDrain(drain), {author: drainedBy});
 		return reportChange(context, state, outcome);
 	},
 });
 
-registerAdminAction({
+registerBodyAction({
 	name: 'rate-lower',
-	method: 'POST',
 	path: '/v1/rates',
-	async run(context, state, request) {
-		const body = parseActionBody(rateBodySchema, request.body);
-		return body.ok ? restrict(context, state, {id: createIdentifier(), kind: 'rate-lowered', ...body.value}) : body.error;
-	},
+	schema: rateBodySchema,
+	run: async (context, state, body) => restrict(context, state, {id: createIdentifier(), kind: 'rate-lowered', ...body}),
 });
 
 function removeDrain(drain: Drain): ConfigurationEdit {
--- a/packages/node/src/key-action.ts
+++ b/packages/node/src/key-action.ts
@@ -7,50 +7,36 @@
 import {
 	type Configuration, type CustomerKey, type Restriction, keySchema,
 } from '@catkindale/policy';
-import {registerAdminAction} from './admin-actions.js';
 import {reportChange} from './change-report.js';
 import {type ConfigurationEdit, editConfiguration} from './configuration-change.js';
-import {parseActionBody} from './action-body.js';
+import {registerBodyAction} from './action-body.js';
 import {restrict} from './restriction-action.js';
 
 const author = z.string().default('operator');
 const grantSchema = z.strictObject({...keySchema.shape, author});
 const withdrawSchema = z.strictObject({hash: keySchema.shape.hash, author});
 
-registerAdminAction({
+registerBodyAction({
 	name: 'key-grant',
-	method: 'POST',
 	path: '/v1/keys/grant',
-	async run(context, state, request) {
-		const body = parseActionBody(grantSchema, request.body);
-		if (!body.ok) {
-			return body.error;
-		}
-
-		const {customer, hash} = body.value;
+	schema: grantSchema,
+	async run(context, state, {customer, hash, author: grantedBy}) {
 		const withdrawal = state.restrictions.find(restriction => restriction.kind === 'key-withdrawn' && restriction.hash === hash);
 		if (withdrawal) {
 			return {status: 409, body: {result: 'refused', detail: describeWithdrawal(withdrawal), restriction: withdrawal.id}};
 		}
 
-		const outcome = await editConfiguration(context, addKey({customer, hash}), {author: body.value.author});
+		const outcome = await editConfiguration(context, addKey({customer, hash}), {author: grantedBy});
 		context.logger.info('key_grant', {customer, outcome: outcome.kind});
 		return reportChange(context, state, outcome);
 	},
 });
 
-registerAdminAction({
+registerBodyAction({
 	name: 'key-withdraw',
-	method: 'POST',
 	path: '/v1/keys/withdraw',
-	async run(context, state, request) {
-		const body = parseActionBody(withdrawSchema, request.body);
-		if (!body.ok) {
-			return body.error;
-		}
-
-		return restrict(context, state, {id: createIdentifier(), kind: 'key-withdrawn', ...body.value});
-	},
+	schema: withdrawSchema,
+	run: async (context, state, body) => restrict(context, state, {id: createIdentifier(), kind: 'key-withdrawn', ...body}),
 });
 
 function describeWithdrawal({id, author}: Restriction): string {
