Apply a manifest also while a row under rollout/ is junk

Shown failing first: "a rollout's row that something else wrote …" (packages/cli/tests/hostile.test.ts): SocketError: other side closed, the node had ended.

One function now tells the rollouts from other rows, for apply and for the list of rollouts.

--- a/packages/node/src/apply-action.ts
+++ b/packages/node/src/apply-action.ts
@@ -3,9 +3,7 @@
  * change. One that would undo a rollout that is done is refused, unless
  * `allow-move-back=true` asks for it.
  */
-import {
-	type Configuration, type StaleVersion, findStaleVersions, rolloutRowSchema,
-} from '@catkindale/policy';
+import {type Configuration, type StaleVersion, findStaleVersions} from '@catkindale/policy';
 import {type AdminAnswer, registerAdminAction} from './admin-actions.js';
 import type {AdminState} from './admin-state.js';
 import {reportChange} from './change-report.js';
@@ -13,6 +11,7 @@
 import {rowKeys} from './constants.js';
 import {formatManifestIssue, parseManifest} from './manifest.js';
 import type {NodeContext} from './node-context.js';
+import {parseRolloutRows} from './rollout-rows.js';
 
 registerAdminAction({
 	name: 'apply',
@@ -50,8 +49,7 @@
 		return {status: 503, body: {result: 'refused', detail: 'the table can\'t be read; nothing was changed'}};
 	}
 
-	const rows = outcome.value.map(row => rolloutRowSchema.parse(row.value));
-	const stale = findStaleVersions(current, next, rows);
+	const stale = findStaleVersions(current, next, parseRolloutRows(outcome.value).rollouts);
 	return stale.length > 0 ? {status: 409, body: {result: 'refused', issues: stale.map(version => describeStaleVersion(version))}} : undefined;
 }
 
--- a/packages/node/src/rollout-actions.ts
+++ b/packages/node/src/rollout-actions.ts
@@ -11,6 +11,7 @@
 import {rowKeys} from './constants.js';
 import type {NodeContext} from './node-context.js';
 import {getRolloutTasks} from './rollout-registry.js';
+import {type RolloutRows, parseRolloutRows} from './rollout-rows.js';
 
 const mostTries = 5;
 const statusUnclear = 504;
@@ -21,13 +22,9 @@
 	path: '/v1/rollouts',
 	async run(context) {
 		const outcome = await context.platform.table.list(rowKeys.rolloutPrefix);
-		const read = outcome.kind === 'done' ? outcome.value.map(row => ({row, parsed: rolloutRowSchema.safeParse(row.value)})) : [];
-		const rows = outcome.kind === 'done'
-			? read.flatMap(({parsed}) => parsed.data ?? [])
-			: [...getRolloutTasks(context).values()].flatMap(task => task.follower.row ?? []);
-		const unreadable = read.filter(({parsed}) => !parsed.success).map(({row}) => row.key);
+		const {rollouts, unreadable} = outcome.kind === 'done' ? parseRolloutRows(outcome.value) : getKnownRollouts(context);
 		const source = outcome.kind === 'done' ? 'table' : 'this node\'s knowledge; the table can\'t be read';
-		return {status: 200, body: {source, rollouts: rows.map(row => describeRow(context, row)), unreadable}};
+		return {status: 200, body: {source, rollouts: rollouts.map(row => describeRow(context, row)), unreadable}};
 	},
 });
 
@@ -52,6 +49,11 @@
 	},
 });
 
+function getKnownRollouts(context: NodeContext): RolloutRows {
+	const rollouts = [...getRolloutTasks(context).values()].flatMap(task => task.follower.row ?? []);
+	return {rollouts, unreadable: []};
+}
+
 function describeRow(context: NodeContext, row: RolloutRow): Record<string, unknown> {
 	const task = getRolloutTasks(context).get(row.name);
 	return {
--- /dev/null
+++ b/packages/node/src/rollout-rows.ts
@@ -0,0 +1,17 @@
+/** Tells the rollouts' rows of the table from rows that something else wrote. */
+import type {Row} from '@catkindale/platform';
+import {type RolloutRow, rolloutRowSchema} from '@catkindale/policy';
+
+export type RolloutRows = {
+	readonly rollouts: readonly RolloutRow[];
+	/** The keys of the rows that are no rollouts. */
+	readonly unreadable: readonly string[];
+};
+
+export function parseRolloutRows(rows: readonly Row[]): RolloutRows {
+	const parsed = rows.map(({key, value}) => ({key, row: rolloutRowSchema.safeParse(value).data}));
+	return {
+		rollouts: parsed.flatMap(({row}) => row ?? []),
+		unreadable: parsed.filter(({row}) => row === undefined).map(({key}) => key),
+	};
+}
