--- a/packages/cli/src/verify-command.ts
+++ b/packages/cli/src/verify-command.ts
@@ -3,10 +3,11 @@
 import type {Argv, CommandModule} from 'yargs';
 import {getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
 import {exitCodes} from './constants.js';
+import {createProcessProgress} from './progress.js';
 import {type Verification, getVerifications} from './verification-registry.js';
 import './verifications.js';
 
-type VerifyArguments = {name: string | undefined; seed: number; rounds: number; seconds: number | undefined};
+type VerifyArguments = {name: string | undefined; seed: number; rounds: number; seconds: number | undefined; progress: boolean | undefined};
 
 const defaultRounds = 100;
 
@@ -18,6 +19,7 @@
 		.option('seed', {type: 'number', default: 1, describe: 'the first seed'})
 		.option('rounds', {type: 'number', default: defaultRounds, describe: 'how many seeds'})
 		.option('seconds', {type: 'number', describe: 'go on with further seeds for so long instead'})
+		.option('progress', {type: 'boolean', describe: 'tell on the standard error stream how far the run is; on a terminal by default'})
 		.epilogue(getVerifications().map(verification => `${verification.name}: ${verification.describe}`).join('\n')),
 	async handler(options) {
 		const chosen = getVerifications().filter(verification => options.name === undefined || verification.name === options.name);
@@ -35,17 +37,22 @@
 	const isDone = (round: number): boolean => options.seconds === undefined
 		? round >= options.rounds
 		: performance.now() - startedAt >= options.seconds * millisecondsPerSecond;
+	const progress = createProcessProgress(options.progress);
+	const end = options.seconds === undefined ? `${options.seed + options.rounds - 1}` : `${options.seconds} s`;
 	let round = 0;
 	for (; !isDone(round); round++) {
 		const seed = options.seed + round;
+		progress.report(`verify ${verification.name}: seed ${seed} of ${options.seed} to ${end}`);
 		try {
 			await verification.run(seed);
 		} catch (error) {
+			progress.clear();
 			process.stdout.write(`verify ${verification.name}: seed ${seed} FAILED: ${getErrorMessage(error)}\n`);
 			return 1;
 		}
 	}
 
+	progress.clear();
 	process.stdout.write(`verify ${verification.name}: ${round} seeds from ${options.seed} passed\n`);
 	return 0;
 }
