Keep a shift within its cap also after one directory was cut off

Cause: a directory that can't reach the table while others can stands still, and on its return handed out the row's share at once. Callers that ask it alone all moved by what it had missed.

Change: a directory's share moves no faster than the shift; it catches up at that pace. One that just started takes the row's share, as all others hand it out.

--- a/packages/cli/src/verification-shifts.ts
+++ b/packages/cli/src/verification-shifts.ts
@@ -1,11 +1,13 @@
 /**
  * Randomised run of a shift between regions: directories with skewed clocks
  * that learn of rows late, an outage of the table, changed wishes, and callers
- * that keep their look-ups. No window sees more than the cap move.
+ * that keep their look-ups, and one directory that can't reach the table while
+ * others can, with callers that ask it alone. No window sees more than the cap
+ * move.
  */
 import {assertInvariant, createRandom, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type Shift, type ShiftRow, changeShift, getShiftedShare, renewShift, startShift,
+	type Shift, type ShiftRow, type ShownShare, changeShift, followShiftedShare, renewShift, startShift,
 } from '@catkindale/policy';
 import {registerVerification} from './verification-registry.js';
 
@@ -19,9 +21,12 @@
 /** Callers at the very edge whom two directories place differently. */
 const tolerance = 3 / callerCount;
 
-type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined};
+type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined; shown: ShownShare | undefined};
 type Caller = {readonly place: number; isMoved: boolean; asksAt: number};
 
+/** The directory that is cut off. */
+const cutDirectory = 0;
+
 registerVerification({
 	name: 'shifts',
 	describe: 'a shift between regions under table outages, changed wishes, skewed clocks and cached look-ups',
@@ -34,13 +39,18 @@
 		const {cap} = shift;
 		let row: ShiftRow = startShift(shift, {configurationVersion: 1, timeToLiveMilliseconds}, 0);
 		const directories = Array.from({length: nodeCount}, (): Directory => ({
-			offset: random.integer(-largestClockOffset, largestClockOffset), lag: random.integer(0, longestReadLag), row: undefined,
+			offset: random.integer(-largestClockOffset, largestClockOffset), lag: random.integer(0, longestReadLag), row: undefined, shown: undefined,
 		}));
 		const callers = Array.from({length: callerCount}, (_, index): Caller => ({
 			place: (index + 0.5) / callerCount, isMoved: false, asksAt: random.integer(0, timeToLiveMilliseconds),
 		}));
 		const outageFrom = random.integer(0, steps) * stepMilliseconds;
 		const outageUntil = outageFrom + random.integer(0, 120 * millisecondsPerSecond);
+		const hasCut = random.fraction() < 0.5;
+		const cutFrom = hasCut ? random.integer(0, steps) * stepMilliseconds : Infinity;
+		const cutUntil = cutFrom + random.integer(0, 300 * millisecondsPerSecond);
+		/** The part of the callers that ask the directory that is cut off, and no other; the others then don't ask it. */
+		const faithfulPart = random.integer(0, 2) / 2;
 		const moved: number[] = [];
 		const windowSteps = Math.floor(windowSeconds * millisecondsPerSecond / stepMilliseconds);
 		for (let step = 0; step < steps; step++) {
@@ -55,12 +65,15 @@
 				row = changeShift(row, shift, row.configurationVersion + 1, now) ?? row;
 			}
 
-			for (const directory of directories) {
-				row = isTableDown ? row : readRow(directory, row, now);
+			for (const [index, directory] of directories.entries()) {
+				const isCut = index === cutDirectory && now >= cutFrom && now < cutUntil;
+				row = isTableDown || isCut ? row : readRow(directory, row, now);
 			}
 
 			for (const caller of callers) {
-				askDirectory(caller, directories[random.integer(0, nodeCount - 1)]!, now);
+				const isFaithful = hasCut && (caller.place * callerCount) % 2 < 2 * faithfulPart;
+				const other = random.integer(hasCut ? cutDirectory + 1 : 0, nodeCount - 1);
+				askDirectory(caller, directories[isFaithful ? cutDirectory : other]!, now);
 			}
 
 			moved.push(callers.filter(caller => caller.isMoved).length / callerCount);
@@ -88,6 +101,7 @@
 		return;
 	}
 
-	caller.isMoved = caller.place < getShiftedShare(directory.row, now + directory.offset);
+	directory.shown = followShiftedShare(directory.row, directory.shown, now + directory.offset);
+	caller.isMoved = caller.place < directory.shown.share;
 	caller.asksAt = now + timeToLiveMilliseconds;
 }
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -5,13 +5,13 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSites, getEntries,
+	type ClientBlockTable, type EntryDirectory, type Member, createClientBlockTable, createEntryDirectory, findSites, getEntries,
 } from '@catkindale/policy';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
 import {type RoutingTable, createRoutingTable} from './routing-table.js';
-import {getRegionForCaller} from './shift-regions.js';
+import {type ShiftRegions, createShiftRegions} from './shift-regions.js';
 import {createTicketPrefix} from './ticket-prefix.js';
 
 const startOrder = 40;
@@ -23,7 +23,7 @@
 	services: ReadonlySet<string>;
 	routing: RoutingTable | undefined;
 	blocks: ClientBlockTable;
-	shifts: readonly ShiftRow[];
+	readonly shifts: ShiftRegions;
 };
 
 nodePlugins.register({
@@ -37,14 +37,14 @@
 			services: new Set(),
 			routing: undefined,
 			blocks: createClientBlockTable(),
-			shifts: [],
+			shifts: createShiftRegions(context.clock),
 		};
 		const endings = [
 			context.bus.subscribe('membership-changed', ({members}) => {
 				state.entries = createEntryDirectory(members);
 			}),
 			context.bus.subscribe('shifts-changed', ({shifts}) => {
-				state.shifts = shifts;
+				state.shifts.setShifts(shifts);
 			}),
 			context.bus.subscribe('unavailable-members-changed', ({ids}) => {
 				state.unavailable = ids;
@@ -87,7 +87,7 @@
 	const members = getEntries(state.entries, {
 		caller,
 		customer: findCustomer(state, request),
-		region: getRegionForCaller(state.shifts, {service, region, caller}, context.clock),
+		region: state.shifts.getRegionForCaller({service, region, caller}),
 		unavailable: state.unavailable,
 	});
 	const entries = members.map((member, index) => ({
--- a/packages/node/src/shift-regions.ts
+++ b/packages/node/src/shift-regions.ts
@@ -1,6 +1,8 @@
 /** The region whose entries a caller is given while shifts between regions are under way. */
 import type {Clock} from '@catkindale/common';
-import {type ShiftRow, getShiftedShare, isCallerShifted} from '@catkindale/policy';
+import {
+	type ShiftRow, type ShownShare, followShiftedShare, isCallerShifted,
+} from '@catkindale/policy';
 
 export type LookupQuestion = {
 	readonly service: string;
@@ -10,11 +12,31 @@
 	readonly caller: string;
 };
 
-/** Pure: the same for the same shifts and time on every node. */
-export function getRegionForCaller(shifts: readonly ShiftRow[], question: LookupQuestion, clock: Clock): string {
-	const now = clock.wall();
-	const shift = shifts.find(row =>
-		row.service === question.service && row.from === question.region
-		&& isCallerShifted(row, question.caller, getShiftedShare(row, now)));
-	return shift?.to ?? question.region;
+export type ShiftRegions = {
+	/** Takes in the rows as the table gave them. */
+	setShifts: (shifts: readonly ShiftRow[]) => void;
+	getRegionForCaller: (question: LookupQuestion) => string;
+};
+
+export function createShiftRegions(clock: Clock): ShiftRegions {
+	const shownShares = new Map<string, ShownShare>();
+	let shifts: readonly ShiftRow[] = [];
+
+	const getShare = (row: ShiftRow): number => {
+		const move = `${row.name} ${row.service} ${row.from} ${row.to}`;
+		const shown = followShiftedShare(row, shownShares.get(move), clock.wall());
+		shownShares.set(move, shown);
+		return shown.share;
+	};
+
+	return {
+		setShifts(rows) {
+			shifts = rows;
+		},
+		getRegionForCaller({service, region, caller}) {
+			const shift = shifts.find(row =>
+				row.service === service && row.from === region && isCallerShifted(row, caller, getShare(row)));
+			return shift?.to ?? region;
+		},
+	};
 }
--- a/packages/policy/src/shift.ts
+++ b/packages/policy/src/shift.ts
@@ -86,6 +86,26 @@
 	return row.baseShare + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), elapsed * getPace(row)));
 }
 
+/** The share that a directory handed out last, and when. */
+export type ShownShare = {readonly share: number; readonly at: number};
+
+/**
+ * The share that a directory hands out now. One that couldn't read the row for
+ * a while catches up no faster than the shift moves, since its callers may have
+ * asked no other directory meanwhile. One that just started takes the row's.
+ * @param now wall time in milliseconds
+ */
+export function followShiftedShare(row: ShiftRow, shown: ShownShare | undefined, now: number): ShownShare {
+	const wanted = getShiftedShare(row, now);
+	if (!shown) {
+		return {share: wanted, at: now};
+	}
+
+	const wantedMove = wanted - shown.share;
+	const largestMove = Math.max(0, now - shown.at) * getPace(row);
+	return {share: shown.share + (Math.sign(wantedMove) * Math.min(Math.abs(wantedMove), largestMove)), at: now};
+}
+
 /** The row renewed from where the share stands; undefined while there is no need. */
 export function renewShift(row: ShiftRow, now: number): ShiftRow | undefined {
 	const isMoving = row.baseShare !== row.wantedShare;
--- a/packages/policy/tests/shift.test.ts
+++ b/packages/policy/tests/shift.test.ts
@@ -1,7 +1,7 @@
 /** How the share of a shift moves, one case each. */
 import {describe, expect, test} from 'vitest';
 import {
-	type ShiftRow, changeShift, getCallerPlace, getShiftedShare, renewShift, startShift,
+	type ShiftRow, changeShift, getCallerPlace, getShiftedShare, renewShift, startShift, followShiftedShare,
 } from '../src/index.js';
 
 const shift = {
@@ -74,3 +74,32 @@
 	const places = Array.from({length: 2000}, (_, index) => getCallerPlace('west', `10.0.${Math.floor(index / 250)}.${index % 250}`));
 	expect(places.filter(place => place < 0.25).length / places.length).toBeCloseTo(0.25, 1);
 });
+
+describe('a directory that was cut off', () => {
+	const windowSeconds = 60;
+	const row = startShift({
+		name: 'west', service: 'pricing', from: 'oslo', to: 'bergen', share: 1, cap: 0.2, windowSeconds,
+	}, {configurationVersion: 1, timeToLiveMilliseconds: 10_000}, 0);
+	const movedRow = {
+		...row, baseShare: 0.8, wantedShare: 0.8, movedAt: 600_000,
+	};
+
+	test.each([
+		{name: 'that just started takes the share of the row', shown: undefined, expected: 0.8},
+		{name: 'that kept up hands out the share of the row', shown: {share: 0.8, at: 600_000}, expected: 0.8},
+		{name: 'that lags doesn\'t jump', shown: {share: 0.1, at: 600_000}, expected: 0.1},
+		{name: 'that is ahead doesn\'t jump back', shown: {share: 1, at: 600_000}, expected: 1},
+	])('$name', ({shown, expected}) => {
+		expect(followShiftedShare(movedRow, shown, 600_000).share).toBeCloseTo(expected);
+	});
+
+	test('catches up by at most the cap in a window', () => {
+		let shown = {share: 0.1, at: 600_000};
+		for (let second = 1; second <= windowSeconds; second++) {
+			shown = followShiftedShare(movedRow, shown, 600_000 + (second * 1000));
+		}
+
+		expect(shown.share).toBeGreaterThan(0.1);
+		expect(shown.share).toBeLessThanOrEqual(0.1 + movedRow.cap);
+	});
+});
