--- /dev/null
+++ b/packages/policy/tests/rollout-follower.test.ts
@@ -0,0 +1,41 @@
+/** Which requests a node lets go to a version on trial, by what it knows of it. */
+import {expect, test} from 'vitest';
+import {
+	type RouteEvidence, createEvidenceCounts, createRolloutFollower, isIdempotentOnly, startRollout, updateEvidence, updateFromReport, updateFromTable,
+} from '../src/index.js';
+
+const lookup = 'GET /prices';
+const order = 'POST /orders';
+const rollout = {
+	name: 'pricing-2', service: 'pricing', from: '1', to: '2', deadline: new Date(600_000).toISOString(), cap: 1, minimumRequests: 30,
+};
+
+function getEvidence(route: string, failures: number): RouteEvidence {
+	const old = {...createEvidenceCounts(), requests: 1000, failures: 5};
+	return {route, from: old, to: {...createEvidenceCounts(), requests: 2, failures}};
+}
+
+test.each([
+	{
+		name: 'the first step takes idempotent requests alone', step: 0, evidence: [], routes: [lookup], expected: true,
+	},
+	{
+		name: 'a service without idempotent routes sends all', step: 0, evidence: [], routes: [], expected: false,
+	},
+	{
+		name: 'later steps take all requests', step: 1, evidence: [getEvidence(lookup, 0)], routes: [lookup], expected: false,
+	},
+	{
+		name: 'a failure of an idempotent request keeps the others back', step: 1, evidence: [getEvidence(lookup, 1)], routes: [lookup], expected: true,
+	},
+	{
+		name: 'a failure on another route keeps none back, or nothing could clear it up', step: 1, evidence: [getEvidence(lookup, 0), getEvidence(order, 1)], routes: [lookup], expected: false,
+	},
+])('$name', ({step, evidence, routes, expected}) => {
+	const row = {...startRollout(rollout, {configurationVersion: 1, instances: 4}, 0), step};
+	const known = updateFromTable(createRolloutFollower('oslo-1'), row, 1, 0);
+	const told = updateFromReport(known, 'oslo-2', {
+		rollout: rollout.name, incarnation: 'a', sequence: 1, rowVersion: 1, evidence,
+	}, 0);
+	expect(isIdempotentOnly(updateEvidence(told), new Set(routes))).toBe(expected);
+});
