--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -5,14 +5,14 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	type ClientBlockTable, type EntryDirectory, type Member, type ShiftRow, createClientBlockTable, createEntryDirectory, findSite, getEntries,
+	type ClientBlockTable, type EntryDirectory, type Member, createClientBlockTable, createEntryDirectory, findSite, getEntries,
 } from '@catkindale/policy';
 import {splitUrl} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
 import {type RoutingTable, getRoutingTable} from './routing-table.js';
-import {getRegionForCaller} from './shift-regions.js';
+import {type ShiftRegions, createShiftRegions} from './shift-regions.js';
 import {createTicketPrefix} from './ticket-prefix.js';
 
 const startOrder = 40;
@@ -24,7 +24,7 @@
 	services: ReadonlySet<string>;
 	routing: RoutingTable | undefined;
 	blocks: ClientBlockTable;
-	shifts: readonly ShiftRow[];
+	readonly shifts: ShiftRegions;
 };
 
 nodePlugins.register({
@@ -38,14 +38,14 @@
 			services: new Set(),
 			routing: undefined,
 			blocks: createClientBlockTable(),
-			shifts: [],
+			shifts: createShiftRegions(context.clock),
 		};
 		const endings = [
 			context.bus.subscribe('membership-changed', ({members}) => {
 				state.entries = createEntryDirectory(members);
 			}),
 			context.bus.subscribe('shifts-changed', ({shifts}) => {
-				state.shifts = shifts;
+				state.shifts.setShifts(shifts);
 			}),
 			context.bus.subscribe('unavailable-members-changed', ({ids}) => {
 				state.unavailable = ids;
@@ -88,7 +88,7 @@
 	const members = getEntries(state.entries, {
 		caller,
 		customer: findCustomer(state, request),
-		region: getRegionForCaller(state.shifts, {service, region, caller}, context.clock),
+		region: state.shifts.getRegionForCaller({service, region, caller}),
 		unavailable: state.unavailable,
 	});
 	const entries = members.map((member, index) => ({
