Don't read the rows of shifts while there is no shift

Cause: every reader listed the shifts' rows twice a second, although a row can't appear without a change of the configuration, which is seen anyway. Rollouts already rested like that.

--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -12,7 +12,7 @@
 } from '@catkindale/policy';
 import {longestLookupMilliseconds, rowKeys} from './constants.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
-import {startTableReading} from './table-reading.js';
+import {startPeriodicWork} from './periodic-work.js';
 
 const startOrder = 56;
 
@@ -35,17 +35,17 @@
 		const task: ShiftTask = {
 			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, hasShifts: true,
 		};
-		const reading = startTableReading(context, async () => pollShifts(task), () => task.hasShifts);
+		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
 		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
 			task.wanted = new Map(configuration.shifts.map(shift => [shift.name, shift]));
 			task.configurationVersion = version;
 			task.hasShifts = true;
-			reading.readSoon();
+			work.runSoon();
 		});
 		return {
 			async stop() {
 				end();
-				await reading.stop();
+				await work.stop();
 			},
 		};
 	},
@@ -53,7 +53,7 @@
 
 async function pollShifts(task: ShiftTask): Promise<void> {
 	const {context} = task;
-	if (task.configurationVersion === 0) {
+	if (task.configurationVersion === 0 || !task.hasShifts) {
 		return;
 	}
 
