Push a change to the peers also when the table showed it first

Cause: a node that read its own change in the table, or heard it from a peer, before the answer to the change came took it for known and never pushed it. The others learned it by their own reads or 0.75 s later from a peer; since fewer nodes read, that shows more: one of 200 changes took 575.7 ms.

That the 575.7 ms came from this is likely, not shown.

Conclusion: the push no longer depends on which message comes first.

--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -40,6 +40,11 @@
 
 		const learn = (record: VersionedRecord, source: string): void => {
 			if (!store.learn(record)) {
+				// A read may have shown the own change before its answer came; the peers still wait for the push.
+				if (source === 'change' && record.version === store.getKnown().version) {
+					forwarder.forward(record, source);
+				}
+
 				return;
 			}
 
