--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -84,6 +84,8 @@
 /** How long it may wait while the members haven't agreed on the shares. */
 const agreementPatienceMilliseconds = 2000;
 const leastWaiters = 4;
+/** The rest of a token that rounding leaves would else be looked at over and over. */
+const leastWakeMilliseconds = 1;
 const demandSmoothing = 0.1;
 const forgottenDemand = 0.01;
 const millisecondsPerSecond = 1000;
@@ -136,7 +138,7 @@
 			entry.callOffWake = schedule(() => {
 				entry.callOffWake = undefined;
 				attendWaiters(entry);
-			}, milliseconds);
+			}, Math.max(leastWakeMilliseconds, milliseconds));
 		}
 	};
 
