Refuse fewer requests while slots are idle at other nodes

A lender kept one free slot at each target that it used within a second, nearly all it had; a node asked for slots elsewhere at one target every 20 ms, one in four beyond its region; and the wait of a new request was estimated from the own region's slots alone, without those that were lent and can be asked back.

Now a node keeps one free slot of a service, asks at up to four targets at once, half of them in any region, counts the slots within reach, and gives a recalled loan back first. No more is held by all than before: loans come from free own slots only.

--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -4,7 +4,7 @@
  */
 import {assertInvariant, createIdentifier} from '@catkindale/common';
 import {
-	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLoansToReturn, getSlotFloor,
+	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLentSlots, getLoansToReturn, getSlotFloor,
 	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
 } from '@catkindale/policy';
 import type {
@@ -26,6 +26,8 @@
 	/** Slots this node holds at the target now. */
 	getHeld: (target: string) => number;
 	getInUse: (target: string) => number;
+	/** Own slots that are lent now and come back soon after they are asked for. */
+	getLent: (target: string) => number;
 	/** Slots that a request could take now, own and borrowed. */
 	getFree: (target: string) => number;
 	/**
@@ -73,6 +75,8 @@
 	const {clock, lease, send} = options;
 	const entries = new Map<string, SlotEntry>();
 	let known = new Set<string>();
+	/** The targets of each service and version, which serve the same requests. */
+	let pools = new Map<string, SlotEntry[]>();
 
 	// A loan ends for its borrower by the time that was frozen earlier.
 	clock.onFrozen(milliseconds => {
@@ -109,7 +113,7 @@
 
 	const lend = (from: string, message: SlotLoanWishMessage, entry: SlotEntry): void => {
 		const now = clock.monotonic();
-		const reserve = now - entry.usedAt < idleMilliseconds ? 1 : 0;
+		const reserve = isLastInUse(entry) ? 1 : 0;
 		const result = lease.isValid() ? lendSlots(getSlots(entry), {id: message.id, wanted: message.slots, reserve}, now) : {holding: entry.holding, slots: 0};
 		entry.holding = result.holding;
 		if (result.slots > 0) {
@@ -121,6 +125,18 @@
 		});
 	};
 
+	/**
+	 * Whether the node's own requests still come and have a free slot at no other
+	 * target that lately served them. A free slot at a target that is cut off
+	 * doesn't count, as nothing goes there.
+	 */
+	const isLastInUse = (entry: SlotEntry): boolean => {
+		const now = clock.monotonic();
+		const pool = pools.get(getPoolName(entry.target)) ?? [];
+		const used = pool.filter(other => now - other.usedAt < idleMilliseconds);
+		return used.length > 0 && !used.some(other => other !== entry && getFreeOwnSlots(other.holding) > 0);
+	};
+
 	const borrow = (from: string, message: SlotLoanMessage, entry: SlotEntry): void => {
 		const {wish} = entry;
 		if (wish?.id !== message.id) {
@@ -199,6 +215,8 @@
 
 				entries.set(target.name, createEntry(target));
 			}
+
+			pools = groupByPool([...entries.values()].filter(entry => known.has(entry.target.name)));
 		},
 		lower(shares) {
 			for (const entry of entries.values()) {
@@ -232,6 +250,10 @@
 			const entry = entries.get(target);
 			return entry ? getSlotsInUse(entry.holding) : 0;
 		},
+		getLent(target) {
+			const entry = entries.get(target);
+			return entry ? getLentSlots(getSlots(entry)) : 0;
+		},
 		getFree(target) {
 			const entry = entries.get(target);
 			return entry ? getFreeSlots(getUsable(entry), clock.monotonic()) : 0;
@@ -304,12 +326,30 @@
 	};
 }
 
+function getPoolName({service, version}: Target): string {
+	return `${service} ${version}`;
+}
+
+function groupByPool(entries: readonly SlotEntry[]): Map<string, SlotEntry[]> {
+	const pools = new Map<string, SlotEntry[]>();
+	for (const entry of entries) {
+		const name = getPoolName(entry.target);
+		const pool = pools.get(name) ?? [];
+		pool.push(entry);
+		pools.set(name, pool);
+	}
+
+	return pools;
+}
+
 /**
- * A borrowed slot is given back first: a request that runs on an own slot may
- * then count as the borrowed one that ended, which only shortens the loan's use.
+ * A borrowed slot is given back first, one that the lender wants back before
+ * others: a request that runs on another slot may then count as the borrowed
+ * one that ended, which only shortens the loan's use.
  */
 function getUseToRelease(holding: SlotHolding): SlotUse {
-	const loan = holding.borrowed.find(candidate => candidate.inUse > 0);
+	const inUse = holding.borrowed.filter(candidate => candidate.inUse > 0);
+	const loan = inUse.find(candidate => candidate.isRecalled) ?? inUse[0];
 	return loan ? {kind: 'borrowed', id: loan.id} : {kind: 'own'};
 }
 
--- a/packages/node/src/target-pool.ts
+++ b/packages/node/src/target-pool.ts
@@ -24,7 +24,7 @@
 };
 
 /** The part of the slot quota that the choice of targets uses. */
-export type SelectorQuota = Pick<SlotQuota, 'getHeld' | 'take' | 'release'>;
+export type SelectorQuota = Pick<SlotQuota, 'getHeld' | 'getLent' | 'take' | 'release'>;
 
 export type TargetPoolParts = {
 	readonly quota: SelectorQuota;
@@ -39,7 +39,11 @@
 type Waiting = AdmissionRequest & {readonly settle: (selection: Selection) => void};
 
 const heldRefreshMilliseconds = 20;
-const wishesPerRemoteWish = 4;
+/** Of so many wishes for a slot, one goes to any region. */
+const wishesPerRemoteWish = 2;
+/** Wishes at once: one for so many requests that wait, within a limit. */
+const waitingPerWish = 2;
+const mostWishes = 4;
 const idleRefreshMilliseconds = 1000;
 /** How long a request waits on a node that holds no slot, for one to be lent. */
 const loanWaitMilliseconds = 1000;
@@ -48,18 +52,22 @@
 export function createTargetPool(parts: TargetPoolParts): TargetPool {
 	const {quota, clock, region, random, isRegionOpen} = parts;
 	const admission: TargetAdmission<Waiting> = createTargetAdmission({
-		region, random, takeSlot: (target, request) => quota.take(target, request.deadlineAt), ...(isRegionOpen && {isRegionOpen}),
+		region, random, takeSlot: (target, request) => quota.take(target, request.deadlineAt), getRecallableSlots: () => lent, ...(isRegionOpen && {isRegionOpen}),
 	});
 	let targets: readonly Target[] = [];
 	let localTargets: readonly Target[] = [];
 	let targetsByName = new Map<string, Target>();
 	let timer: NodeJS.Timeout | undefined;
 	let heldAt = -Infinity;
+	/** Own slots that were lent at that time. */
+	let lent = 0;
 	let usedAt = clock.monotonic();
 
 	const refreshHeld = (now: number): void => {
 		heldAt = now;
+		lent = 0;
 		for (const target of targets) {
+			lent += quota.getLent(target.name);
 			admission.choice.setHeld(target.name, quota.getHeld(target.name), now);
 		}
 	};
@@ -69,11 +77,18 @@
 	 * the quota asks for it elsewhere: mostly at targets of the own region.
 	 */
 	const wishForSlots = (): void => {
-		const isWorthwhile = admission.getDrainTime() >= admission.choice.getUsualLatency();
+		const isWorthwhile = admission.getDrainTime() >= admission.choice.getUsualLatency() / 2;
 		if (admission.getLength() === 0 || !isWorthwhile) {
 			return;
 		}
 
+		const wishes = Math.min(mostWishes, Math.ceil(admission.getLength() / waitingPerWish));
+		for (let wish = 0; wish < wishes; wish++) {
+			wishForSlot();
+		}
+	};
+
+	const wishForSlot = (): void => {
 		const isLocal = localTargets.length > 0 && random.integer(1, wishesPerRemoteWish) > 1;
 		const wished = isLocal ? localTargets : targets;
 		const target = wished[random.integer(0, wished.length - 1)];
--- a/packages/node/tests/helpers-selector.ts
+++ b/packages/node/tests/helpers-selector.ts
@@ -10,6 +10,7 @@
 	/** Targets at which a slot was asked for. */
 	readonly tried: Set<string>;
 	readonly getHeld: (target: string) => number;
+	readonly getLent: (target: string) => number;
 	readonly take: (target: string) => boolean;
 	readonly release: (target: string) => void;
 };
@@ -20,6 +21,7 @@
 		inUse: new Map(),
 		tried: new Set(),
 		getHeld: target => quota.held.get(target) ?? 0,
+		getLent: () => 0,
 		take(target) {
 			quota.tried.add(target);
 			const inUse = quota.inUse.get(target) ?? 0;
--- /dev/null
+++ b/packages/node/tests/slot-quota.test.ts
@@ -0,0 +1,123 @@
+/** What a node lends of its slots, and which it gives back first. */
+import {expect, test} from 'vitest';
+import {createManualClock} from '@catkindale/common';
+import {createMessageBus} from '@catkindale/kernel';
+import {configurationSchema, emptyLedger, joinLedger} from '@catkindale/policy';
+import type {PeerMessage} from '@catkindale/protocol';
+import type {NodeMessage} from '../src/node-messages.js';
+import {type NodeQuotas, createNodeQuotas} from '../src/node-quotas.js';
+
+type Fixture = {
+	readonly quotas: NodeQuotas;
+	readonly sent: PeerMessage[];
+	readonly receive: (from: string, message: PeerMessage) => void;
+};
+
+type Named = {readonly name: string; readonly version: string};
+
+/** A member of a region with the given others, or alone with one own slot at each target. */
+function createFixture(targets: readonly Named[], others: readonly string[] = []): Fixture {
+	const bus = createMessageBus<NodeMessage>();
+	const sent: PeerMessage[] = [];
+	const clock = createManualClock();
+	const quotas = createNodeQuotas({
+		ownId: 'ost-1', region: 'ost', zone: 'ost-a', incarnation: 'run-1', clock, bus, leaseMilliseconds: 1000, pauseLimitMilliseconds: 500,
+	});
+	bus.subscribe('peer-send', ({message}) => {
+		sent.push(message);
+	});
+	bus.publish({
+		type: 'configuration-changed', version: 1, configuration: configurationSchema.parse({
+			regions: [{name: 'ost', zones: ['ost-a']}],
+			targets: targets.map(({name, version}) => ({
+				name, service: 'status', version, region: 'ost', zone: 'ost-a', address: '127.0.0.1:1', slots: 1,
+			})),
+		}),
+	});
+	let ledger = emptyLedger;
+	for (const id of ['ost-1', ...others]) {
+		ledger = joinLedger(ledger, {
+			id, incarnation: id === 'ost-1' ? 'run-1' : id, region: 'ost', zone: 'ost-a', callerAddress: '', peerAddress: '', state: 'live',
+		});
+	}
+
+	quotas.ledger.setLedger(ledger, clock.monotonic());
+	quotas.ledger.tick();
+	return {
+		quotas,
+		sent,
+		receive(from, message) {
+			bus.publish({type: 'peer-received', from, message});
+		},
+	};
+}
+
+type LendingCase = {
+	readonly title: string;
+	readonly targets: readonly Named[];
+	/** Targets at which a request has just ended, and those where one still runs. */
+	readonly used: readonly string[];
+	readonly running: readonly string[];
+	/** Slots lent at each target, when all are wished for in this order. */
+	readonly lent: readonly number[];
+};
+
+const deadlineAt = 1000;
+const sameVersion = [{name: 'a', version: '1'}, {name: 'b', version: '1'}];
+const otherVersion = [{name: 'a', version: '1'}, {name: 'b', version: '2'}];
+
+test.each<LendingCase>([
+	{
+		title: 'all while its own callers are idle', targets: sameVersion, used: [], running: [], lent: [1, 1],
+	},
+	{
+		title: 'all but one slot that its own requests could take', targets: sameVersion, used: ['a', 'b'], running: [], lent: [1, 0],
+	},
+	{
+		title: 'not its last free slot while its requests run elsewhere', targets: sameVersion, used: [], running: ['a'], lent: [0, 0],
+	},
+	{
+		title: 'the slot where its requests don\'t go rather than the one where they do', targets: sameVersion, used: ['a'], running: [], lent: [0, 1],
+	},
+	{
+		title: 'nothing of another version for it', targets: otherVersion, used: ['a'], running: [], lent: [0, 1],
+	},
+])('a node lends $title', ({targets, used, running, lent}) => {
+	const {quotas, sent, receive} = createFixture(targets);
+	for (const name of [...used, ...running]) {
+		expect(quotas.slots.take(name)).toBe(true);
+	}
+
+	for (const name of used) {
+		quotas.slots.release(name);
+	}
+
+	for (const {name} of targets) {
+		receive('ost-2', {
+			type: 'slot-loan-wish', id: `wish-${name}`, target: name, slots: 2,
+		});
+	}
+
+	const loans = sent.filter(message => message.type === 'slot-loan');
+	expect(loans.map(loan => loan.slots)).toEqual(lent);
+	expect(targets.map(({name}) => quotas.slots.getLent(name))).toEqual(lent);
+	quotas.end();
+});
+
+test('the loan that its lender wants back is given back before one that it may keep', () => {
+	const {quotas, sent, receive} = createFixture([{name: 'a', version: '1'}], ['ost-2', 'ost-3']);
+	for (const lender of ['ost-2', 'ost-3']) {
+		expect(quotas.slots.take('a', deadlineAt)).toBe(false);
+		const wish = sent.findLast(message => message.type === 'slot-loan-wish');
+		receive(lender, {
+			type: 'slot-loan', id: wish?.id ?? '', target: 'a', slots: 1,
+		});
+		expect(quotas.slots.take('a', deadlineAt)).toBe(true);
+	}
+
+	const [, second] = sent.filter(message => message.type === 'slot-loan-wish');
+	receive('ost-3', {type: 'slot-recall', id: second?.id ?? '', target: 'a'});
+	quotas.slots.release('a');
+	expect(sent.filter(message => message.type === 'slot-return').map(message => message.id)).toEqual([second?.id]);
+	quotas.end();
+});
--- a/packages/policy/src/slot-holding.ts
+++ b/packages/policy/src/slot-holding.ts
@@ -178,6 +178,6 @@
 	return {...holding, borrowed};
 }
 
-function getLentSlots(holding: SlotHolding): number {
+export function getLentSlots(holding: SlotHolding): number {
 	return holding.lent.reduce((total, loan) => total + loan.slots, 0);
 }
--- a/packages/policy/src/target-admission.ts
+++ b/packages/policy/src/target-admission.ts
@@ -49,6 +49,8 @@
 	readonly random: Random;
 	readonly limits?: FairQueueLimits;
 	readonly isRegionOpen?: (region: string) => boolean;
+	/** Own slots that others use now and give back when this node needs them. */
+	readonly getRecallableSlots?: () => number;
 	/** Takes the slot from the quota that this node holds; false if it holds none that is free. */
 	readonly takeSlot?: (target: string, request: Request) => boolean;
 };
@@ -56,7 +58,7 @@
 export function createTargetAdmission<Request extends AdmissionRequest>(options: TargetAdmissionOptions<Request>): TargetAdmission<Request> {
 	const choice = createTargetChoice(options);
 	const queue: FairQueue<Request> = createFairQueue(options.limits ?? defaultFairQueueLimits);
-	const {takeSlot = () => true} = options;
+	const {takeSlot = () => true, getRecallableSlots = () => 0} = options;
 	let targets: readonly ChoiceTarget[] = [];
 
 	const hasTargetFor = (request: Request): boolean => request.excluded.size === 0
@@ -69,7 +71,7 @@
 			return 0;
 		}
 
-		const slots = choice.getUsableSlots();
+		const slots = choice.getUsableSlots() + getRecallableSlots();
 		const untilUsable = slots > 0 ? 0 : Math.max(0, (choice.getNextWake() ?? now) - now);
 		return untilUsable + ((ahead + 1) * choice.getUsualLatency() / Math.max(1, slots));
 	};
--- a/packages/policy/src/target-choice.ts
+++ b/packages/policy/src/target-choice.ts
@@ -42,7 +42,7 @@
 	readonly report: (target: string, report: TargetReport, now: number) => void;
 	/** Whether a target of the own region has a free slot. */
 	readonly hasFree: (now: number) => boolean;
-	/** Slots that may be in use at once in the own region, or in the others while it has none. */
+	/** Slots that may be in use at once: those held in the own region and lent in others, or within the limit while the own has none. */
 	readonly getUsableSlots: () => number;
 	/** Slots that this node holds at all targets. */
 	readonly getHeldSlots: () => number;
@@ -308,7 +308,7 @@
 		},
 		getUsableSlots() {
 			const atHome = sumRegions(region => isHome(region) ? region.usable : 0);
-			return atHome > 0 ? atHome : sumRegions(region => Math.min(region.usable, getSpillLimit(region.spill, region.held)));
+			return atHome > 0 ? sumRegions(region => region.usable) : sumRegions(region => Math.min(region.usable, getSpillLimit(region.spill, region.held)));
 		},
 		getHeldSlots: () => sumRegions(region => region.held),
 		getUsualLatency: () => getServingRegion()?.usualLatency ?? 0,
