--- a/packages/node/tests/slot-quota.test.ts
+++ b/packages/node/tests/slot-quota.test.ts
@@ -42,7 +42,7 @@
 	}
 
 	quotas.ledger.setLedger(ledger, clock.monotonic());
-	quotas.ledger.tick();
+	quotas.ledger.tick(true);
 	return {
 		quotas,
 		sent,
