End the load of a rollout's test with the test, so that its own failure is shown

UND_ERR_DESTROYED, seen once in rollout.test.ts under load: the errors come from the test's own callers. When a check failed, its load went on, the agent was closed after the last test, and each caller then failed with UND_ERR_CLOSED or UND_ERR_DESTROYED as unhandled errors around the failure that mattered. Loads now end after each test. The checks are unchanged.

Shown by a failure forced in "a good version is done before its deadline" on a scratch copy: before, unhandled UND_ERR_CLOSED and UND_ERR_DESTROYED beside it; after, only "Error: forced". Unforced: 4 of 4 passed. What failed first in the run in which it was seen isn't known.

--- a/packages/cli/tests/rollout.test.ts
+++ b/packages/cli/tests/rollout.test.ts
@@ -1,7 +1,7 @@
 /** Rollouts with each node and target in its own process, and deadlines of seconds. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	afterAll, beforeAll, expect, test,
+	afterAll, afterEach, beforeAll, expect, test,
 } from 'vitest';
 import {Agent, request} from 'undici';
 import {
@@ -26,6 +26,7 @@
 const agent = new Agent({connections: callersPerNode * 3});
 let nodes: TestNode[] = [];
 let version = 0;
+const loads = new Set<Load>();
 
 beforeAll(async () => {
 	const platform = await startPlatformProcesses();
@@ -33,6 +34,12 @@
 		startNodeProcess(platform, {name: `oslo-${index}`, region: 'oslo', zone})));
 });
 
+// A load that outlived a failed test would hide the failure behind errors of the agent that is closed.
+afterEach(async () => {
+	await Promise.all([...loads].map(async load => load.stop()));
+	loads.clear();
+});
+
 afterAll(async () => {
 	await agent.close();
 	await endProcesses();
@@ -95,7 +102,7 @@
 	};
 
 	const running = nodes.flatMap(node => Array.from({length: callersPerNode}, async () => call(node)));
-	return {
+	const load: Load = {
 		failures: () => failures,
 		calls: () => calls,
 		async stop() {
@@ -103,6 +110,8 @@
 			await Promise.all(running);
 		},
 	};
+	loads.add(load);
+	return load;
 }
 
 test('a good version is done before its deadline', async () => {
