Try a change again for 2 s before refusing it, and record a withdrawal only once

Refusals: apply answered 503 in the set-up of whole-path.test.ts once under load. One read or write that the table surely didn't do (a time-out of a second on a read, too many calls in flight) refused the whole change. Such calls are now made again for 2 s; a lost answer is resolved as before. That this was the cause of the run seen is read from the code, not reproduced.

Withdrawals: with that wait, keys.test.ts "stays granted when a node comes back that has missed the record of the withdrawal" failed once, "not seen in time: the key accepted on all nodes". The fault is older: a node that got the table back could record its withdrawal before it had read the row that holds it already, and so lifted a later grant. The record is now looked for in the row that the change starts from.

New tests (packages/node/tests/configuration-change.test.ts) before: 'the first read fails' and 'the first write isn't done' failed, "expected { kind: 'not-done', reason: 'timeout' } to match object { kind: 'committed' ..."; "isn't recorded again" failed, "expected 3 to be 2". After: all pass; keys.test.ts 10 of 10 passed twice; configuration, outage, whole-path and rollout tests passed with the wait, before the second part was added. Units: 266 passed.

--- a/packages/node/src/configuration-change.ts
+++ b/packages/node/src/configuration-change.ts
@@ -35,6 +35,8 @@
 const defaultAuthor = 'operator';
 const resolveMilliseconds = 6000;
 const retryPauseMilliseconds = 200;
+/** How long a change tries again what the table surely didn't do. */
+const patienceMilliseconds = 2000;
 const editAttempts = 5;
 
 /** The record before the first change. */
@@ -48,7 +50,7 @@
 
 /** Replaces the configuration if the row is at the expected version. */
 export async function commitConfiguration(context: NodeContext, expectedVersion: number, configuration: Configuration, options: ChangeOptions = {}): Promise<ChangeOutcome> {
-	const read = await readRecord(context);
+	const read = await readBasis(context);
 	if (read.kind !== 'done') {
 		return {kind: 'not-done', reason: read.kind === 'not-done' ? read.reason : 'the table can\'t be read'};
 	}
@@ -65,11 +67,16 @@
 export async function editConfiguration(context: NodeContext, edit: ConfigurationEdit, options: ChangeOptions = {}): Promise<ChangeOutcome> {
 	let outcome: ChangeOutcome = {kind: 'not-done', reason: 'other changes went first'};
 	for (let attempt = 0; attempt < editAttempts; attempt++) {
-		const read = await readRecord(context);
+		const read = await readBasis(context);
 		if (read.kind !== 'done') {
 			return {kind: 'not-done', reason: read.kind === 'not-done' ? read.reason : 'the table can\'t be read'};
 		}
 
+		const recorded = findRecorded(read.value, options.restriction);
+		if (recorded) {
+			return announce(context, read.value, recorded.changeId);
+		}
+
 		const edited = edit(read.value.configuration);
 		if (!edited.ok) {
 			return {kind: 'refused', reason: edited.error};
@@ -84,6 +91,11 @@
 	return outcome;
 }
 
+/** The change that recorded the restriction. A later change may have lifted it, so it mustn't be recorded again. */
+function findRecorded(record: VersionedRecord, restriction: string | undefined): CommittedChange | undefined {
+	return restriction === undefined ? undefined : record.history.find(change => change.restriction === restriction);
+}
+
 /** Reads the configuration's row. */
 export async function readRecord(context: NodeContext): Promise<TableOutcome<VersionedRecord>> {
 	const outcome = await context.platform.table.get(rowKeys.configuration);
@@ -95,6 +107,18 @@
 	return record ? {kind: 'done', value: record} : {kind: 'not-done', reason: 'the configuration\'s row can\'t be read as one'};
 }
 
+/** Reads the row that a change starts from; one call that fails or comes late doesn't refuse the change. */
+async function readBasis(context: NodeContext): Promise<TableOutcome<VersionedRecord>> {
+	const endsAt = context.clock.monotonic() + patienceMilliseconds;
+	let outcome = await readRecord(context);
+	while (outcome.kind !== 'done' && context.clock.monotonic() < endsAt) {
+		await delay(retryPauseMilliseconds);
+		outcome = await readRecord(context);
+	}
+
+	return outcome;
+}
+
 /** Undefined for a row that something else than this system wrote. */
 function parseRow(row: Row | undefined): VersionedRecord | undefined {
 	if (!row) {
@@ -119,7 +143,8 @@
 async function commitChange(context: NodeContext, {basis, configuration, change}: Change): Promise<ChangeOutcome> {
 	const record = {history: appendChange(basis.history, change), configuration};
 	const write = {key: rowKeys.configuration, expectedVersion: basis.version, value: record};
-	const endsAt = context.clock.monotonic() + resolveMilliseconds;
+	const startedAt = context.clock.monotonic();
+	const endsAt = startedAt + resolveMilliseconds;
 	let lostReason: string | undefined;
 	do {
 		const outcome = await context.platform.table.transact(change.changeId, [write]);
@@ -137,7 +162,7 @@
 			}
 
 			case 'not-done': {
-				if (lostReason === undefined) {
+				if (lostReason === undefined && context.clock.monotonic() - startedAt >= patienceMilliseconds) {
 					return outcome;
 				}
 
