Give back the loan of slots that ends first, so that no request outlasts its loan

Cause: a node keeps how many requests run on each loan, not which. When one ended, a recalled loan, or the oldest, was given back; a request with a later deadline could then count on a loan that ends before it. The lender takes its slot back at that end and gives it to another request, so that a target could have one request more than it has slots, for up to the rest of the deadline. Ruled out: keeping each request's loan, which makes a lender wait longer for what it recalls.

If the loan that ends first goes first, the requests that still run always fit into the loans that stay (both sorted by their ends). A recalled loan goes before it only where no request's deadline is beyond the end of any loan.

Shown failing first, with the former rule: 3 of 10 tests of packages/policy/tests/slot-holding.test.ts, among them "a long request is never left on a loan that ends before it" (15000, at least 18000 expected). After: 10 of 10, and 6 of 6 of packages/node/tests/slot-quota.test.ts. The randomised run of the quotas hadn't found it: all its requests have the same deadline of 3 s.

--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -4,8 +4,8 @@
  */
 import {assertInvariant, createIdentifier} from '@catkindale/common';
 import {
-	type SlotHolding, type SlotUse, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLentSlots, getLoansToReturn, getSlotFloor,
-	getSlotHolders, getSlotsInUse, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
+	type SlotHolding, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLentSlots, getLoansToReturn, getSlotFloor,
+	getSlotHolders, getSlotsInUse, getUseToRelease, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
 } from '@catkindale/policy';
 import type {
 	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotRecallMessage, SlotReturnMessage,
@@ -65,6 +65,8 @@
 	/** The borrower of each lent loan that isn't recalled yet. */
 	readonly borrowers: Map<string, string>;
 	nextLender: number;
+	/** The latest deadline of the requests that took a borrowed slot. */
+	latestDeadlineAt: number;
 };
 
 const wishTimeoutMilliseconds = 200;
@@ -168,6 +170,10 @@
 			entry.usedAt = clock.monotonic();
 		}
 
+		if (taken?.use.kind === 'borrowed') {
+			entry.latestDeadlineAt = Math.max(entry.latestDeadlineAt, deadlineAt);
+		}
+
 		if (getFreeOwnSlots(entry.holding) === 0) {
 			askFor(entry);
 		}
@@ -265,7 +271,7 @@
 		release(target) {
 			const entry = entries.get(target);
 			assertInvariant(entry !== undefined, 'a slot is released at a target that is known', {target});
-			entry.holding = releaseSlot(entry.holding, getUseToRelease(entry.holding), clock.monotonic());
+			entry.holding = releaseSlot(entry.holding, getUseToRelease(entry.holding, entry.latestDeadlineAt), clock.monotonic());
 			if (entry.holding.borrowed.length > 0) {
 				giveBack(entry);
 			}
@@ -322,7 +328,16 @@
 
 function createEntry(target: Target): SlotEntry {
 	return {
-		target, holding: emptyHolding, shares: undefined, isRaised: false, usedAt: Number.NEGATIVE_INFINITY, wish: undefined, lenders: new Map(), borrowers: new Map(), nextLender: 0,
+		target,
+		holding: emptyHolding,
+		shares: undefined,
+		isRaised: false,
+		usedAt: Number.NEGATIVE_INFINITY,
+		wish: undefined,
+		lenders: new Map(),
+		borrowers: new Map(),
+		nextLender: 0,
+		latestDeadlineAt: Number.NEGATIVE_INFINITY,
 	};
 }
 
@@ -342,17 +357,6 @@
 	return pools;
 }
 
-/**
- * A borrowed slot is given back first, one that the lender wants back before
- * others: a request that runs on another slot may then count as the borrowed
- * one that ended, which only shortens the loan's use.
- */
-function getUseToRelease(holding: SlotHolding): SlotUse {
-	const inUse = holding.borrowed.filter(candidate => candidate.inUse > 0);
-	const loan = inUse.find(candidate => candidate.isRecalled) ?? inUse[0];
-	return loan ? {kind: 'borrowed', id: loan.id} : {kind: 'own'};
-}
-
 /** Forgets a target that left the configuration once nothing runs there. */
 function removeUnknown(entries: Map<string, SlotEntry>, known: ReadonlySet<string>, entry: SlotEntry): void {
 	const {holding, target} = entry;
--- a/packages/policy/src/slot-holding.ts
+++ b/packages/policy/src/slot-holding.ts
@@ -92,6 +92,25 @@
 	}
 }
 
+/**
+ * Which slot counts as given back when a request ends. The node doesn't keep
+ * which request runs on which slot, so the loan that ends first goes first: the
+ * requests that still run then fit into the loans that stay, whichever ended.
+ * A loan that its lender wants back goes before it only if no request can run
+ * beyond the end of any loan.
+ * @param latestDeadlineAt the latest deadline of the requests that took a borrowed slot
+ */
+export function getUseToRelease(holding: SlotHolding, latestDeadlineAt: number): SlotUse {
+	const inUse = holding.borrowed.filter(loan => loan.inUse > 0).toSorted((left, right) => left.until - right.until);
+	const [first] = inUse;
+	if (!first) {
+		return ownUse;
+	}
+
+	const recalled = inUse.find(loan => loan.isRecalled && (latestDeadlineAt <= first.until || loan.until === first.until));
+	return {kind: 'borrowed', id: (recalled ?? first).id};
+}
+
 /** What a borrower asks for, and what the lender keeps for itself. */
 export type SlotWish = {readonly id: string; readonly wanted: number; readonly reserve: number};
 
--- a/packages/policy/tests/slot-holding.test.ts
+++ b/packages/policy/tests/slot-holding.test.ts
@@ -1,7 +1,7 @@
 /** When borrowed slots go back to their lender. */
 import {describe, expect, test} from 'vitest';
 import {
-	type SlotHolding, borrowSlots, emptyHolding, getHeldSlots, getLoansToReturn, recallSlots, takeSlot,
+	type SlotHolding, borrowSlots, emptyHolding, getHeldSlots, getLoansToReturn, getUseToRelease, recallSlots, releaseSlot, takeSlot,
 } from '@catkindale/policy';
 
 const deadlineAt = 5000;
@@ -44,3 +44,55 @@
 		expect(getHeldSlots(holding, 0)).toBe(1);
 	});
 });
+
+type ReleaseCase = {
+	readonly name: string;
+	/** When each loan of one slot was asked for; requests take them in this order. */
+	readonly askedAt: readonly number[];
+	readonly deadlines: readonly number[];
+	readonly recalled: string | undefined;
+	readonly released: string;
+};
+
+test.each<ReleaseCase>([
+	{
+		name: 'the loan that ends first', askedAt: [4000, 0], deadlines: [18_000, 10_000], recalled: undefined, released: '1',
+	},
+	{
+		name: 'not a later one that is recalled, on which a request may run on', askedAt: [0, 4000], deadlines: [10_000, 18_000], recalled: '1', released: '0',
+	},
+	{
+		name: 'the recalled one where no request can outlast a loan', askedAt: [0, 4000], deadlines: [10_000, 12_000], recalled: '1', released: '1',
+	},
+])('when a request ends, it gives back $name', ({askedAt, deadlines, recalled, released}) => {
+	let holding = emptyHolding;
+	for (const [index, at] of askedAt.entries()) {
+		holding = borrowSlots(holding, {id: String(index), slots: 1, askedAt: at}, at);
+		holding = takeSlot(holding, deadlines[index]!, at)!.holding;
+	}
+
+	holding = recalled === undefined ? holding : recallSlots(holding, recalled);
+	const use = getUseToRelease(holding, Math.max(...deadlines));
+	expect(use).toEqual({kind: 'borrowed', id: released});
+	expect(releaseSlot(holding, use, 5000).borrowed.find(({id}) => id === released)?.inUse).toBe(0);
+});
+
+test('a long request is never left on a loan that ends before it', () => {
+	const loans = [{id: 'short', until: 0}, {id: 'long', until: 4000}];
+	for (const recalled of ['short', 'long']) {
+		let holding = emptyHolding;
+		for (const {id, until} of loans) {
+			holding = borrowSlots(holding, {id, slots: 1, askedAt: until}, until);
+		}
+
+		const deadlines = [10_000, 18_000];
+		for (const deadline of deadlines) {
+			holding = takeSlot(holding, deadline, 4000)!.holding;
+		}
+
+		holding = recallSlots(holding, recalled);
+		holding = releaseSlot(holding, getUseToRelease(holding, 18_000), 5000);
+		const stays = holding.borrowed.find(loan => loan.inUse > 0);
+		expect(stays?.until).toBeGreaterThanOrEqual(18_000);
+	}
+});
