Lend a slot for as long as the request needs that found none

Cause: a slot was lent for 15 s, and a request gets a borrowed one only if its deadline is within the loan; on a node that holds no slot of its own, a route with a longer deadline, such as an upload of 60 s, was never served.

A wish now names how long the loan should last, from its deadline, at most the longest deadline of a route; the answer tells how long it does. The slots of a lost lender are used again only after the longest deadline and a margin, as before, so that a loan has ended by then. Ruled out: longer loans for all, with which a borrower that dies would keep a slot from its lender for longer.

--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -18,7 +18,7 @@
 	pauseLimitMilliseconds: 800,
 	silenceMilliseconds: 2500,
 	expiryMilliseconds: 2500,
-	requestMilliseconds: 17_000,
+	requestMilliseconds: 21_000,
 	isRaisingAlone: false,
 };
 
@@ -33,6 +33,9 @@
 const shortestFaultMilliseconds = 1000;
 const longestFaultMilliseconds = 12_000;
 const longestRequestMilliseconds = 3000;
+/** Longer than a loan of slots lasts unless a request needs more. */
+const longestBulkMilliseconds = 20_000;
+const bulkShare = 0.01;
 const longestSpreadMilliseconds = 2000;
 const longestPauseMilliseconds = 25_000;
 const shortPauseMilliseconds = 2000;
@@ -164,6 +167,9 @@
 		customers: (load === 'links' ? [] : customers).map(name => name === 'large'
 			? {name, rate: random.integer(10, 60), burst: random.integer(8, 60)}
 			: {name, rate: random.integer(1, 5), burst: random.integer(1, 6)}),
+		routes: [{
+			service: 'pricing', method: 'PUT', path: '/receipts', idempotent: true, deadlineMilliseconds: longestBulkMilliseconds,
+		}],
 		targets: targets.map((name, index) => ({
 			name, service: 'pricing', version: '1', region: regions[index], zone: `${regions[index]}-a`, address: '127.0.0.1:1', slots: random.integer(1, 8),
 		})),
@@ -261,9 +267,10 @@
 /** A request runs at the target until it ends, whatever becomes of the node. */
 function startRequest(fleet: Fleet, node: SimulatedNode, target: string, startedAt: number): void {
 	const {random, after, now} = fleet.world;
-	const isLong = random.fraction() < 0.2;
-	const milliseconds = random.integer(1, isLong ? longestRequestMilliseconds : 200);
-	const deadlineAt = node.quotas.clock.monotonic() + longestRequestMilliseconds;
+	const longestMilliseconds = random.fraction() < bulkShare ? longestBulkMilliseconds : longestRequestMilliseconds;
+	const isLong = longestMilliseconds === longestBulkMilliseconds || random.fraction() < 0.2;
+	const milliseconds = random.integer(1, isLong ? longestMilliseconds : 200);
+	const deadlineAt = node.quotas.clock.monotonic() + longestMilliseconds;
 	if (!node.quotas.slots.take(target, deadlineAt)) {
 		return;
 	}
--- a/packages/node/src/quota-ledger.ts
+++ b/packages/node/src/quota-ledger.ts
@@ -175,7 +175,7 @@
 	const setConfiguration = ({version, configuration}: VersionedConfiguration): void => {
 		view = updateVersion(view, version);
 		requests.setCustomers(configuration.customers);
-		slots.setTargets(configuration.targets);
+		slots.setTargets(configuration.targets, Math.max(0, ...configuration.routes.map(route => route.deadlineMilliseconds)));
 		links.setLinks(configuration.links);
 		lower();
 		report();
--- a/packages/node/src/slot-quota.ts
+++ b/packages/node/src/slot-quota.ts
@@ -5,7 +5,7 @@
 import {assertInvariant, createIdentifier} from '@catkindale/common';
 import {
 	type SlotHolding, type Target, borrowSlots, emptyHolding, endSlotLoans, getFreeOwnSlots, getFreeSlots, getHeldSlots, getLentSlots, getLoansToReturn, getSlotFloor,
-	getSlotHolders, getSlotsInUse, getUseToRelease, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, takeBackSlots, takeSlot,
+	getSlotHolders, getSlotsInUse, getUseToRelease, isBeyondFloor, lendSlots, recallSlots, releaseSlot, returnSlots, shortenBorrowedSlots, slotLoanMilliseconds, takeBackSlots, takeSlot,
 } from '@catkindale/policy';
 import type {
 	PeerMessage, SlotLoanMessage, SlotLoanWishMessage, SlotRecallMessage, SlotReturnMessage,
@@ -15,8 +15,11 @@
 import type {LedgerShares} from './request-quotas.js';
 
 export type SlotQuota = {
-	/** Takes the targets of a configuration; the floors follow by `lower` and `raise`. */
-	setTargets: (targets: readonly Target[]) => void;
+	/**
+	 * Takes the targets of a configuration, whose floors follow by `lower` and
+	 * `raise`, and the longest deadline of its requests in milliseconds.
+	 */
+	setTargets: (targets: readonly Target[], longestDeadlineMilliseconds: number) => void;
 	/** Lowers all floors to at most these shares. */
 	lower: (shares: LedgerShares) => void;
 	/** Raises the floors to the shares of the last call of `lower`, but for targets with an overhang elsewhere. */
@@ -77,6 +80,8 @@
 	const {clock, lease, send} = options;
 	const entries = new Map<string, SlotEntry>();
 	let known = new Set<string>();
+	/** A lost lender's slots are used again only after this time and a margin. */
+	let longestLoanMilliseconds = slotLoanMilliseconds;
 	/** The targets of each service and version, which serve the same requests. */
 	let pools = new Map<string, SlotEntry[]>();
 
@@ -96,7 +101,7 @@
 		return entry.holding;
 	};
 
-	const askFor = (entry: SlotEntry): void => {
+	const askFor = (entry: SlotEntry, deadlineAt: number): void => {
 		const now = clock.own();
 		if (options.isBorrowing === false || (entry.wish && now - entry.wish.askedAt < wishTimeoutMilliseconds)) {
 			return;
@@ -107,23 +112,27 @@
 		if (lender) {
 			entry.nextLender += 1;
 			entry.wish = {id: createIdentifier(), askedAt: now};
+			const needed = Number.isFinite(deadlineAt) ? Math.ceil(deadlineAt - clock.monotonic()) : 0;
 			send(lender.id, {
-				type: 'slot-loan-wish', id: entry.wish.id, target: entry.target.name, slots: slotsPerWish,
+				type: 'slot-loan-wish', id: entry.wish.id, target: entry.target.name, slots: slotsPerWish, milliseconds: Math.max(slotLoanMilliseconds, needed),
 			});
 		}
 	};
 
 	const lend = (from: string, message: SlotLoanWishMessage, entry: SlotEntry): void => {
 		const now = clock.monotonic();
-		const reserve = isLastInUse(entry) ? 1 : 0;
-		const result = lease.isValid() ? lendSlots(getSlots(entry), {id: message.id, wanted: message.slots, reserve}, now) : {holding: entry.holding, slots: 0};
+		const milliseconds = Math.min(message.milliseconds, longestLoanMilliseconds);
+		const wish = {
+			id: message.id, wanted: message.slots, reserve: isLastInUse(entry) ? 1 : 0, milliseconds,
+		};
+		const result = lease.isValid() ? lendSlots(getSlots(entry), wish, now) : {holding: entry.holding, slots: 0};
 		entry.holding = result.holding;
 		if (result.slots > 0) {
 			entry.borrowers.set(message.id, from);
 		}
 
 		send(from, {
-			type: 'slot-loan', id: message.id, target: message.target, slots: result.slots,
+			type: 'slot-loan', id: message.id, target: message.target, slots: result.slots, milliseconds,
 		});
 	};
 
@@ -149,7 +158,10 @@
 		const frozen = clock.own() - clock.monotonic();
 		const askedAt = wish.askedAt - frozen;
 		entry.wish = undefined;
-		entry.holding = borrowSlots(getSlots(entry), {id: message.id, slots: message.slots, askedAt}, clock.monotonic());
+		const loan = {
+			id: message.id, slots: message.slots, askedAt, milliseconds: message.milliseconds,
+		};
+		entry.holding = borrowSlots(getSlots(entry), loan, clock.monotonic());
 		if (message.slots > 0) {
 			entry.lenders.set(message.id, from);
 			options.onGained?.(message.target);
@@ -175,7 +187,7 @@
 		}
 
 		if (getFreeOwnSlots(entry.holding) === 0) {
-			askFor(entry);
+			askFor(entry, deadlineAt);
 		}
 
 		if (!taken) {
@@ -210,7 +222,8 @@
 	};
 
 	return {
-		setTargets(targets) {
+		setTargets(targets, longestDeadlineMilliseconds) {
+			longestLoanMilliseconds = Math.max(slotLoanMilliseconds, longestDeadlineMilliseconds);
 			known = new Set(targets.map(target => target.name));
 			for (const target of targets) {
 				const entry = entries.get(target.name);
--- a/packages/node/tests/slot-quota.test.ts
+++ b/packages/node/tests/slot-quota.test.ts
@@ -63,6 +63,7 @@
 };
 
 const deadlineAt = 1000;
+const loanMilliseconds = 15_000;
 const sameVersion = [{name: 'a', version: '1'}, {name: 'b', version: '1'}];
 const otherVersion = [{name: 'a', version: '1'}, {name: 'b', version: '2'}];
 
@@ -94,7 +95,7 @@
 
 	for (const {name} of targets) {
 		receive('ost-2', {
-			type: 'slot-loan-wish', id: `wish-${name}`, target: name, slots: 2,
+			type: 'slot-loan-wish', id: `wish-${name}`, target: name, slots: 2, milliseconds: loanMilliseconds,
 		});
 	}
 
@@ -110,7 +111,7 @@
 		expect(quotas.slots.take('a', deadlineAt)).toBe(false);
 		const wish = sent.findLast(message => message.type === 'slot-loan-wish');
 		receive(lender, {
-			type: 'slot-loan', id: wish?.id ?? '', target: 'a', slots: 1,
+			type: 'slot-loan', id: wish?.id ?? '', target: 'a', slots: 1, milliseconds: loanMilliseconds,
 		});
 		expect(quotas.slots.take('a', deadlineAt)).toBe(true);
 	}
--- a/packages/policy/src/slot-holding.ts
+++ b/packages/policy/src/slot-holding.ts
@@ -31,7 +31,7 @@
 	floor: 0, lent: [], borrowed: [], inUse: 0,
 };
 
-/** How long a loan lasts for the borrower, from its request. */
+/** How long a loan lasts for the borrower from its wish, unless a request needs longer. */
 export const slotLoanMilliseconds = 15_000;
 /** How much longer the lender counts it, for clocks that run at different rates. */
 export const slotLoanMarginMilliseconds = 500;
@@ -112,11 +112,11 @@
 }
 
 /** What a borrower asks for, and what the lender keeps for itself. */
-export type SlotWish = {readonly id: string; readonly wanted: number; readonly reserve: number};
+export type SlotWish = {readonly id: string; readonly wanted: number; readonly reserve: number; readonly milliseconds: number};
 
 /** Lends free own slots above the reserve; a known loan is answered again as it is. */
 export function lendSlots(holding: SlotHolding, wish: SlotWish, now: number): {readonly holding: SlotHolding; readonly slots: number} {
-	const {id, wanted, reserve} = wish;
+	const {id, wanted, reserve, milliseconds} = wish;
 	if (holding.lent.some(loan => loan.id === id)) {
 		return {holding, slots: 0};
 	}
@@ -126,16 +126,16 @@
 		return {holding, slots};
 	}
 
-	const until = now + slotLoanMilliseconds + slotLoanMarginMilliseconds;
+	const until = now + milliseconds + slotLoanMarginMilliseconds;
 	return {holding: {...holding, lent: [...holding.lent, {id, slots, until}]}, slots};
 }
 
-/** A loan as it came in; `askedAt` is when its request was sent. */
-export type ReceivedSlots = {readonly id: string; readonly slots: number; readonly askedAt: number};
+/** A loan as it came in; `askedAt` is when its wish was sent, from which it lasts so long. */
+export type ReceivedSlots = {readonly id: string; readonly slots: number; readonly askedAt: number; readonly milliseconds: number};
 
 /** Takes a loan in. A late one is discarded. */
-export function borrowSlots(holding: SlotHolding, {id, slots, askedAt}: ReceivedSlots, now: number): SlotHolding {
-	const until = askedAt + slotLoanMilliseconds;
+export function borrowSlots(holding: SlotHolding, {id, slots, askedAt, milliseconds}: ReceivedSlots, now: number): SlotHolding {
+	const until = askedAt + milliseconds;
 	if (slots === 0 || until <= now) {
 		return holding;
 	}
--- a/packages/policy/tests/slot-holding.test.ts
+++ b/packages/policy/tests/slot-holding.test.ts
@@ -5,10 +5,13 @@
 } from '@catkindale/policy';
 
 const deadlineAt = 5000;
+const milliseconds = 15_000;
 
 /** Holds so many own slots and a loan of two that came in at time 0. */
 function createHolding(floor: number, uses: number): SlotHolding {
-	let holding = borrowSlots({...emptyHolding, floor}, {id: 'loan', slots: 2, askedAt: 0}, 0);
+	let holding = borrowSlots({...emptyHolding, floor}, {
+		id: 'loan', slots: 2, askedAt: 0, milliseconds,
+	}, 0);
 	for (let use = 0; use < uses; use++) {
 		holding = takeSlot(holding, deadlineAt, 0)?.holding ?? holding;
 	}
@@ -67,7 +70,9 @@
 ])('when a request ends, it gives back $name', ({askedAt, deadlines, recalled, released}) => {
 	let holding = emptyHolding;
 	for (const [index, at] of askedAt.entries()) {
-		holding = borrowSlots(holding, {id: String(index), slots: 1, askedAt: at}, at);
+		holding = borrowSlots(holding, {
+			id: String(index), slots: 1, askedAt: at, milliseconds,
+		}, at);
 		holding = takeSlot(holding, deadlines[index]!, at)!.holding;
 	}
 
@@ -82,7 +87,9 @@
 	for (const recalled of ['short', 'long']) {
 		let holding = emptyHolding;
 		for (const {id, until} of loans) {
-			holding = borrowSlots(holding, {id, slots: 1, askedAt: until}, until);
+			holding = borrowSlots(holding, {
+				id, slots: 1, askedAt: until, milliseconds,
+			}, until);
 		}
 
 		const deadlines = [10_000, 18_000];
--- a/packages/protocol/src/quota-messages.ts
+++ b/packages/protocol/src/quota-messages.ts
@@ -1,6 +1,6 @@
 /** Messages by which nodes agree on shares of the quotas and lend parts of them. */
 import {z} from 'zod';
-import {ledgerSchema} from '@catkindale/policy';
+import {ledgerSchema, slotLoanMilliseconds} from '@catkindale/policy';
 
 const amount = z.number().min(0);
 
@@ -62,6 +62,8 @@
 	id: z.string(),
 	target: z.string(),
 	slots: z.int().min(0),
+	/** How long the loan should last from the sending of the wish. */
+	milliseconds: z.number().positive().default(slotLoanMilliseconds),
 });
 
 export const slotLoanMessageSchema = z.object({
@@ -69,6 +71,8 @@
 	id: z.string(),
 	target: z.string(),
 	slots: z.int().min(0),
+	/** How long the loan lasts from the sending of the wish. */
+	milliseconds: z.number().positive().default(slotLoanMilliseconds),
 });
 
 /** The borrower uses the loan no more. */
