--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -7,6 +7,9 @@
 import {type Configuration, configurationSchema} from '@catkindale/policy';
 import type {PeerMessage} from '@catkindale/protocol';
 import {createLinks, startTransfers} from './verification-link-load.js';
+import {
+	customers, longestBulkMilliseconds, sendEverywhere, sendRequests, targets,
+} from './verification-request-load.js';
 import {type QuotaCount, createQuotaCount} from './verification-quota-count.js';
 import {type QuotaTiming, type SimulatedNode, createSimulatedNode} from './verification-quota-node.js';
 import {
@@ -32,10 +35,6 @@
 const checkMilliseconds = 100;
 const shortestFaultMilliseconds = 1000;
 const longestFaultMilliseconds = 12_000;
-const longestRequestMilliseconds = 3000;
-/** Longer than a loan of slots lasts unless a request needs more. */
-const longestBulkMilliseconds = 20_000;
-const bulkShare = 0.01;
 const longestSpreadMilliseconds = 2000;
 const longestPauseMilliseconds = 25_000;
 const shortPauseMilliseconds = 2000;
@@ -46,8 +45,6 @@
 const slowShare = 0.02;
 const usualDelayMilliseconds = 60;
 const longestDelayMilliseconds = 4000;
-const targets = ['pricing-1', 'pricing-2'];
-const customers = ['large', 'small'];
 
 const faultKinds = ['crash', 'pause', 'cut', 'table-outage', 'lost-table-answers', 'leave', 'change'] as const;
 type FaultKind = typeof faultKinds[number];
@@ -227,7 +224,7 @@
 	const node = pickNode(fleet);
 	switch (fleet.load) {
 		case 'requests': {
-			sendRequest(fleet, node);
+			sendRequests(fleet, node);
 			break;
 		}
 
@@ -241,49 +238,6 @@
 	}
 }
 
-function sendRequest(fleet: Fleet, node: SimulatedNode | undefined): void {
-	const {random, now} = fleet.world;
-	const customer = customers[random.integer(0, customers.length - 1)] ?? '';
-	const target = targets[random.integer(0, targets.length - 1)] ?? '';
-	const bunch = random.fraction() < 0.1 ? 20 : 1;
-	for (let index = 0; node?.isAlive && !node.isPaused && index < bunch; index++) {
-		if (random.fraction() < 0.5) {
-			void waitForToken(fleet, node, customer);
-		} else if (node.quotas.requests.admit(customer).kind === 'admitted') {
-			fleet.count.admit(customer);
-		}
-
-		startRequest(fleet, node, target, now());
-	}
-}
-
-async function waitForToken(fleet: Fleet, node: SimulatedNode, customer: string): Promise<void> {
-	const admission = await node.quotas.requests.admitSoon(customer);
-	if (admission.kind === 'admitted') {
-		fleet.count.admit(customer);
-	}
-}
-
-/** A request runs at the target until it ends, whatever becomes of the node. */
-function startRequest(fleet: Fleet, node: SimulatedNode, target: string, startedAt: number): void {
-	const {random, after, now} = fleet.world;
-	const longestMilliseconds = random.fraction() < bulkShare ? longestBulkMilliseconds : longestRequestMilliseconds;
-	const isLong = longestMilliseconds === longestBulkMilliseconds || random.fraction() < 0.2;
-	const milliseconds = random.integer(1, isLong ? longestMilliseconds : 200);
-	const deadlineAt = node.quotas.clock.monotonic() + longestMilliseconds;
-	if (!node.quotas.slots.take(target, deadlineAt)) {
-		return;
-	}
-
-	fleet.count.start(target);
-	after(milliseconds - (now() - startedAt), () => {
-		fleet.count.finish(target);
-		node.run(() => {
-			node.quotas.slots.release(target);
-		});
-	});
-}
-
 function injectFault(fleet: Fleet): void {
 	const {random, after} = fleet.world;
 	const node = pickNode(fleet);
@@ -403,7 +357,7 @@
 function resumeLoad(fleet: Fleet, node: SimulatedNode): void {
 	switch (fleet.load) {
 		case 'requests': {
-			sendRequestTo(fleet, node);
+			sendEverywhere(fleet, node);
 			break;
 		}
 
@@ -412,15 +366,3 @@
 		}
 	}
 }
-
-function sendRequestTo(fleet: Fleet, node: SimulatedNode): void {
-	for (const customer of node.isAlive ? customers : []) {
-		if (node.quotas.requests.admit(customer).kind === 'admitted') {
-			fleet.count.admit(customer);
-		}
-	}
-
-	for (const target of node.isAlive ? targets : []) {
-		startRequest(fleet, node, target, fleet.world.now());
-	}
-}
