Keep full targets to a part of their objects

Cause: customers bound to one region send 62 lookups a second to two targets that can serve 55 from their caches and 24 without; spread over all objects, caches were replaced faster than used, and requests were cut at the route's timeout. Routes never asked before were refused by an estimate.

Ruled out: quotas; these customers were inside theirs.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -5,8 +5,8 @@
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
 	type FinishCandidate, type ObjectMemory, type RunTime, type TrafficRoute, type TrafficService,
-	chooseByFinish, createObjectMemory, createRunTime, getExpectedRunning, getWarmupShare, recordAnswer, recordEnded, recordFailure, recordSent,
-	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateRunTime,
+	chooseByFinish, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getWarmupShare, isObjectAdmitted, recordAnswer, recordEnded, recordFailure, recordSent,
+	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateObjectAdmission, updateRunTime,
 } from '@catkindale/policy';
 import type {ReportedLoad} from './target-dialect.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
@@ -29,6 +29,8 @@
 	readonly isWarm: boolean;
 	readonly wayMilliseconds: number;
 	readonly expectedMilliseconds: number;
+	/** Requests at the target, as far as this gateway could tell. */
+	readonly running: number;
 	readonly objectKey: string | undefined;
 	readonly runKey: string;
 };
@@ -55,6 +57,10 @@
 	forgetTarget: (id: string) => void;
 };
 
+/** The place of an object at each target: the target's rank in its region, and the object's position in the target's order. */
+type ObjectPlace = {readonly rank: number; readonly position: number};
+type ObjectRanking = ReadonlyMap<string, ObjectPlace>;
+
 export type GatewayChooserOptions = {
 	readonly clock: Clock;
 	readonly targets: GatewayTargets;
@@ -78,14 +84,13 @@
 export function createGatewayChooser({clock, targets, ownId, region}: GatewayChooserOptions): GatewayChooser {
 	const memory: ObjectMemory = createObjectMemory();
 	const runTimes = new Map<string, RunTime>();
-	const rankings = new Map<string, ReadonlyMap<string, number>>();
+	const rankings = new Map<string, ObjectRanking>();
 	let rankedGeneration = -1;
 	let gateways: readonly string[] = [ownId];
 	let evacuated: ReadonlySet<string> = new Set();
 	let held: ReadonlyMap<string, string> = new Map();
 
-	/** The place of each target in its region's order for the object. */
-	const getRanks = (objectKey: string, serving: readonly GatewayTarget[]): ReadonlyMap<string, number> => {
+	const getRanking = (objectKey: string, serving: readonly GatewayTarget[]): ObjectRanking => {
 		if (rankedGeneration !== targets.getGeneration() || rankings.size > mostRankings) {
 			rankings.clear();
 			rankedGeneration = targets.getGeneration();
@@ -97,15 +102,15 @@
 		}
 
 		const places = new Map<string, number>();
-		const ranks = new Map<string, number>();
+		const ranking = new Map<string, ObjectPlace>();
 		for (const {id, region: targetRegion} of rankMembers(objectKey, serving.map(({target}) => target))) {
 			const place = places.get(targetRegion) ?? 0;
-			ranks.set(id, place);
+			ranking.set(id, {rank: place, position: getObjectPosition(objectKey, id)});
 			places.set(targetRegion, place + 1);
 		}
 
-		rankings.set(objectKey, ranks);
-		return ranks;
+		rankings.set(objectKey, ranking);
+		return ranking;
 	};
 
 	const getWarmupPart = (entry: GatewayTarget, service: TrafficService): number =>
@@ -125,13 +130,13 @@
 		return entry.coldUntil <= now || takeWarmupRequest(entry.warmupRate, getWarmupPart(entry, request.service), now) !== undefined;
 	};
 
-	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranks: ReadonlyMap<string, number> | undefined, now: number): FinishCandidate => ({
+	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => ({
 		id: entry.target.id,
 		region: entry.target.region,
 		slots: entry.target.slots,
 		expectedRunning: getExpectedRunning(entry.condition, now),
 		slowness: entry.condition.slowness,
-		rank: ranks?.get(entry.target.id),
+		rank: ranking?.get(entry.target.id)?.rank,
 		isKnownWarm: objectKey !== undefined && memory.isWarm(objectKey, entry.target.id, now),
 		isStarting: entry.coldUntil > now,
 		wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
@@ -153,6 +158,13 @@
 		}
 	};
 
+	const learnLoad = (entry: GatewayTarget, load: ReportedLoad | undefined, now: number): void => {
+		if (load) {
+			entry.condition = recordTold(entry.condition, load, now);
+			entry.admission = updateObjectAdmission(entry.admission, load, now);
+		}
+	};
+
 	return {
 		choose(request) {
 			const now = clock.monotonic();
@@ -162,11 +174,13 @@
 			const sound = usable.filter(({condition}) => condition.avoidedUntil <= now);
 			const entries = sound.length > 0 ? sound : usable;
 			const objectKey = route.isSticky && request.object !== undefined ? `${service.name}\n${request.object}` : undefined;
-			const ranks = objectKey === undefined ? undefined : getRanks(objectKey, serving);
+			const ranking = objectKey === undefined ? undefined : getRanking(objectKey, serving);
+			const wall = clock.wall();
+			const admitting = entries.filter(entry => isObjectAdmitted(entry.admission, ranking?.get(entry.target.id)?.position ?? Math.random(), wall));
 			const runKey = `${service.name}\n${route.name}`;
 			const runTime = runTimes.get(runKey) ?? createRunTime(route.targetLatencyMilliseconds);
 			runTimes.set(runKey, runTime);
-			const choice = chooseByFinish(entries.map(entry => getCandidate(entry, objectKey, ranks, now)), {
+			const choice = chooseByFinish(admitting.map(entry => getCandidate(entry, objectKey, ranking, now)), {
 				runTime, leftMilliseconds: request.leftMilliseconds, foreignPenaltyMilliseconds, homeRegion: region,
 			});
 			if (choice.kind !== 'chosen') {
@@ -179,6 +193,7 @@
 				entry.warmupRate = takeWarmupRequest(entry.warmupRate, getWarmupPart(entry, service), now) ?? entry.warmupRate;
 			}
 
+			const running = getExpectedRunning(entry.condition, now);
 			entry.condition = recordSent(entry.condition);
 			return {
 				kind: 'chosen',
@@ -186,6 +201,7 @@
 				isWarm: choice.isWarm,
 				wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
 				expectedMilliseconds: choice.expectedMilliseconds,
+				running,
 				objectKey,
 				runKey,
 			};
@@ -196,10 +212,7 @@
 			entry.condition = recordEnded(entry.condition);
 			switch (ending.kind) {
 				case 'answered': {
-					if (ending.load) {
-						entry.condition = recordTold(entry.condition, ending.load, now);
-					}
-
+					learnLoad(entry, ending.load, now);
 					if (ending.status >= firstFailureStatus) {
 						entry.condition = recordFailure(entry.condition, now);
 						break;
@@ -214,11 +227,9 @@
 				}
 
 				case 'shed': {
-					if (ending.load) {
-						entry.condition = recordTold(entry.condition, ending.load, now);
-					}
-
+					learnLoad(entry, ending.load, now);
 					entry.condition = recordShed(entry.condition, now);
+					entry.admission = updateObjectAdmission(entry.admission, {waiting: Number.POSITIVE_INFINITY, slots: entry.target.slots}, now);
 					break;
 				}
 
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -218,10 +218,11 @@
 	readonly startedAt: number;
 	readonly route: TrafficRoute | undefined;
 	readonly customer: TrafficCustomer | undefined;
+	readonly object?: string | undefined;
 };
 
 /** The line from which operators learn what became of a request, and why. */
-function report(state: GatewayState, {requestId, startedAt, route, customer}: Reported, {result, records}: ExchangeEnd): void {
+function report(state: GatewayState, {requestId, startedAt, route, customer, object}: Reported, {result, records}: ExchangeEnd): void {
 	const {context, router} = state;
 	const milliseconds = context.clock.monotonic() - startedAt;
 	const outcome = result.kind === 'problem' ? result.problem.reason : result.kind;
@@ -235,7 +236,9 @@
 		route: route?.name,
 		customer: customer?.name,
 		version: router?.configuration.version,
+		object,
 		outcome,
+		...(result.kind === 'problem' && {detail: result.problem.detail}),
 		status: getStatus(result),
 		ran: getOutcome(records),
 		milliseconds: Math.round(milliseconds),
@@ -243,7 +246,7 @@
 			chosen.entry.target.id,
 			ended.kind,
 			`expected=${Math.round(chosen.expectedMilliseconds)}`,
-			`running=${chosen.entry.condition.ownRunning}`,
+			`running=${chosen.running.toFixed(1)}`,
 			chosen.isWarm ? 'cached' : 'uncached',
 			...('reason' in ended ? [ended.reason] : []),
 		].join(':')).join(','),
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -4,13 +4,15 @@
  */
 import type {Clock} from '@catkindale/common';
 import {
-	type TargetCondition, type TrafficTarget, type WarmupRate, createTargetCondition, createWarmupRate,
+	type ObjectAdmission, type TargetCondition, type TrafficTarget, type WarmupRate, createTargetCondition, createWarmupRate, fullAdmission,
 } from '@catkindale/policy';
 import {type TargetConnections, createTargetConnections} from './target-connections.js';
 
 export type GatewayTarget = {
 	target: TrafficTarget;
 	condition: TargetCondition;
+	/** The part of the objects that this gateway sends to the target. */
+	admission: ObjectAdmission;
 	readonly connections: TargetConnections;
 	/** Monotonic time in milliseconds. */
 	coldUntil: number;
@@ -62,7 +64,7 @@
 			},
 		});
 		return {
-			target, condition: createTargetCondition(now), connections, coldUntil: now + target.coldForMilliseconds, warmupRate: createWarmupRate(now),
+			target, condition: createTargetCondition(now), admission: fullAdmission, connections, coldUntil: now + target.coldForMilliseconds, warmupRate: createWarmupRate(now),
 		};
 	};
 
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -48,6 +48,8 @@
 /** The weight of slot time against the caller's own time when all slots are in use. */
 const mostSlotPrice = 3;
 const startingSlowness = 2;
+/** The part of the requests before a new one that run from the cache. */
+const usualCachedPart = 0.7;
 
 /** The use of all the candidates' slots, 1 when all are taken. */
 export function getUse(candidates: readonly FinishCandidate[]): number {
@@ -73,28 +75,26 @@
 	let soonest = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
 		const run = getRun(candidate, request.runTime);
-		const finish = candidate.wayMilliseconds + getWait(candidate, request.runTime) + run;
-		soonest = Math.min(soonest, finish);
+		const wait = getWait(candidate, request.runTime);
+		const finish = candidate.wayMilliseconds + wait + run;
+		// Only a sure failure is refused: the object may be cached after all.
+		const soonestPossible = candidate.wayMilliseconds + wait + (request.runTime.warmMilliseconds * candidate.slowness);
+		soonest = Math.min(soonest, soonestPossible);
 		const cost = finish + (slotPrice * run) + (candidate.region === request.homeRegion ? 0 : request.foreignPenaltyMilliseconds);
-		if (finish <= request.leftMilliseconds && (best === undefined || cost < best.cost)) {
+		if (soonestPossible <= request.leftMilliseconds && (best === undefined || cost < best.cost)) {
 			best = {candidate, cost, finish};
 		}
 	}
 
 	if (best) {
 		return {
-			kind: 'chosen', id: best.candidate.id, expectedMilliseconds: best.finish, isWarm: isLikelyWarm(best.candidate),
+			kind: 'chosen', id: best.candidate.id, expectedMilliseconds: best.finish, isWarm: best.candidate.isKnownWarm,
 		};
 	}
 
 	return candidates.length === 0 ? {kind: 'no-target'} : {kind: 'too-late', expectedMilliseconds: soonest};
 }
 
-/** Whether an answer from the candidate is counted as one from its cache. */
-export function isLikelyWarm(candidate: Pick<FinishCandidate, 'isKnownWarm'>): boolean {
-	return candidate.isKnownWarm;
-}
-
 function getRun(candidate: FinishCandidate, {coldMilliseconds, warmMilliseconds}: RunTime): number {
 	const likelihood = candidate.isKnownWarm ? 1 : (cachedLikelihoodByRank[candidate.rank ?? cachedLikelihoodByRank.length] ?? 0);
 	const usual = (likelihood * warmMilliseconds) + ((1 - likelihood) * coldMilliseconds);
@@ -104,6 +104,6 @@
 /** The time until a slot is free, if those before the request take the usual time. */
 function getWait(candidate: FinishCandidate, runTime: RunTime): number {
 	const before = candidate.expectedRunning + 1 - candidate.slots;
-	const usual = (runTime.warmMilliseconds + runTime.coldMilliseconds) / 2;
+	const usual = (usualCachedPart * runTime.warmMilliseconds) + ((1 - usualCachedPart) * runTime.coldMilliseconds);
 	return Math.max(0, before) / candidate.slots * usual * candidate.slowness;
 }
--- a/packages/policy/src/target-condition.ts
+++ b/packages/policy/src/target-condition.ts
@@ -16,6 +16,8 @@
 	readonly ownRunning: number;
 	/** Requests of other nodes at the target when it last told. */
 	readonly othersRunning: number;
+	/** What it told of them over some answers. */
+	readonly othersUsual: number;
 	readonly toldAt: number;
 	/** How much longer this target takes than its service usually does. */
 	readonly slowness: number;
@@ -24,8 +26,12 @@
 	readonly avoidedUntil: number;
 };
 
-/** What is told of other nodes' requests is worth less the older it is. */
+/** A told number fades to the usual one about as fast as requests come and go. */
 const toldHalfLifeMilliseconds = 400;
+/** The usual number itself fades when the target tells nothing for longer than this. */
+const usualHoldMilliseconds = 1000;
+const usualHalfLifeMilliseconds = 1000;
+const usualWeight = 0.3;
 const slownessWeight = 0.15;
 const leastSlowness = 0.7;
 const mostSlowness = 12;
@@ -36,14 +42,16 @@
 
 export function createTargetCondition(now: number): TargetCondition {
 	return {
-		ownRunning: 0, othersRunning: 0, toldAt: now, slowness: 1, failuresInRow: 0, avoidedUntil: Number.NEGATIVE_INFINITY,
+		ownRunning: 0, othersRunning: 0, othersUsual: 0, toldAt: now, slowness: 1, failuresInRow: 0, avoidedUntil: Number.NEGATIVE_INFINITY,
 	};
 }
 
 /** Requests that run or wait at the target, as far as the node can tell. */
 export function getExpectedRunning(state: TargetCondition, now: number): number {
 	const age = Math.max(0, now - state.toldAt);
-	return state.ownRunning + (state.othersRunning * (0.5 ** (age / toldHalfLifeMilliseconds)));
+	const surplus = (state.othersRunning - state.othersUsual) * (0.5 ** (age / toldHalfLifeMilliseconds));
+	const fading = 0.5 ** (Math.max(0, age - usualHoldMilliseconds) / usualHalfLifeMilliseconds);
+	return state.ownRunning + ((state.othersUsual + surplus) * fading);
 }
 
 export function recordSent(state: TargetCondition): TargetCondition {
@@ -56,7 +64,10 @@
 
 /** Takes what the target told with an answer; call it after {@link recordEnded}. */
 export function recordTold(state: TargetCondition, told: ToldLoad, now: number): TargetCondition {
-	return {...state, othersRunning: Math.max(0, told.running + told.waiting - state.ownRunning), toldAt: now};
+	const othersRunning = Math.max(0, told.running + told.waiting - state.ownRunning);
+	return {
+		...state, othersRunning, othersUsual: state.othersUsual + (usualWeight * (othersRunning - state.othersUsual)), toldAt: now,
+	};
 }
 
 /** A good answer that took so many times as long as was expected. */
