Keep targets to the objects that they can cache

Change: runs are classed as cached, uncached or slow; objects that were expected in a cache and weren't there shrink the part of the objects that keeps to the target.

Ruled out: slow targets (told queues were short where answers were late).

--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -49,7 +49,7 @@
 			status: 429,
 			outcome: 'not-run',
 			reason: 'rate-exceeded',
-			detail: `the customer has used this gateway's share ${admission.share.toFixed(3)} of its rate`,
+			detail: `the customer has used this gateway's share ${admission.share.toFixed(3)} of its rate of ${customer?.ratePerSecond} and burst of ${customer?.burst}`,
 			retryAfterMilliseconds: admission.retryAfterMilliseconds,
 			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
 		}, route, customer);
--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -5,8 +5,8 @@
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
 	type FinishCandidate, type ObjectMemory, type RunTime, type TrafficRoute, type TrafficService,
-	chooseByFinish, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getWarmupShare, isObjectAdmitted, recordAnswer, recordEnded, recordFailure, recordSent,
-	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateObjectAdmission, updateRunTime,
+	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getWarmupShare, getTurnedPosition, recordAnswer, recordEnded, recordFailure, recordSent,
+	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateCachedShare, updateRunTime,
 } from '@catkindale/policy';
 import type {ReportedLoad} from './target-dialect.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
@@ -74,11 +74,6 @@
 const leastRetryMilliseconds = 50;
 const mostRetryMilliseconds = 2000;
 const firstFailureStatus = 500;
-/** A cached run that takes longer was no cached run, or waited. */
-const warmSpread = 1.6;
-/** A run that takes longer than this against a cached one is slow even for an uncached one. */
-const warmToSlow = 3.6;
-const coldSpread = 1.5;
 const mostRankings = 5000;
 
 export function createGatewayChooser({clock, targets, ownId, region}: GatewayChooserOptions): GatewayChooser {
@@ -130,38 +125,67 @@
 		return entry.coldUntil <= now || takeWarmupRequest(entry.warmupRate, getWarmupPart(entry, request.service), now) !== undefined;
 	};
 
-	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => ({
-		id: entry.target.id,
-		region: entry.target.region,
-		slots: entry.target.slots,
-		expectedRunning: getExpectedRunning(entry.condition, now),
-		slowness: entry.condition.slowness,
-		rank: ranking?.get(entry.target.id)?.rank,
-		isKnownWarm: objectKey !== undefined && memory.isWarm(objectKey, entry.target.id, now),
-		isStarting: entry.coldUntil > now,
-		wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
-	});
-
-	const learnRun = (chosen: ChosenTarget, milliseconds: number, load: ReportedLoad | undefined): void => {
-		const runTime = runTimes.get(chosen.runKey) ?? createRunTime();
-		const run = Math.max(1, milliseconds - chosen.wayMilliseconds);
-		const usual = chosen.isWarm ? runTime.warmMilliseconds : runTime.coldMilliseconds;
-		const ratio = run / usual;
-		runTimes.set(chosen.runKey, updateRunTime(runTime, chosen.isWarm, run));
-		const {entry} = chosen;
-		const isUsual = ratio < (chosen.isWarm ? warmSpread : coldSpread);
-		const isSlow = (load?.waiting ?? 0) === 0 && ratio > (chosen.isWarm ? warmToSlow : coldSpread);
-		if (isUsual || isSlow) {
-			entry.condition = recordAnswer(entry.condition, isUsual ? 1 : ratio);
-		} else {
-			entry.condition = {...entry.condition, failuresInRow: 0};
+	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => {
+		const place = ranking?.get(entry.target.id);
+		const isKept = place !== undefined && getTurnedPosition(place.position, clock.wall()) < entry.admission.cachedShare;
+		return {
+			id: entry.target.id,
+			region: entry.target.region,
+			slots: entry.target.slots,
+			expectedRunning: getExpectedRunning(entry.condition, now),
+			slowness: entry.condition.slowness,
+			rank: isKept ? place.rank : undefined,
+			isKnownWarm: isKept && objectKey !== undefined && memory.isWarm(objectKey, entry.target.id, now),
+			isStarting: entry.coldUntil > now,
+			wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
+		};
+	};
+
+	const isAdmitted = (entry: GatewayTarget, ranking: ObjectRanking | undefined, wall: number): boolean => {
+		const {admittedShare} = entry.admission;
+		const position = ranking?.get(entry.target.id)?.position ?? Math.random();
+		return admittedShare >= 1 || getTurnedPosition(position, wall) < admittedShare;
+	};
+
+	/** Learns from a good answer: a queue hides how long the run itself took. */
+	const learnRun = ({entry, runKey, isWarm, wayMilliseconds}: ChosenTarget, milliseconds: number, load: ReportedLoad | undefined): void => {
+		const runTime = runTimes.get(runKey) ?? createRunTime();
+		const run = Math.max(1, milliseconds - wayMilliseconds);
+		const isQueued = (load?.waiting ?? 0) > 0;
+		const kind = classifyRun(runTime, run);
+		switch (kind) {
+			case 'cached':
+			case 'uncached': {
+				if (kind === 'uncached' && isQueued) {
+					break;
+				}
+
+				runTimes.set(runKey, updateRunTime(runTime, kind === 'cached', run));
+				entry.condition = recordAnswer(entry.condition, 1);
+				if (isWarm) {
+					entry.admission = updateCachedShare(entry.admission, kind === 'cached');
+				}
+
+				return;
+			}
+
+			case 'slow': {
+				if (isQueued) {
+					break;
+				}
+
+				entry.condition = recordAnswer(entry.condition, run / runTime.coldMilliseconds);
+				return;
+			}
 		}
+
+		entry.condition = {...entry.condition, failuresInRow: 0};
 	};
 
 	const learnLoad = (entry: GatewayTarget, load: ReportedLoad | undefined, now: number): void => {
 		if (load) {
 			entry.condition = recordTold(entry.condition, load, now);
-			entry.admission = updateObjectAdmission(entry.admission, load, now);
+			entry.admission = updateAdmittedShare(entry.admission, load, now);
 		}
 	};
 
@@ -176,7 +200,7 @@
 			const objectKey = route.isSticky && request.object !== undefined ? `${service.name}\n${request.object}` : undefined;
 			const ranking = objectKey === undefined ? undefined : getRanking(objectKey, serving);
 			const wall = clock.wall();
-			const admitting = entries.filter(entry => isObjectAdmitted(entry.admission, ranking?.get(entry.target.id)?.position ?? Math.random(), wall));
+			const admitting = entries.filter(entry => isAdmitted(entry, ranking, wall));
 			const runKey = `${service.name}\n${route.name}`;
 			const runTime = runTimes.get(runKey) ?? createRunTime(route.targetLatencyMilliseconds);
 			runTimes.set(runKey, runTime);
@@ -229,7 +253,7 @@
 				case 'shed': {
 					learnLoad(entry, ending.load, now);
 					entry.condition = recordShed(entry.condition, now);
-					entry.admission = updateObjectAdmission(entry.admission, {waiting: Number.POSITIVE_INFINITY, slots: entry.target.slots}, now);
+					entry.admission = updateAdmittedShare(entry.admission, {waiting: Number.POSITIVE_INFINITY, slots: entry.target.slots}, now);
 					break;
 				}
 
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -58,7 +58,7 @@
 			context,
 			targets,
 			chooser,
-			quotas: createGatewayQuotas({clock, ownId, namedGateways: Math.max(1, settings.peers.length)}),
+			quotas: createGatewayQuotas({clock, ownId, namedGateways: Math.max(1, settings.peers.length), roundingRequests: settings.gateway.roundingRequests}),
 			budgets: createGatewayBudgets(clock, {ratio: repeatRatio, reserve: repeatReserve, windowMilliseconds: repeatWindowMilliseconds}),
 			router: undefined,
 			latency: new Histogram({
@@ -75,6 +75,7 @@
 		const endings = [
 			bus.subscribe('traffic-configuration-changed', ({configuration}) => {
 				state.router = createTrafficRouter(configuration);
+				state.quotas.setCustomers(configuration.customers);
 				context.callerHandlers.entry ??= (request, response) => {
 					void serve(state, request, response);
 				};
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -16,6 +16,8 @@
 	/** Gives the token back of a request that no target ran. */
 	giveBack: (customer: TrafficCustomer) => void;
 	/** Requests per second of each customer since the last call, smoothed. */
+	/** Prepares the quotas of the configuration's customers, which fill from now on. */
+	setCustomers: (customers: readonly TrafficCustomer[]) => void;
 	measureDemands: () => Readonly<Record<string, number>>;
 	setDemands: (demands: ReadonlyMap<string, Readonly<Record<string, number>>>, knownGateways: number) => void;
 };
@@ -25,6 +27,8 @@
 	readonly ownId: string;
 	/** Gateways that the settings name; a start without any news assumes a fleet of several times as many. */
 	readonly namedGateways: number;
+	/** Requests beyond the quotas that the fleet may let pass in rounding shares to whole requests. */
+	readonly roundingRequests: number;
 };
 
 /** How much of the latest measurement goes into the demand that is told. */
@@ -35,7 +39,7 @@
 
 type CustomerEntry = {bucket: CustomerBucket; arrivals: number; demand: number};
 
-export function createGatewayQuotas({clock, ownId, namedGateways}: GatewayQuotasOptions): GatewayQuotas {
+export function createGatewayQuotas({clock, ownId, namedGateways, roundingRequests}: GatewayQuotasOptions): GatewayQuotas {
 	const entries = new Map<string, CustomerEntry>();
 	let demands: ReadonlyMap<string, Readonly<Record<string, number>>> = new Map();
 	let knownGateways = 0;
@@ -58,7 +62,7 @@
 	};
 
 	const getLimit = (customer: TrafficCustomer, share: number): BucketLimit => ({
-		ratePerSecond: (customer.ratePerSecond ?? 0) * share, burst: customer.burst * share,
+		ratePerSecond: (customer.ratePerSecond ?? 0) * share, burst: Math.max(customer.burst * share, 1 + (roundingRequests / Math.max(1, demands.size))),
 	});
 
 	return {
@@ -84,6 +88,11 @@
 			const entry = getEntry(customer.name);
 			entry.bucket = {...entry.bucket, tokens: entry.bucket.tokens + 1};
 		},
+		setCustomers(customers) {
+			for (const {name} of customers) {
+				getEntry(name);
+			}
+		},
 		measureDemands() {
 			const now = clock.monotonic();
 			const seconds = Math.max(1, now - measuredAt) / millisecondsPerSecond;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -56,6 +56,8 @@
 	peerSilenceMilliseconds: z.int().positive().default(2000),
 	/** A silent peer keeps its share of customers' rates for so long. */
 	shareHoldMilliseconds: z.int().positive().default(4000),
+	/** Requests beyond each customer's burst that all nodes together may let pass, since shares are rounded to whole requests. */
+	roundingRequests: z.number().min(0).default(0),
 	/** Requests sent to a second target: a part of all, and a number that all nodes share in each window. */
 	repeatRatio: z.number().min(0).max(1).default(0.1),
 	repeatReserve: z.number().min(0).default(20),
--- a/packages/policy/src/object-admission.ts
+++ b/packages/policy/src/object-admission.ts
@@ -1,47 +1,69 @@
 /**
- * Keeps a full target to a part of the objects that belong to it. A target
- * caches some dozens of objects; asked for more, it runs most requests without
- * its cache and serves far fewer. The admitted part shrinks while requests
- * wait at the target and grows while none does. All nodes order the objects
- * alike, so that they admit much the same ones without messages; the order
- * turns slowly, so that each object has its time.
+ * Keeps each target to the objects that it can serve. A target caches some
+ * dozens of objects; asked for more, it runs most requests without its cache
+ * and serves far fewer. Two parts of the objects follow from what the target's
+ * answers show:
  *
- * The part follows additive increase and multiplicative decrease (Chiu and
- * Jain, "Analysis of the increase and decrease algorithms for congestion
- * avoidance", Computer Networks and ISDN Systems 17, 1989).
+ * - the cached part, to which an object must belong to be expected in the
+ *   cache; it shrinks when expected objects turn out not to be cached;
+ * - the admitted part, outside which objects get no slot at all; it shrinks
+ *   while requests wait at the target.
+ *
+ * All nodes order the objects alike, so that they keep to much the same ones
+ * without messages; the order turns slowly, so that each object has its time.
+ *
+ * Both follow additive increase and multiplicative decrease (Chiu and Jain,
+ * "Analysis of the increase and decrease algorithms for congestion avoidance",
+ * Computer Networks and ISDN Systems 17, 1989).
  */
 import {hashText} from '@catkindale/common';
 
 export type ObjectAdmission = {
 	/** The part of the objects that may go to the target, from 0 to 1. */
-	readonly share: number;
-	readonly changedAt: number;
+	readonly admittedShare: number;
+	readonly admittedChangedAt: number;
+	/** The part of the objects that the target can cache, from 0 to 1. */
+	readonly cachedShare: number;
 };
 
-const decreaseFactor = 0.92;
-const increaseStep = 0.02;
-const leastShare = 0.1;
+export type ToldQueue = {readonly waiting: number; readonly slots: number};
+
+const queueDecreaseFactor = 0.92;
+const queueIncreaseStep = 0.02;
+const leastAdmittedShare = 0.1;
 /** Answers that come closer together tell of the same queue. */
 const pauseMilliseconds = 100;
-/** In this time the admitted part passes over all objects. */
-const turnMilliseconds = 90_000;
 /** The queue in parts of the slots from which on the part shrinks. */
-const longQueuePart = 0.75;
+const longQueuePart = 0.5;
+/** These two settle where about one in eight expected objects isn't cached. */
+const missDecreaseFactor = 0.97;
+const hitIncreaseStep = 0.004;
+const leastCachedShare = 0.05;
+/** In this time the parts pass over all objects. */
+const turnMilliseconds = 90_000;
 const positionDigits = 8;
 
-export const fullAdmission: ObjectAdmission = {share: 1, changedAt: Number.NEGATIVE_INFINITY};
+export const fullAdmission: ObjectAdmission = {admittedShare: 1, admittedChangedAt: Number.NEGATIVE_INFINITY, cachedShare: 1};
 
 /** Learns from a queue that the target told; `waiting` is infinite when it refused a request. */
-export function updateObjectAdmission(admission: ObjectAdmission, queue: {readonly waiting: number; readonly slots: number}, now: number): ObjectAdmission {
-	if (now - admission.changedAt < pauseMilliseconds) {
+export function updateAdmittedShare(admission: ObjectAdmission, queue: ToldQueue, now: number): ObjectAdmission {
+	if (now - admission.admittedChangedAt < pauseMilliseconds) {
 		return admission;
 	}
 
 	if (queue.waiting >= queue.slots * longQueuePart) {
-		return {share: Math.max(leastShare, admission.share * decreaseFactor), changedAt: now};
+		return {...admission, admittedShare: Math.max(leastAdmittedShare, admission.admittedShare * queueDecreaseFactor), admittedChangedAt: now};
 	}
 
-	return queue.waiting <= 1 && admission.share < 1 ? {share: Math.min(1, admission.share + increaseStep), changedAt: now} : admission;
+	return queue.waiting === 0 && admission.admittedShare < 1
+		? {...admission, admittedShare: Math.min(1, admission.admittedShare + queueIncreaseStep), admittedChangedAt: now}
+		: admission;
+}
+
+/** Learns whether an object that was expected in the target's cache was there. */
+export function updateCachedShare(admission: ObjectAdmission, isHit: boolean): ObjectAdmission {
+	const cachedShare = isHit ? Math.min(1, admission.cachedShare + hitIncreaseStep) : Math.max(leastCachedShare, admission.cachedShare * missDecreaseFactor);
+	return {...admission, cachedShare};
 }
 
 /** The object's place in the target's order, from 0 to 1. */
@@ -49,8 +71,7 @@
 	return Number.parseInt(hashText(`${targetId}\n${objectKey}`).slice(0, positionDigits), 16) / (16 ** positionDigits);
 }
 
-/** Whether the target takes the object now; `wallMilliseconds` is the same for all nodes but for small differences. */
-export function isObjectAdmitted(admission: ObjectAdmission, position: number, wallMilliseconds: number): boolean {
-	const turned = (position + (wallMilliseconds / turnMilliseconds)) % 1;
-	return admission.share >= 1 || turned < admission.share;
+/** The part of the objects up to which this one belongs now; `wallMilliseconds` is the same for all nodes but for small differences. */
+export function getTurnedPosition(position: number, wallMilliseconds: number): number {
+	return (position + (wallMilliseconds / turnMilliseconds)) % 1;
 }
