--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -57,7 +57,7 @@
 	forgetTarget: (id: string) => void;
 };
 
-/** The place of an object at each target: the target's rank in its region, and the object's position in the target's order. */
+/** The place of an object at each target: the target's rank among those of this region, or of all others, and the object's position in the target's order. */
 type ObjectPlace = {readonly rank: number; readonly position: number};
 type ObjectRanking = ReadonlyMap<string, ObjectPlace>;
 
@@ -96,12 +96,12 @@
 			return known;
 		}
 
-		const places = new Map<string, number>();
+		const places = {home: 0, foreign: 0};
 		const ranking = new Map<string, ObjectPlace>();
 		for (const {id, region: targetRegion} of rankMembers(objectKey, serving.map(({target}) => target))) {
-			const place = places.get(targetRegion) ?? 0;
-			ranking.set(id, {rank: place, position: getObjectPosition(objectKey, id)});
-			places.set(targetRegion, place + 1);
+			const side = targetRegion === region ? 'home' : 'foreign';
+			ranking.set(id, {rank: places[side], position: getObjectPosition(objectKey, id)});
+			places[side] += 1;
 		}
 
 		rankings.set(objectKey, ranking);
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -2,8 +2,8 @@
  * Chooses the target at which a request is expected to finish first. The
  * expected time is the way there and back, the wait for a slot and the run.
  * An object runs in a fraction of the usual time where it is cached. Every
- * node ranks a region's targets for an object in the same order, so that each
- * object keeps to few targets without messages between nodes; the fuller the
+ * node of a region ranks the targets for an object in the same order, so that
+ * each object keeps to few targets without messages between nodes; the fuller the
  * service, the dearer a run without the cache becomes, since it takes the
  * slots that others wait for.
  */
@@ -16,7 +16,7 @@
 	/** Requests that run or wait there already. */
 	readonly expectedRunning: number;
 	readonly slowness: number;
-	/** The place in the region's order for the object; undefined without an object. */
+	/** The place in the object's order of the targets in the home region, or of all others; undefined if it isn't kept there. */
 	readonly rank: number | undefined;
 	/** Whether this node saw the target handle the object of late. */
 	readonly isKnownWarm: boolean;
@@ -41,8 +41,11 @@
 		| {readonly kind: 'too-late'; readonly expectedMilliseconds: number}
 		| {readonly kind: 'no-target'};
 
-/** How likely an object is cached at the first and second target of its order, seen from a node that sent none there. */
-const cachedLikelihoodByRank = [0.7, 0.35];
+/**
+ * How likely an object is cached at the first and second target of its order,
+ * seen from a node that sent none there. Fewer nodes send to other regions.
+ */
+const cachedLikelihoodByRank = {home: [0.75, 0.35], foreign: [0.5, 0.2]} as const;
 /** Below this use of its slots a service has room for runs without the cache. */
 const relaxedUse = 0.45;
 /** The weight of slot time against the caller's own time when all slots are in use. */
@@ -74,13 +77,14 @@
 	let best: {readonly candidate: FinishCandidate; readonly cost: number; readonly finish: number} | undefined;
 	let soonest = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const run = getRun(candidate, request.runTime);
+		const isHome = candidate.region === request.homeRegion;
+		const run = getRun(candidate, isHome, request.runTime);
 		const wait = getWait(candidate, request.runTime);
 		const finish = candidate.wayMilliseconds + wait + run;
 		// Only a sure failure is refused: the object may be cached after all.
 		const soonestPossible = candidate.wayMilliseconds + wait + (request.runTime.warmMilliseconds * candidate.slowness);
 		soonest = Math.min(soonest, soonestPossible);
-		const cost = finish + (slotPrice * run) + (candidate.region === request.homeRegion ? 0 : request.foreignPenaltyMilliseconds);
+		const cost = finish + (slotPrice * run) + (isHome ? 0 : request.foreignPenaltyMilliseconds);
 		if (soonestPossible <= request.leftMilliseconds && (best === undefined || cost < best.cost)) {
 			best = {candidate, cost, finish};
 		}
@@ -95,8 +99,9 @@
 	return candidates.length === 0 ? {kind: 'no-target'} : {kind: 'too-late', expectedMilliseconds: soonest};
 }
 
-function getRun(candidate: FinishCandidate, {coldMilliseconds, warmMilliseconds}: RunTime): number {
-	const likelihood = candidate.isKnownWarm ? 1 : (cachedLikelihoodByRank[candidate.rank ?? cachedLikelihoodByRank.length] ?? 0);
+function getRun(candidate: FinishCandidate, isHome: boolean, {coldMilliseconds, warmMilliseconds}: RunTime): number {
+	const byRank: readonly number[] = cachedLikelihoodByRank[isHome ? 'home' : 'foreign'];
+	const likelihood = candidate.isKnownWarm ? 1 : (byRank[candidate.rank ?? byRank.length] ?? 0);
 	const usual = (likelihood * warmMilliseconds) + ((1 - likelihood) * coldMilliseconds);
 	return usual * candidate.slowness * (candidate.isStarting ? startingSlowness : 1);
 }
