Tell placements of objects within a region; use tolerated excess of quotas for rounding

Nodes with few requests of a customer refused some inside its rate, as their share of the burst was below two requests.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -8,6 +8,7 @@
 	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getWarmupShare, getTurnedPosition, recordAnswer, recordEnded, recordFailure, recordSent,
 	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateCachedShare, updateRunTime,
 } from '@catkindale/policy';
+import type {ObjectPlacement} from '@catkindale/protocol';
 import type {ReportedLoad} from './target-dialect.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
 
@@ -55,6 +56,10 @@
 	/** Versions that no request may go to, by service. */
 	setHeldVersions: (versions: ReadonlyMap<string, string>) => void;
 	forgetTarget: (id: string) => void;
+	/** Objects that targets have handled for this gateway since the last call. */
+	takePlacements: () => readonly ObjectPlacement[];
+	/** Takes what a gateway of the same region tells. */
+	learnPlacements: (placements: readonly ObjectPlacement[]) => void;
 };
 
 /** The place of an object at each target: the target's rank among those of this region, or of all others, and the object's position in the target's order. */
@@ -80,6 +85,7 @@
 	const memory: ObjectMemory = createObjectMemory();
 	const runTimes = new Map<string, RunTime>();
 	const rankings = new Map<string, ObjectRanking>();
+	let placements: ObjectPlacement[] = [];
 	let rankedGeneration = -1;
 	let gateways: readonly string[] = [ownId];
 	let evacuated: ReadonlySet<string> = new Set();
@@ -243,8 +249,8 @@
 					}
 
 					learnRun(chosen, ending.milliseconds, ending.load);
-					if (objectKey !== undefined) {
-						memory.record(objectKey, entry.target.id, now);
+					if (objectKey !== undefined && memory.record(objectKey, entry.target.id, now)) {
+						placements.push({object: objectKey, target: entry.target.id});
 					}
 
 					break;
@@ -281,6 +287,17 @@
 		setHeldVersions(versions) {
 			held = versions;
 		},
+		takePlacements() {
+			const taken = placements;
+			placements = [];
+			return taken;
+		},
+		learnPlacements(learnt) {
+			const now = clock.monotonic();
+			for (const {object, target} of learnt) {
+				memory.record(object, target, now);
+			}
+		},
 		forgetTarget(id) {
 			memory.forgetTarget(id);
 		},
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -6,7 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Counter, Histogram} from 'prom-client';
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
-import type {TrafficCustomer, TrafficRoute} from '@catkindale/policy';
+import type {Member, TrafficCustomer, TrafficRoute} from '@catkindale/policy';
 import {sendWholeAnswer} from './answer.js';
 import {readCallerBody} from './caller-body.js';
 import {gatewayRole} from './constants.js';
@@ -20,11 +20,14 @@
 import {createGatewayQuotas} from './gateway-quotas.js';
 import {createGatewayTargets} from './gateway-targets.js';
 import {nodePlugins} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
 import {type Problem, sendProblem} from './problem.js';
 import {type TrafficRouter, createTrafficRouter} from './traffic-router.js';
 
 const startOrder = 40;
 const latencyBucketsSeconds = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 2, 5];
+/** Below the time in which an object is usually asked for again. */
+const placementsPauseMilliseconds = 200;
 /** Bodies up to this size are kept, so that a request that a target refused can go to another. */
 const bufferedBodyBytes = 524_288;
 
@@ -58,7 +61,7 @@
 			context,
 			targets,
 			chooser,
-			quotas: createGatewayQuotas({clock, ownId, namedGateways: Math.max(1, settings.peers.length), roundingRequests: settings.gateway.roundingRequests}),
+			quotas: createGatewayQuotas({clock, ownId, namedGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance}),
 			budgets: createGatewayBudgets(clock, {ratio: repeatRatio, reserve: repeatReserve, windowMilliseconds: repeatWindowMilliseconds}),
 			router: undefined,
 			latency: new Histogram({
@@ -72,6 +75,18 @@
 				name: 'catkindale_gateway_attempts_total', help: 'Attempts at targets', labelNames: ['service', 'outcome'], registers: [context.metrics],
 			}),
 		};
+		let neighbours: readonly Member[] = [];
+		/** Callers of a region ask for much the same objects. */
+		const tellPlacements = async (): Promise<void> => {
+			const placements = chooser.takePlacements();
+			if (placements.length > 0) {
+				for (const {id} of neighbours) {
+					bus.publish({type: 'peer-send', to: id, message: {type: 'object-placements', placements: [...placements]}});
+				}
+			}
+		};
+
+		const telling = startPeriodicWork(tellPlacements, placementsPauseMilliseconds);
 		const endings = [
 			bus.subscribe('traffic-configuration-changed', ({configuration}) => {
 				state.router = createTrafficRouter(configuration);
@@ -88,12 +103,18 @@
 				chooser.setHeldVersions(new Map(orders.versions.map(({service, version}) => [service, version])));
 			}),
 			bus.subscribe('serving-gateways-changed', ({members}) => {
+				neighbours = members.filter(member => member.region === region && member.id !== ownId);
 				chooser.setGateways(members.map(({id}) => id));
 				state.budgets.setGateways(members.length);
 			}),
 			bus.subscribe('heartbeat-due', () => {
 				bus.publish({type: 'own-demands-measured', demands: state.quotas.measureDemands()});
 			}),
+			bus.subscribe('peer-received', ({message}) => {
+				if (message.type === 'object-placements') {
+					chooser.learnPlacements(message.placements);
+				}
+			}),
 			bus.subscribe('customer-demands-changed', ({demands, knownGateways}) => {
 				state.quotas.setDemands(demands, knownGateways);
 			}),
@@ -104,6 +125,7 @@
 					end();
 				}
 
+				await telling.stop();
 				await targets.close();
 			},
 		};
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -27,8 +27,16 @@
 	readonly ownId: string;
 	/** Gateways that the settings name; a start without any news assumes a fleet of several times as many. */
 	readonly namedGateways: number;
-	/** Requests beyond the quotas that the fleet may let pass in rounding shares to whole requests. */
-	readonly roundingRequests: number;
+	readonly tolerance: QuotaTolerance;
+};
+
+/** What the fleet may let pass beyond a customer's rate and burst in any window, since nodes count alone. */
+export type QuotaTolerance = {
+	/** A part of what the customer may send in the window. */
+	readonly overage: number;
+	/** Requests on top. */
+	readonly slackRequests: number;
+	readonly windowMilliseconds: number;
 };
 
 /** How much of the latest measurement goes into the demand that is told. */
@@ -36,10 +44,13 @@
 const leastDemand = 0.05;
 const millisecondsPerSecond = 1000;
 const fleetPerNamedGateway = 4;
+/** Parts of the tolerated excess; what they leave covers nodes that differ on the shares for a heartbeat. */
+const usedOveragePart = 0.3;
+const usedExcessPart = 0.4;
 
 type CustomerEntry = {bucket: CustomerBucket; arrivals: number; demand: number};
 
-export function createGatewayQuotas({clock, ownId, namedGateways, roundingRequests}: GatewayQuotasOptions): GatewayQuotas {
+export function createGatewayQuotas({clock, ownId, namedGateways, tolerance}: GatewayQuotasOptions): GatewayQuotas {
 	const entries = new Map<string, CustomerEntry>();
 	let demands: ReadonlyMap<string, Readonly<Record<string, number>>> = new Map();
 	let knownGateways = 0;
@@ -61,9 +72,19 @@
 		return getCustomerShare({ownId, demands: new Map([...demands].map(([id, byCustomer]) => [id, byCustomer[customer] ?? 0]))});
 	};
 
-	const getLimit = (customer: TrafficCustomer, share: number): BucketLimit => ({
-		ratePerSecond: (customer.ratePerSecond ?? 0) * share, burst: Math.max(customer.burst * share, 1 + (roundingRequests / Math.max(1, demands.size))),
-	});
+	/**
+	 * Shares are never used evenly: a node with few requests wastes what grows
+	 * beyond its burst. A part of the tolerated excess makes up for it.
+	 */
+	const getLimit = (customer: TrafficCustomer, share: number): BucketLimit => {
+		const ratePerSecond = customer.ratePerSecond ?? 0;
+		const allowed = (ratePerSecond * tolerance.windowMilliseconds / millisecondsPerSecond) + customer.burst;
+		const excess = tolerance.slackRequests + (tolerance.overage * allowed);
+		return {
+			ratePerSecond: ratePerSecond * share * (1 + (usedOveragePart * tolerance.overage)),
+			burst: Math.max(customer.burst * share, 1 + (usedExcessPart * excess / Math.max(1, demands.size))),
+		};
+	};
 
 	return {
 		admit(customer) {
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -56,8 +56,12 @@
 	peerSilenceMilliseconds: z.int().positive().default(2000),
 	/** A silent peer keeps its share of customers' rates for so long. */
 	shareHoldMilliseconds: z.int().positive().default(4000),
-	/** Requests beyond each customer's burst that all nodes together may let pass, since shares are rounded to whole requests. */
-	roundingRequests: z.number().min(0).default(0),
+	/** What the fleet may let pass beyond customers' rates and bursts in any window. */
+	quotaTolerance: z.strictObject({
+		overage: z.number().min(0).default(0),
+		slackRequests: z.number().min(0).default(0),
+		windowMilliseconds: z.int().positive().default(5000),
+	}).prefault({}),
 	/** Requests sent to a second target: a part of all, and a number that all nodes share in each window. */
 	repeatRatio: z.number().min(0).max(1).default(0.1),
 	repeatReserve: z.number().min(0).default(20),
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -53,6 +53,8 @@
 const startingSlowness = 2;
 /** The part of the requests before a new one that run from the cache. */
 const usualCachedPart = 0.7;
+/** The wait at a target whose slots all seem in use, in parts of the usual run. */
+const uncertainWaitPart = 0.6;
 
 /** The use of all the candidates' slots, 1 when all are taken. */
 export function getUse(candidates: readonly FinishCandidate[]): number {
@@ -106,9 +108,14 @@
 	return usual * candidate.slowness * (candidate.isStarting ? startingSlowness : 1);
 }
 
-/** The time until a slot is free, if those before the request take the usual time. */
+/**
+ * The time until a slot is free: what is known of the requests there is some
+ * hundred milliseconds old, so that a target that seemed nearly full may be
+ * full, and one that seemed full has a queue.
+ */
 function getWait(candidate: FinishCandidate, runTime: RunTime): number {
-	const before = candidate.expectedRunning + 1 - candidate.slots;
-	const usual = (usualCachedPart * runTime.warmMilliseconds) + ((1 - usualCachedPart) * runTime.coldMilliseconds);
-	return Math.max(0, before) / candidate.slots * usual * candidate.slowness;
+	const usual = ((usualCachedPart * runTime.warmMilliseconds) + ((1 - usualCachedPart) * runTime.coldMilliseconds)) * candidate.slowness;
+	const use = Math.min(1, candidate.expectedRunning / candidate.slots);
+	const before = Math.max(0, candidate.expectedRunning + 1 - candidate.slots);
+	return usual * ((uncertainWaitPart * (use ** 2)) + (before / candidate.slots));
 }
--- a/packages/policy/src/object-memory.ts
+++ b/packages/policy/src/object-memory.ts
@@ -4,7 +4,8 @@
  */
 
 export type ObjectMemory = {
-	record: (objectKey: string, targetId: string, now: number) => void;
+	/** Whether the target had not handled the object of late, so that other nodes may not know it. */
+	record: (objectKey: string, targetId: string, now: number) => boolean;
 	isWarm: (objectKey: string, targetId: string, now: number) => boolean;
 	forgetTarget: (targetId: string) => void;
 	getSize: () => number;
@@ -23,6 +24,7 @@
 			// Entries are kept in the order of their use.
 			objects.delete(objectKey);
 			objects.set(objectKey, targets);
+			const seenAt = targets.get(targetId);
 			targets.set(targetId, now);
 			for (const oldest of objects.keys()) {
 				if (objects.size <= mostObjects) {
@@ -31,6 +33,8 @@
 
 				objects.delete(oldest);
 			}
+
+			return seenAt === undefined || now - seenAt > keptMilliseconds / 2;
 		},
 		isWarm(objectKey, targetId, now) {
 			const seenAt = objects.get(objectKey)?.get(targetId);
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -44,11 +44,18 @@
 	targets: registeredTargetsSchema.optional(),
 });
 
-export const gatewayMessageSchemas = [gatewayReportMessageSchema, knowledgeWishMessageSchema, knowledgeMessageSchema] as const;
+/** Objects that targets have handled for the sender since its last message, for gateways whose callers ask for the same ones. */
+export const objectPlacementsMessageSchema = z.object({
+	type: z.literal('object-placements'),
+	placements: z.array(z.object({object: z.string(), target: z.string()})),
+});
+
+export const gatewayMessageSchemas = [gatewayReportMessageSchema, knowledgeWishMessageSchema, knowledgeMessageSchema, objectPlacementsMessageSchema] as const;
 
 export type KnowledgePart = typeof knowledgeParts[number];
 export type KnowledgeRevisions = z.infer<typeof revisionsSchema>;
 export type GatewayReport = z.infer<typeof gatewayReportMessageSchema>;
 export type TrafficOrders = z.infer<typeof trafficOrdersSchema>;
 export type RegisteredTargets = z.infer<typeof registeredTargetsSchema>;
+export type ObjectPlacement = z.infer<typeof objectPlacementsMessageSchema>['placements'][number];
 export type KnowledgeMessage = z.infer<typeof knowledgeMessageSchema>;
