Keep targets to the objects that they have slots for, agreed within a region

Change: the part of the objects that keeps to a target also shrinks while its slots are all in use; gateways of one region agree on it.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -5,8 +5,8 @@
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
 	type FinishCandidate, type ObjectMemory, type RunTime, type TrafficRoute, type TrafficService,
-	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getWarmupShare, getTurnedPosition, recordAnswer, recordEnded, recordFailure, recordSent,
-	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateCachedShare, updateRunTime,
+	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
+	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 import type {ObjectPlacement} from '@catkindale/protocol';
 import type {ReportedLoad} from './target-dialect.js';
@@ -58,8 +58,10 @@
 	forgetTarget: (id: string) => void;
 	/** Objects that targets have handled for this gateway since the last call. */
 	takePlacements: () => readonly ObjectPlacement[];
+	/** The parts of the objects that targets have room for; targets that have room for all are left out. */
+	getKeptShares: () => Readonly<Record<string, number>>;
 	/** Takes what a gateway of the same region tells. */
-	learnPlacements: (placements: readonly ObjectPlacement[]) => void;
+	learnPlacements: (placements: readonly ObjectPlacement[], keptShares: Readonly<Record<string, number>>) => void;
 };
 
 /** The place of an object at each target: the target's rank among those of this region, or of all others, and the object's position in the target's order. */
@@ -79,6 +81,7 @@
 const leastRetryMilliseconds = 50;
 const mostRetryMilliseconds = 2000;
 const firstFailureStatus = 500;
+const shareDigits = 3;
 const mostRankings = 5000;
 
 export function createGatewayChooser({clock, targets, ownId, region}: GatewayChooserOptions): GatewayChooser {
@@ -133,15 +136,16 @@
 
 	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => {
 		const place = ranking?.get(entry.target.id);
-		const isKept = place !== undefined && getTurnedPosition(place.position, clock.wall()) < entry.admission.cachedShare;
+		const isKept = (place?.position ?? 0) < entry.admission.keptShare;
 		return {
 			id: entry.target.id,
 			region: entry.target.region,
 			slots: entry.target.slots,
 			expectedRunning: getExpectedRunning(entry.condition, now),
 			slowness: entry.condition.slowness,
-			rank: isKept ? place.rank : undefined,
-			isKnownWarm: isKept && objectKey !== undefined && memory.isWarm(objectKey, entry.target.id, now),
+			isKept,
+			rank: place?.rank,
+			isKnownWarm: objectKey !== undefined && memory.isWarm(objectKey, entry.target.id, now),
 			isStarting: entry.coldUntil > now,
 			wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
 		};
@@ -169,7 +173,7 @@
 				runTimes.set(runKey, updateRunTime(runTime, kind === 'cached', run));
 				entry.condition = recordAnswer(entry.condition, 1);
 				if (isWarm) {
-					entry.admission = updateCachedShare(entry.admission, kind === 'cached');
+					entry.admission = updateKeptShareByCache(entry.admission, kind === 'cached');
 				}
 
 				return;
@@ -191,7 +195,7 @@
 	const learnLoad = (entry: GatewayTarget, load: ReportedLoad | undefined, now: number): void => {
 		if (load) {
 			entry.condition = recordTold(entry.condition, load, now);
-			entry.admission = updateAdmittedShare(entry.admission, load, now);
+			entry.admission = updateKeptShareByLoad(updateAdmittedShare(entry.admission, load, now), load);
 		}
 	};
 
@@ -292,8 +296,19 @@
 			placements = [];
 			return taken;
 		},
-		learnPlacements(learnt) {
+		getKeptShares() {
+			const limited = targets.getAll().filter(({admission}) => admission.keptShare < 1);
+			return Object.fromEntries(limited.map(({target, admission}) => [target.id, Number(admission.keptShare.toFixed(shareDigits))]));
+		},
+		learnPlacements(learnt, keptShares) {
 			const now = clock.monotonic();
+			for (const entry of targets.getAll()) {
+				const told = keptShares[entry.target.id];
+				if (told !== undefined) {
+					entry.admission = mergeKeptShare(entry.admission, told);
+				}
+			}
+
 			for (const {object, target} of learnt) {
 				memory.record(object, target, now);
 			}
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -78,10 +78,11 @@
 		let neighbours: readonly Member[] = [];
 		/** Callers of a region ask for much the same objects. */
 		const tellPlacements = async (): Promise<void> => {
-			const placements = chooser.takePlacements();
-			if (placements.length > 0) {
+			const placements = [...chooser.takePlacements()];
+			const keptShares = chooser.getKeptShares();
+			if (placements.length > 0 || Object.keys(keptShares).length > 0) {
 				for (const {id} of neighbours) {
-					bus.publish({type: 'peer-send', to: id, message: {type: 'object-placements', placements: [...placements]}});
+					bus.publish({type: 'peer-send', to: id, message: {type: 'object-placements', placements, keptShares}});
 				}
 			}
 		};
@@ -112,7 +113,7 @@
 			}),
 			bus.subscribe('peer-received', ({message}) => {
 				if (message.type === 'object-placements') {
-					chooser.learnPlacements(message.placements);
+					chooser.learnPlacements(message.placements, message.keptShares);
 				}
 			}),
 			bus.subscribe('customer-demands-changed', ({demands, knownGateways}) => {
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -23,6 +23,7 @@
 	setTargets: (targets: readonly TrafficTarget[]) => void;
 	/** The targets of a service that aren't leaving. */
 	getServing: (service: string) => readonly GatewayTarget[];
+	getAll: () => readonly GatewayTarget[];
 	/** Rises when the serving targets change. */
 	getGeneration: () => number;
 	/** The time that a request and its answer travel to a region and back. */
@@ -119,6 +120,7 @@
 			index();
 		},
 		getServing: service => serving.get(service) ?? [],
+		getAll: () => [...entries.values()],
 		getGeneration: () => generation,
 		getWayMilliseconds: region => ways.get(region) ?? (region === ownRegion ? ownRegionWayMilliseconds : foreignRegionWayMilliseconds),
 		markLeaving(entry) {
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -16,7 +16,9 @@
 	/** Requests that run or wait there already. */
 	readonly expectedRunning: number;
 	readonly slowness: number;
-	/** The place in the object's order of the targets in the home region, or of all others; undefined if it isn't kept there. */
+	/** Whether the object is among those that the target has room for. */
+	readonly isKept: boolean;
+	/** The place in the object's order of the targets in the home region, or of all others; undefined without an object. */
 	readonly rank: number | undefined;
 	/** Whether this node saw the target handle the object of late. */
 	readonly isKnownWarm: boolean;
@@ -46,6 +48,8 @@
  * seen from a node that sent none there. Fewer nodes send to other regions.
  */
 const cachedLikelihoodByRank = {home: [0.75, 0.35], foreign: [0.5, 0.2]} as const;
+/** An object that a target has no room for soon leaves its cache. */
+const unkeptLikelihoodPart = 0.4;
 /** Below this use of its slots a service has room for runs without the cache. */
 const relaxedUse = 0.45;
 /** The weight of slot time against the caller's own time when all slots are in use. */
@@ -103,7 +107,8 @@
 
 function getRun(candidate: FinishCandidate, isHome: boolean, {coldMilliseconds, warmMilliseconds}: RunTime): number {
 	const byRank: readonly number[] = cachedLikelihoodByRank[isHome ? 'home' : 'foreign'];
-	const likelihood = candidate.isKnownWarm ? 1 : (byRank[candidate.rank ?? byRank.length] ?? 0);
+	const known = candidate.isKnownWarm ? 1 : (byRank[candidate.rank ?? byRank.length] ?? 0);
+	const likelihood = candidate.isKept ? known : known * unkeptLikelihoodPart;
 	const usual = (likelihood * warmMilliseconds) + ((1 - likelihood) * coldMilliseconds);
 	return usual * candidate.slowness * (candidate.isStarting ? startingSlowness : 1);
 }
--- a/packages/policy/src/object-admission.ts
+++ b/packages/policy/src/object-admission.ts
@@ -4,13 +4,14 @@
  * and serves far fewer. Two parts of the objects follow from what the target's
  * answers show:
  *
- * - the cached part, to which an object must belong to be expected in the
- *   cache; it shrinks when expected objects turn out not to be cached;
+ * - the kept part, to which objects should belong to be sent there while other
+ *   targets have room; it shrinks when expected objects turn out not to be
+ *   cached, and when all slots are in use;
  * - the admitted part, outside which objects get no slot at all; it shrinks
  *   while requests wait at the target.
  *
- * All nodes order the objects alike, so that they keep to much the same ones
- * without messages; the order turns slowly, so that each object has its time.
+ * All nodes order the objects alike, so that they keep to much the same ones.
+ * The admitted part turns slowly over all objects, so that each has its time.
  *
  * Both follow additive increase and multiplicative decrease (Chiu and Jain,
  * "Analysis of the increase and decrease algorithms for congestion avoidance",
@@ -22,8 +23,8 @@
 	/** The part of the objects that may go to the target, from 0 to 1. */
 	readonly admittedShare: number;
 	readonly admittedChangedAt: number;
-	/** The part of the objects that the target can cache, from 0 to 1. */
-	readonly cachedShare: number;
+	/** The part of the objects that the target can cache and has slots for, from 0 to 1. */
+	readonly keptShare: number;
 };
 
 export type ToldQueue = {readonly waiting: number; readonly slots: number};
@@ -38,12 +39,16 @@
 /** These two settle where about one in eight expected objects isn't cached. */
 const missDecreaseFactor = 0.97;
 const hitIncreaseStep = 0.004;
-const leastCachedShare = 0.05;
-/** In this time the parts pass over all objects. */
+/** These two settle where a target is full about a third as often as it has two slots free. */
+const fullDecreaseFactor = 0.985;
+const roomIncreaseStep = 0.005;
+const roomSlots = 2;
+const leastKeptShare = 0.05;
+/** In this time the admitted part passes over all objects. */
 const turnMilliseconds = 90_000;
 const positionDigits = 8;
 
-export const fullAdmission: ObjectAdmission = {admittedShare: 1, admittedChangedAt: Number.NEGATIVE_INFINITY, cachedShare: 1};
+export const fullAdmission: ObjectAdmission = {admittedShare: 1, admittedChangedAt: Number.NEGATIVE_INFINITY, keptShare: 1};
 
 /** Learns from a queue that the target told; `waiting` is infinite when it refused a request. */
 export function updateAdmittedShare(admission: ObjectAdmission, queue: ToldQueue, now: number): ObjectAdmission {
@@ -61,9 +66,28 @@
 }
 
 /** Learns whether an object that was expected in the target's cache was there. */
-export function updateCachedShare(admission: ObjectAdmission, isHit: boolean): ObjectAdmission {
-	const cachedShare = isHit ? Math.min(1, admission.cachedShare + hitIncreaseStep) : Math.max(leastCachedShare, admission.cachedShare * missDecreaseFactor);
-	return {...admission, cachedShare};
+export function updateKeptShareByCache(admission: ObjectAdmission, isHit: boolean): ObjectAdmission {
+	return changeKeptShare(admission, isHit ? hitIncreaseStep : undefined, missDecreaseFactor);
+}
+
+/** Learns from the slots in use that the target told. */
+export function updateKeptShareByLoad(admission: ObjectAdmission, {running, waiting, slots}: ToldQueue & {readonly running: number}): ObjectAdmission {
+	const used = running + waiting;
+	if (used > slots - roomSlots && used < slots) {
+		return admission;
+	}
+
+	return changeKeptShare(admission, used < slots ? roomIncreaseStep : undefined, fullDecreaseFactor);
+}
+
+/** Nodes that send the same objects agree on the part bit by bit. */
+export function mergeKeptShare(admission: ObjectAdmission, toldShare: number): ObjectAdmission {
+	return {...admission, keptShare: (admission.keptShare + toldShare) / 2};
+}
+
+function changeKeptShare(admission: ObjectAdmission, increase: number | undefined, decreaseFactor: number): ObjectAdmission {
+	const keptShare = increase === undefined ? Math.max(leastKeptShare, admission.keptShare * decreaseFactor) : Math.min(1, admission.keptShare + increase);
+	return keptShare === admission.keptShare ? admission : {...admission, keptShare};
 }
 
 /** The object's place in the target's order, from 0 to 1. */
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -48,6 +48,8 @@
 export const objectPlacementsMessageSchema = z.object({
 	type: z.literal('object-placements'),
 	placements: z.array(z.object({object: z.string(), target: z.string()})),
+	/** The parts of the objects that targets have room for, by target. */
+	keptShares: z.record(z.string(), z.number().min(0).max(1)),
 });
 
 export const gatewayMessageSchemas = [gatewayReportMessageSchema, knowledgeWishMessageSchema, knowledgeMessageSchema, objectPlacementsMessageSchema] as const;
