Find gateways that start later at once, and test the whole path on stand-ins

Cause: of two linked members only the lower name dials, which a gateway that starts later can't count on: the others know of it from the table 10 s later.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -50,7 +50,8 @@
 			}
 
 			if (isChanged) {
-				bus.publish({type: 'membership-changed', members: [getOwnMember(context), ...members.values()]});
+				// A gateway that starts later is known to the others only once it has dialled them.
+				bus.publish({type: 'members-heard', members: [getOwnMember(context), ...members.values()]});
 			}
 		};
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -24,5 +24,5 @@
 export {
 	type CallerProfile, type LookupAnswer, type LookupRequest, getBearerKey, ownCallerProfile,
 } from './caller-profile.js';
-export {nodePlugins} from './node-context.js';
+export type {TrafficSource} from './node-context.js';
 export type {HeaderReader, ReportedLoad, TargetDialect} from './target-dialect.js';
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -33,6 +33,9 @@
 /** Connections that a test cut on purpose; empty unless the settings allow cuts. */
 export type Cuts = {peers: ReadonlySet<string>; isTableCut: boolean};
 
+/** Publishes the traffic's configuration, orders and targets on the bus until it is stopped. */
+export type TrafficSource = (parts: Pick<NodeContext, 'bus' | 'logger'>) => {stop: () => Promise<void>};
+
 export type NodeContext = {
 	readonly settings: Settings;
 	readonly incarnation: string;
@@ -43,6 +46,8 @@
 	readonly platform: Platform;
 	/** How callers and targets of the deployment speak; used by the gateway. */
 	readonly profile: CallerProfile;
+	/** Absent where no adapter brings one. */
+	readonly trafficSource?: TrafficSource | undefined;
 	readonly callerHandlers: CallerHandlers;
 	readonly bound: BoundAddresses;
 	readonly cuts: Cuts;
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -5,10 +5,10 @@
 } from '@catkindale/common';
 import {createMessageBus, startPlugins} from '@catkindale/kernel';
 import {
-	type DriverSettings, machineListDrivers, objectDrivers, tableDrivers, targetHealthDrivers,
+	type DriverSettings, type TableService, machineListDrivers, objectDrivers, tableDrivers, targetHealthDrivers,
 } from '@catkindale/ports';
 import {
-	type BoundAddresses, type Cuts, type NodeContext, type Platform, nodePlugins,
+	type BoundAddresses, type Cuts, type NodeContext, type Platform, type TrafficSource, nodePlugins,
 } from './node-context.js';
 import {type CallerProfile, ownCallerProfile} from './caller-profile.js';
 import {createCuttableTable} from './cut-action.js';
@@ -36,6 +36,7 @@
 import './shift-plugin.js';
 import './target-health-plugin.js';
 import './traffic-knowledge-plugin.js';
+import './traffic-source-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
@@ -49,6 +50,9 @@
 	readonly logger?: Logger;
 	readonly platform?: Platform;
 	readonly profile?: CallerProfile;
+	/** In place of the driver that the settings name. */
+	readonly table?: TableService;
+	readonly trafficSource?: TrafficSource;
 };
 
 /** Starts the plug-ins of the settings' roles. Rejects if a socket can't be opened. */
@@ -57,13 +61,14 @@
 	const cuts: Cuts = {peers: new Set(), isTableCut: false};
 	const opened = parts.platform ?? openPlatform(settings);
 	const metrics = new Registry();
-	const counted = createCountedTable(opened.table, metrics);
+	const counted = createCountedTable(parts.table ?? opened.table, metrics);
 	const platform = {...opened, table: settings.testing.allowCuts ? createCuttableTable(counted, cuts) : counted};
 	const context: NodeContext = {
 		settings,
 		logger,
 		platform,
 		profile: parts.profile ?? ownCallerProfile,
+		trafficSource: parts.trafficSource,
 		incarnation: createIdentifier(),
 		clock: parts.clock ?? systemClock,
 		metrics,
