Move services to new versions within seconds

Cause: the product's rollouts take minutes and rest on the ledger; the platform's operators give 12 to 16 s, and until now an ordered version got nothing.

The record decides after a restart.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -4,7 +4,7 @@
  */
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
-	type FinishCandidate, type ObjectMemory, type RunTime, type TrafficRoute, type TrafficService,
+	type FinishCandidate, type ObjectMemory, type RunKind, type RunTime, type TrafficRoute, type TrafficService,
 	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
 	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
@@ -20,6 +20,7 @@
 	/** Regions that may serve the request; undefined for all. */
 	readonly regions: ReadonlySet<string> | undefined;
 	readonly leftMilliseconds: number;
+	readonly allowsVersion: (version: string) => boolean;
 	/** Targets that have had the request already. */
 	readonly tried: ReadonlySet<string>;
 };
@@ -50,11 +51,10 @@
 
 export type GatewayChooser = {
 	choose: (request: ChoiceRequest) => ChosenTarget | ChoiceRefusal;
-	finish: (chosen: ChosenTarget, ending: AttemptEnding) => void;
+	/** Learns from an attempt; gives what its run looked like, if it shows. */
+	finish: (chosen: ChosenTarget, ending: AttemptEnding) => RunKind | undefined;
 	setGateways: (ids: readonly string[]) => void;
 	setEvacuatedZones: (zones: readonly string[]) => void;
-	/** Versions that no request may go to, by service. */
-	setHeldVersions: (versions: ReadonlyMap<string, string>) => void;
 	forgetTarget: (id: string) => void;
 	/** Objects that targets have handled for this gateway since the last call. */
 	takePlacements: () => readonly ObjectPlacement[];
@@ -92,7 +92,6 @@
 	let rankedGeneration = -1;
 	let gateways: readonly string[] = [ownId];
 	let evacuated: ReadonlySet<string> = new Set();
-	let held: ReadonlyMap<string, string> = new Map();
 
 	const getRanking = (objectKey: string, serving: readonly GatewayTarget[]): ObjectRanking => {
 		if (rankedGeneration !== targets.getGeneration() || rankings.size > mostRankings) {
@@ -122,7 +121,7 @@
 
 	const isUsable = (entry: GatewayTarget, request: ChoiceRequest, now: number): boolean => {
 		const {target, condition} = entry;
-		if (request.regions?.has(target.region) === false || request.tried.has(target.id) || evacuated.has(target.zone) || held.get(target.service) === target.version) {
+		if (request.regions?.has(target.region) === false || request.tried.has(target.id) || evacuated.has(target.zone) || !request.allowsVersion(target.version)) {
 			return false;
 		}
 
@@ -158,7 +157,7 @@
 	};
 
 	/** Learns from a good answer: a queue hides how long the run itself took. */
-	const learnRun = ({entry, runKey, isWarm, wayMilliseconds}: ChosenTarget, milliseconds: number, load: ReportedLoad | undefined): void => {
+	const learnRun = ({entry, runKey, isWarm, wayMilliseconds}: ChosenTarget, milliseconds: number, load: ReportedLoad | undefined): RunKind | undefined => {
 		const runTime = runTimes.get(runKey) ?? createRunTime();
 		const run = Math.max(1, milliseconds - wayMilliseconds);
 		const isQueued = (load?.waiting ?? 0) > 0;
@@ -176,7 +175,7 @@
 					entry.admission = updateKeptShareByCache(entry.admission, kind === 'cached');
 				}
 
-				return;
+				return kind;
 			}
 
 			case 'slow': {
@@ -185,11 +184,12 @@
 				}
 
 				entry.condition = recordAnswer(entry.condition, run / runTime.coldMilliseconds);
-				return;
+				return kind;
 			}
 		}
 
 		entry.condition = {...entry.condition, failuresInRow: 0};
+		return undefined;
 	};
 
 	const learnLoad = (entry: GatewayTarget, load: ReportedLoad | undefined, now: number): void => {
@@ -252,12 +252,12 @@
 						break;
 					}
 
-					learnRun(chosen, ending.milliseconds, ending.load);
+					const kind = learnRun(chosen, ending.milliseconds, ending.load);
 					if (objectKey !== undefined && memory.record(objectKey, entry.target.id, now)) {
 						placements.push({object: objectKey, target: entry.target.id});
 					}
 
-					break;
+					return kind;
 				}
 
 				case 'shed': {
@@ -281,6 +281,8 @@
 					break;
 				}
 			}
+
+			return undefined;
 		},
 		setGateways(ids) {
 			gateways = ids.includes(ownId) ? ids : [...ids, ownId];
@@ -288,9 +290,6 @@
 		setEvacuatedZones(zones) {
 			evacuated = new Set(zones);
 		},
-		setHeldVersions(versions) {
-			held = versions;
-		},
 		takePlacements() {
 			const taken = placements;
 			placements = [];
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -6,7 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestOutcome} from '@catkindale/common';
 import {
-	type TrafficCustomer, type TrafficRoute, type TrafficService, getAllowedRegions,
+	type RunKind, type TrafficCustomer, type TrafficRoute, type TrafficService, getAllowedRegions,
 } from '@catkindale/policy';
 import type {WholeAnswer} from './answer.js';
 import type {CallerBody} from './caller-body.js';
@@ -16,6 +16,7 @@
 import {getGatewayHeaders} from './gateway-headers.js';
 import type {Problem} from './problem.js';
 import type {ReportedLoad} from './target-dialect.js';
+import type {AttemptKind} from './version-trials.js';
 
 export type GatewayExchange = {
 	readonly request: IncomingMessage;
@@ -55,11 +56,19 @@
 	const tried = new Set<string>();
 	const records: AttemptRecord[] = [];
 	parts.budgets.earn(service.name);
+	const {trials, clock} = parts.context;
+	let plan = trials.plan(service.name, route.name, exchange.object);
+	const choose = (): ChosenTarget | ChoiceRefusal => parts.chooser.choose({
+		route, service, object: exchange.object, regions, leftMilliseconds: exchange.deadlineAt - clock.monotonic(), tried, allowsVersion: plan.allows,
+	});
 	for (;;) {
-		const leftMilliseconds = exchange.deadlineAt - parts.context.clock.monotonic();
-		const choice = parts.chooser.choose({
-			route, service, object: exchange.object, regions, leftMilliseconds, tried,
-		});
+		let choice = choose();
+		if (choice.kind === 'refused' && plan.isTrial) {
+			// The new version may have no target where the request may run.
+			plan = trials.planSettled(service.name);
+			choice = choose();
+		}
+
 		if (choice.kind === 'refused') {
 			return {result: getRefusal(parts, choice, records), records};
 		}
@@ -67,6 +76,7 @@
 		const outcome = await runAttempt(parts, exchange, body, choice);
 		tried.add(choice.entry.target.id);
 		records.push({chosen: choice, outcome});
+		plan = trials.planSettled(service.name);
 		if (!mayTryAgain(parts, exchange, body, records)) {
 			return {result: getResult(parts, records), records};
 		}
@@ -116,13 +126,13 @@
 	const outcome = await attempt.outcome;
 	exchange.callerGone.removeEventListener('abort', cancel);
 	connection.release();
-	learn(parts, chosen, outcome, {milliseconds: context.clock.monotonic() - startedAt, load});
+	learn(parts, exchange.route, chosen, outcome, {milliseconds: context.clock.monotonic() - startedAt, load});
 	return outcome;
 }
 
 type Learnt = {readonly milliseconds: number; readonly load: ReportedLoad | undefined};
 
-function learn(parts: GatewayParts, chosen: ChosenTarget, outcome: ForwardOutcome, learnt: Learnt): void {
+function learn(parts: GatewayParts, route: TrafficRoute, chosen: ChosenTarget, outcome: ForwardOutcome, learnt: Learnt): void {
 	if (outcome.kind === 'shed' && outcome.isOther) {
 		parts.targets.markLeaving(chosen.entry);
 	}
@@ -132,7 +142,38 @@
 		chosen.entry.connections.retireAll();
 	}
 
-	parts.chooser.finish(chosen, getEnding(outcome, learnt));
+	const run = parts.chooser.finish(chosen, getEnding(outcome, learnt));
+	const kind = getAttemptKind(outcome, run);
+	if (kind) {
+		const {service, version} = chosen.entry.target;
+		parts.context.trials.record(service, route.name, version, kind);
+	}
+}
+
+/** What the attempt says of its target's version; undefined if it says nothing. */
+function getAttemptKind(outcome: ForwardOutcome, run: RunKind | undefined): AttemptKind | undefined {
+	switch (outcome.kind) {
+		case 'answered': {
+			if (outcome.answer.status >= firstFailureStatus) {
+				return 'failed';
+			}
+
+			return run === 'slow' ? 'slow' : 'good';
+		}
+
+		case 'streamed': {
+			return outcome.status >= firstFailureStatus ? 'failed' : 'good';
+		}
+
+		case 'lost': {
+			return outcome.cause === 'target' ? 'failed' : (outcome.cause === 'deadline' ? 'slow' : undefined);
+		}
+
+		case 'shed':
+		case 'not-sent': {
+			return undefined;
+		}
+	}
 }
 
 function getEnding(outcome: ForwardOutcome, {milliseconds, load}: Learnt): AttemptEnding {
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -101,7 +101,6 @@
 			}),
 			bus.subscribe('traffic-orders-changed', ({orders}) => {
 				chooser.setEvacuatedZones(orders.evacuatedZones);
-				chooser.setHeldVersions(new Map(orders.versions.map(({service, version}) => [service, version])));
 			}),
 			bus.subscribe('serving-gateways-changed', ({members}) => {
 				neighbours = members.filter(member => member.region === region && member.id !== ownId);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -26,3 +26,6 @@
 } from './caller-profile.js';
 export type {TrafficSource} from './node-context.js';
 export type {HeaderReader, ReportedLoad, TargetDialect} from './target-dialect.js';
+export type {
+	BoardOutcome, StoredTrialRecord, TrialRecord, VersionBoard,
+} from './version-board.js';
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -10,6 +10,8 @@
 import type {CallerProfile} from './caller-profile.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
+import type {VersionBoard} from './version-board.js';
+import type {VersionTrials} from './version-trials.js';
 
 export type Platform = {
 	readonly table: TableService;
@@ -48,6 +50,10 @@
 	readonly profile: CallerProfile;
 	/** Absent where no adapter brings one. */
 	readonly trafficSource?: TrafficSource | undefined;
+	/** Absent where moves to new versions aren't recorded. */
+	readonly versionBoard?: VersionBoard | undefined;
+	/** The moves to new versions in which this gateway takes part. */
+	readonly trials: VersionTrials;
 	readonly callerHandlers: CallerHandlers;
 	readonly bound: BoundAddresses;
 	readonly cuts: Cuts;
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -15,6 +15,8 @@
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import {createCountedTable} from './table-metrics.js';
+import type {VersionBoard} from './version-board.js';
+import {createVersionTrials} from './version-trials.js';
 import './admin-plugin.js';
 import './caller-server-plugin.js';
 import './client-blocks-plugin.js';
@@ -37,6 +39,7 @@
 import './target-health-plugin.js';
 import './traffic-knowledge-plugin.js';
 import './traffic-source-plugin.js';
+import './version-trial-plugin.js';
 
 export type NodeHandle = {
 	readonly addresses: Readonly<BoundAddresses>;
@@ -53,6 +56,7 @@
 	/** In place of the driver that the settings name. */
 	readonly table?: TableService;
 	readonly trafficSource?: TrafficSource;
+	readonly versionBoard?: VersionBoard;
 };
 
 /** Starts the plug-ins of the settings' roles. Rejects if a socket can't be opened. */
@@ -69,6 +73,8 @@
 		platform,
 		profile: parts.profile ?? ownCallerProfile,
 		trafficSource: parts.trafficSource,
+		versionBoard: parts.versionBoard,
+		trials: createVersionTrials(),
 		incarnation: createIdentifier(),
 		clock: parts.clock ?? systemClock,
 		metrics,
--- /dev/null
+++ b/packages/node/src/version-board.ts
@@ -0,0 +1,31 @@
+/** The port through which moves to new versions are recorded and reported to operators. */
+import type {TrialState} from '@catkindale/protocol';
+
+export type TrialRecord = {
+	readonly service: string;
+	readonly version: string;
+	/** Of the operator's order. */
+	readonly revision: number;
+	readonly state: TrialState;
+	/** When the order was first seen; wall time in milliseconds. */
+	readonly startedAt: number;
+};
+
+export type StoredTrialRecord = TrialRecord & {
+	/** Of the stored row, for the condition of the next write. */
+	readonly rowVersion: number;
+};
+
+export type BoardOutcome<Value>
+	= | {readonly kind: 'done'; readonly value: Value}
+		/** Another node wrote first. */
+		| {readonly kind: 'conflict'}
+		/** The write may have taken effect. */
+		| {readonly kind: 'unknown'; readonly reason: string}
+		| {readonly kind: 'not-done'; readonly reason: string};
+
+export type VersionBoard = {
+	read: () => Promise<BoardOutcome<readonly StoredTrialRecord[]>>;
+	/** Records the move and tells operators of it, both or neither; gives the row's new version. */
+	write: (record: TrialRecord, expectedRowVersion: number) => Promise<BoardOutcome<number>>;
+};
--- /dev/null
+++ b/packages/node/src/version-trial-plugin.ts
@@ -0,0 +1,267 @@
+/**
+ * Moves services to new versions. Each gateway sends its part of the requests
+ * to the new version and tells the others what became of them; any of them
+ * halts a bad version for all at once. The gateway that ranks first for the
+ * service sets the shares and records the move; another takes over when that
+ * one no longer serves.
+ */
+import {rankMembers} from '@catkindale/common';
+import {getTrialStage, judgeTrial} from '@catkindale/policy';
+import type {TrialState} from '@catkindale/protocol';
+import {gatewayRole} from './constants.js';
+import {nodePlugins} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
+import {type StoredTrialRecord, type TrialRecord} from './version-board.js';
+import {type Trial, getTrialEvidence} from './version-trials.js';
+
+const startOrder = 45;
+/** Counts and shares travel this often while a move is under way. */
+const tickMilliseconds = 250;
+
+nodePlugins.register({
+	name: 'version-trial',
+	roles: [gatewayRole],
+	order: startOrder,
+	async start(context) {
+		const {bus, clock, logger, trials, versionBoard} = context;
+		const ownId = context.settings.node.name;
+		let gateways: readonly string[] = [ownId];
+		/** What is recorded of each service's latest move; undefined before it was read. */
+		let records: Map<string, StoredTrialRecord> | undefined;
+
+		const end = (trial: Trial, state: Exclude<TrialState, 'running'>, reason: string): void => {
+			if (trial.state !== 'running') {
+				return;
+			}
+
+			trial.state = state;
+			trial.share = state === 'complete' ? 1 : 0;
+			logger.info('version_trial_ended', {
+				service: trial.service, version: trial.version, revision: trial.revision, state, reason, seconds: ((clock.monotonic() - trial.startedAt) / 1000).toFixed(2),
+			});
+		};
+
+		const halt = (trial: Trial, reason: string): void => {
+			const {service, version, revision} = trial;
+			end(trial, 'reverted', reason);
+			bus.publish({
+				type: 'peer-broadcast', message: {
+					type: 'trial-halt', service, version, revision, reason,
+				},
+			});
+		};
+
+		const judge = (trial: Trial): void => {
+			const verdict = trial.state === 'running' ? judgeTrial(getTrialEvidence(trial)) : {kind: 'sound' as const};
+			if (verdict.kind === 'bad') {
+				halt(trial, `${verdict.reason} on route ${verdict.route}`);
+			}
+		};
+
+		const isLeader = (trial: Trial): boolean => rankMembers(trial.service, gateways.map(id => ({id})))[0]?.id === ownId;
+
+		/** Takes over what is recorded of a move that this gateway knows less of. */
+		const adopt = (trial: Trial, record: TrialRecord): void => {
+			if (record.revision !== trial.revision) {
+				return;
+			}
+
+			const elapsed = clock.wall() - record.startedAt;
+			if (elapsed > clock.monotonic() - trial.startedAt && elapsed < trial.durationMilliseconds) {
+				trial.startedAt = clock.monotonic() - elapsed;
+			}
+
+			if (record.state !== 'running') {
+				end(trial, record.state, 'recorded');
+			}
+		};
+
+		const readRecords = async (): Promise<void> => {
+			const outcome = await versionBoard?.read();
+			if (outcome?.kind !== 'done') {
+				logger.warn('version_record_unread', {reason: outcome && 'reason' in outcome ? outcome.reason : outcome?.kind});
+				return;
+			}
+
+			records = new Map(outcome.value.map(record => [record.service, record]));
+			for (const trial of trials.getAll()) {
+				const record = records.get(trial.service);
+				if (record) {
+					adopt(trial, record);
+				}
+			}
+		};
+
+		/** Whether the record says this already. */
+		const isRecorded = (trial: Trial, state: TrialState): boolean => {
+			const record = records?.get(trial.service);
+			return record?.revision === trial.revision && record.state === state;
+		};
+
+		const write = async (trial: Trial, state: TrialState): Promise<boolean> => {
+			const {service, version, revision} = trial;
+			const known = records?.get(service);
+			const startedAt = clock.wall() - (clock.monotonic() - trial.startedAt);
+			const record = {
+				service, version, revision, state, startedAt,
+			};
+			const outcome = await versionBoard?.write(record, known?.rowVersion ?? 0);
+			logger.info('version_record_written', {
+				service, version, revision, state, outcome: outcome?.kind,
+			});
+			if (outcome?.kind === 'done') {
+				records?.set(service, {...record, rowVersion: outcome.value});
+				return true;
+			}
+
+			// A conflict or a lost answer is resolved by what the record says.
+			records = undefined;
+			return false;
+		};
+
+		const lead = async (trial: Trial): Promise<void> => {
+			if (trial.state === 'reverted') {
+				await (isRecorded(trial, 'reverted') || write(trial, 'reverted'));
+				return;
+			}
+
+			if (trial.state === 'complete') {
+				return;
+			}
+
+			const elapsedPart = (clock.monotonic() - trial.startedAt) / trial.durationMilliseconds;
+			const trialRequests = getTrialEvidence(trial).reduce((sum, {trial: counts}) => sum + counts.requests, 0);
+			const stage = getTrialStage(elapsedPart, trialRequests);
+			switch (stage.kind) {
+				case 'move': {
+					if (stage.share !== trial.share) {
+						logger.info('version_share', {
+							service: trial.service, version: trial.version, share: stage.share, from: trial.share, elapsed: elapsedPart.toFixed(2), requests: trialRequests,
+						});
+						trial.share = stage.share;
+					}
+
+					await (isRecorded(trial, 'running') || write(trial, 'running'));
+					break;
+				}
+
+				case 'complete': {
+					trial.share = 1;
+					if (await write(trial, 'complete')) {
+						end(trial, 'complete', 'in time');
+					}
+
+					break;
+				}
+
+				case 'abandon': {
+					halt(trial, 'not complete before the deadline');
+					break;
+				}
+			}
+		};
+
+		const tellStage = ({service, version, revision, state, share}: Trial): void => {
+			bus.publish({
+				type: 'peer-broadcast', message: {
+					type: 'trial-stage', service, version, revision, state, share,
+				},
+			});
+		};
+
+		const tellCounts = (trial: Trial): void => {
+			const {service, version, revision, own} = trial;
+			if (trial.state === 'running' && own.size > 0) {
+				bus.publish({
+					type: 'peer-broadcast', message: {
+						type: 'trial-counts', service, version, revision, routes: Object.fromEntries(own),
+					},
+				});
+			}
+		};
+
+		const isOpen = (trial: Trial): boolean => trial.state === 'running' || (isLeader(trial) && !isRecorded(trial, trial.state));
+
+		const tick = async (): Promise<void> => {
+			const open = trials.getAll().filter(trial => isOpen(trial));
+			if (open.length > 0 && records === undefined) {
+				await readRecords();
+			}
+
+			for (const trial of open) {
+				tellCounts(trial);
+				judge(trial);
+				if (isLeader(trial)) {
+					// Without the record a restarted leader can't tell what was decided.
+					if (records !== undefined) {
+						await lead(trial);
+					}
+
+					tellStage(trial);
+				}
+			}
+		};
+
+		const find = ({service, revision}: {readonly service: string; readonly revision: number}): Trial | undefined => {
+			const trial = trials.get(service);
+			return trial?.revision === revision ? trial : undefined;
+		};
+
+		const endings = [
+			bus.subscribe('traffic-orders-changed', ({orders}) => {
+				trials.setOrders(orders.versions.map(order => ({...order})), clock.monotonic());
+			}),
+			bus.subscribe('serving-gateways-changed', ({members}) => {
+				gateways = members.map(({id}) => id);
+			}),
+			bus.subscribe('peer-received', ({from, message}) => {
+				switch (message.type) {
+					case 'trial-stage': {
+						const trial = find(message);
+						if (trial?.state === 'running') {
+							trial.share = message.share;
+							if (message.state !== 'running') {
+								end(trial, message.state, `told by ${from}`);
+							}
+						}
+
+						break;
+					}
+
+					case 'trial-counts': {
+						const trial = find(message);
+						if (trial) {
+							trial.told.set(from, message.routes);
+							judge(trial);
+						}
+
+						break;
+					}
+
+					case 'trial-halt': {
+						const trial = find(message);
+						if (trial) {
+							end(trial, 'reverted', `told by ${from}: ${message.reason}`);
+						}
+
+						break;
+					}
+
+					default: {
+						// Other tasks take the other messages.
+						break;
+					}
+				}
+			}),
+		];
+		const work = startPeriodicWork(tick, tickMilliseconds);
+		return {
+			async stop() {
+				await work.stop();
+				for (const stop of endings) {
+					stop();
+				}
+			},
+		};
+	},
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -60,4 +60,5 @@
 export * from './run-time.js';
 export * from './target-condition.js';
 export * from './traffic-configuration.js';
+export * from './version-trial.js';
 export * from './warmup-rate.js';
--- a/packages/policy/src/traffic-configuration.ts
+++ b/packages/policy/src/traffic-configuration.ts
@@ -94,6 +94,8 @@
 export const versionOrderSchema = z.object({
 	service: z.string(),
 	version: z.string(),
+	/** Of the order's row; a later order of the same service has a higher one. */
+	revision: z.int(),
 	durationMilliseconds: milliseconds,
 });
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -9,3 +9,4 @@
 export * from './rollout-messages.js';
 export * from './quota-messages.js';
 export * from './ticket-messages.js';
+export * from './version-trial-messages.js';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -12,6 +12,7 @@
 import {rolloutReportMessageSchema} from './rollout-messages.js';
 import {quotaMessageSchemas} from './quota-messages.js';
 import {ticketMessageSchemas} from './ticket-messages.js';
+import {trialMessageSchemas} from './version-trial-messages.js';
 
 export const peerMessageSchema = z.discriminatedUnion('type', [
 	helloMessageSchema,
@@ -26,6 +27,7 @@
 	...gatewayMessageSchemas,
 	...quotaMessageSchemas,
 	...ticketMessageSchemas,
+	...trialMessageSchemas,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/packages/protocol/src/version-trial-messages.ts
@@ -0,0 +1,37 @@
+/** Messages of a service's move to a new version. */
+import {z} from 'zod';
+
+const countsSchema = z.object({requests: z.int().min(0), failures: z.int().min(0), slow: z.int().min(0)});
+
+/** The order that a message belongs to; a later order of the same service has a higher revision. */
+const orderSchema = {service: z.string(), version: z.string(), revision: z.int()};
+
+export const trialStates = ['running', 'complete', 'reverted'] as const;
+
+/** What the gateway that leads a move has decided. */
+export const trialStageMessageSchema = z.object({
+	type: z.literal('trial-stage'),
+	...orderSchema,
+	state: z.enum(trialStates),
+	share: z.number().min(0).max(1),
+});
+
+/** All that ended at a gateway's targets since the order, by route. */
+export const trialCountsMessageSchema = z.object({
+	type: z.literal('trial-counts'),
+	...orderSchema,
+	routes: z.record(z.string(), z.object({trial: countsSchema, settled: countsSchema})),
+});
+
+/** Any gateway that sees a bad version tells all others at once. */
+export const trialHaltMessageSchema = z.object({
+	type: z.literal('trial-halt'),
+	...orderSchema,
+	reason: z.string(),
+});
+
+export const trialMessageSchemas = [trialStageMessageSchema, trialCountsMessageSchema, trialHaltMessageSchema] as const;
+
+export type TrialState = typeof trialStates[number];
+export type TrialStageMessage = z.infer<typeof trialStageMessageSchema>;
+export type TrialCountsMessage = z.infer<typeof trialCountsMessageSchema>;
