Take an answer whose reset comes with its data for cut

Shown on loopback: write and reset at once give 'end', and the socket has no peer address then; after an orderly end it has one.

Test: 'unframed-reset-at-once' fails before (200 for 502) and passes after.

--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -66,6 +66,10 @@
 					socket.on('error', () => {
 						slot.wasReset = true;
 					});
+					socket.on('end', () => {
+						// A reset that comes together with data is told as an end; the socket has no peer then.
+						slot.wasReset ||= socket.remoteAddress === undefined;
+					});
 					callback(null, socket);
 				});
 			},
