Spend less on refusals, spread callers by the gateways' load, and tell when to return

Change: keys that came before need no hash; at most 250 log lines a second; look-ups name the region's gateways when those of the zone are busy; each request refused by a quota is told to come for a token of its own; a late event loop first reads what has arrived.

--- a/packages/node/src/bounded-log.ts
+++ b/packages/node/src/bounded-log.ts
@@ -10,8 +10,8 @@
 
 export type LineSink = (line: string) => void;
 
-/** About ten decisions for each request of a busy node; a line costs some 10 microseconds. */
-const linesPerSecond = 600;
+/** One line for each request of a busy node; a flood of refusals isn't worth the processor time of its lines. */
+const linesPerSecond = 250;
 const periodMilliseconds = 1000;
 /** Lines wait in memory up to this size while standard output doesn't take them. */
 const longestBacklogBytes = 1_048_576;
--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -14,6 +14,7 @@
 /** Rows change only when a gateway starts or leaves; peers tell of most changes sooner. */
 const readPauseMilliseconds = 10_000;
 const retryPauseMilliseconds = 500;
+const useDigits = 2;
 
 type PeerState = {report: GatewayReport | undefined; heardAt: number; isConnected: boolean};
 
@@ -32,6 +33,7 @@
 		let isDraining = false;
 		let servingKey = '';
 		let isRowWritten = false;
+		let use = 0;
 
 		const getState = (id: string): PeerState => {
 			const known = peers.get(id) ?? {report: undefined, heardAt: clock.monotonic(), isConnected: false};
@@ -87,17 +89,28 @@
 			bus.publish({type: 'customer-demands-changed', demands: all, knownGateways: members.size + 1});
 		};
 
+		const publishUses = (): void => {
+			const uses = new Map([[ownId, use]]);
+			for (const [id, {report}] of peers) {
+				uses.set(id, report?.use ?? 0);
+			}
+
+			bus.publish({type: 'gateway-uses-changed', uses});
+		};
+
 		const tell = (): void => {
 			bus.publish({
 				type: 'peer-broadcast', message: {
-					type: 'gateway-report', isServing: isServing(), revisions, demands,
+					type: 'gateway-report', isServing: isServing(), use, revisions, demands,
 				},
 			});
 		};
 
 		const beat = async (): Promise<void> => {
 			bus.publish({type: 'heartbeat-due'});
+			use = Number(context.loopLoad.takeUse().toFixed(useDigits));
 			tell();
+			publishUses();
 			publishServing();
 			publishDemands();
 		};
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -62,6 +62,10 @@
 		route, service, object: exchange.object, regions, leftMilliseconds: exchange.deadlineAt - clock.monotonic(), tried, allowsVersion: plan.allows,
 	});
 	for (;;) {
+		if (exchange.callerGone.aborted) {
+			return {result: {kind: 'problem', problem: getLossProblem(parts, 'caller-gone', getOutcome(records))}, records};
+		}
+
 		let choice = choose();
 		if (choice.kind === 'refused' && plan.isTrial) {
 			// The new version may have no target where the request may run.
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -48,7 +48,16 @@
 const usedOveragePart = 0.3;
 const usedExcessPart = 0.4;
 
-type CustomerEntry = {bucket: CustomerBucket; arrivals: number; demand: number};
+type CustomerEntry = {
+	bucket: CustomerBucket;
+	arrivals: number;
+	demand: number;
+	/** Until this time the tokens to come are promised to requests that were refused. */
+	promisedUntil: number;
+};
+
+/** Callers don't wait longer; telling more would only spread them out beyond their deadlines. */
+const longestPromiseMilliseconds = 2000;
 
 export function createGatewayQuotas({clock, ownId, namedGateways, tolerance}: GatewayQuotasOptions): GatewayQuotas {
 	const entries = new Map<string, CustomerEntry>();
@@ -57,7 +66,7 @@
 	let measuredAt = clock.monotonic();
 
 	const getEntry = (name: string): CustomerEntry => {
-		const known = entries.get(name) ?? {bucket: createCustomerBucket(clock.monotonic()), arrivals: 0, demand: 0};
+		const known = entries.get(name) ?? {bucket: createCustomerBucket(clock.monotonic()), arrivals: 0, demand: 0, promisedUntil: 0};
 		entries.set(name, known);
 		return known;
 	};
@@ -86,6 +95,14 @@
 		};
 	};
 
+	/** When the request should come again: each that is refused gets a token of its own to come for. */
+	const promise = (entry: CustomerEntry, limit: BucketLimit, delay: number): number => {
+		const now = clock.monotonic();
+		const next = Math.max(entry.promisedUntil + (millisecondsPerSecond / limit.ratePerSecond), now + delay);
+		entry.promisedUntil = Math.min(next, now + longestPromiseMilliseconds);
+		return entry.promisedUntil - now;
+	};
+
 	return {
 		admit(customer) {
 			const entry = getEntry(customer.name);
@@ -99,7 +116,7 @@
 			entry.bucket = fillCustomerBucket(entry.bucket, limit, clock.monotonic());
 			const delay = getTokenDelay(entry.bucket, limit);
 			if (delay > 0) {
-				return {kind: 'refused', retryAfterMilliseconds: delay, share};
+				return {kind: 'refused', retryAfterMilliseconds: promise(entry, limit, delay), share};
 			}
 
 			entry.bucket = {...entry.bucket, tokens: entry.bucket.tokens - 1};
--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -24,6 +24,7 @@
 		const {bus, settings, profile} = context;
 		const {limits, timing, listen} = settings;
 		let serving: readonly Member[] = [];
+		let uses: ReadonlyMap<string, number> = new Map();
 		let isReady = false;
 		let isDraining = false;
 
@@ -44,7 +45,7 @@
 			}
 
 			const {region, zone} = profile.lookup.read(query);
-			const addresses = chooseGateways(serving, {region: region ?? settings.node.region, zone: zone ?? settings.node.zone}).map(member => member.callerAddress);
+			const addresses = chooseGateways(serving, {uses, region: region ?? settings.node.region, zone: zone ?? settings.node.zone}).map(member => member.callerAddress);
 			sendJson(response, profile.lookup.write({addresses, timeToLiveMilliseconds: settings.gateway.lookupMilliseconds}));
 		};
 
@@ -90,6 +91,9 @@
 			bus.subscribe('serving-gateways-changed', ({members}) => {
 				serving = members;
 			}),
+			bus.subscribe('gateway-uses-changed', message => {
+				uses = message.uses;
+			}),
 			bus.subscribe('drain-started', () => {
 				isDraining = true;
 				callers.startDraining();
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -8,6 +8,7 @@
 } from '@catkindale/ports';
 import type {Member} from '@catkindale/policy';
 import type {CallerProfile} from './caller-profile.js';
+import type {LoopLoad} from './loop-load.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import type {VersionBoard} from './version-board.js';
@@ -52,6 +53,7 @@
 	readonly trafficSource?: TrafficSource | undefined;
 	/** Absent where moves to new versions aren't recorded. */
 	readonly versionBoard?: VersionBoard | undefined;
+	readonly loopLoad: LoopLoad;
 	/** The moves to new versions in which this gateway takes part. */
 	readonly trials: VersionTrials;
 	readonly callerHandlers: CallerHandlers;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -82,6 +82,8 @@
 		| {readonly type: 'knowledge-revised'; readonly revisions: KnowledgeRevisions}
 	/** The gateways that look-ups may name, this node included. */
 		| {readonly type: 'serving-gateways-changed'; readonly members: readonly Member[]}
+	/** The busy part of each gateway's time, by its identifier. */
+		| {readonly type: 'gateway-uses-changed'; readonly uses: ReadonlyMap<string, number>}
 	/** Requests per second by customer, of each gateway that may use a share of the rate. */
 		| {readonly type: 'customer-demands-changed'; readonly demands: ReadonlyMap<string, Readonly<Record<string, number>>>; readonly knownGateways: number}
 	/** Requests per second by customer that came to this node. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -12,6 +12,7 @@
 } from './node-context.js';
 import {type CallerProfile, ownCallerProfile} from './caller-profile.js';
 import {createCuttableTable} from './cut-action.js';
+import {startLoopLoad} from './loop-load.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import {createCountedTable} from './table-metrics.js';
@@ -74,6 +75,7 @@
 		profile: parts.profile ?? ownCallerProfile,
 		trafficSource: parts.trafficSource,
 		versionBoard: parts.versionBoard,
+		loopLoad: startLoopLoad(),
 		trials: createVersionTrials(),
 		incarnation: createIdentifier(),
 		clock: parts.clock ?? systemClock,
@@ -92,6 +94,7 @@
 		context,
 		async stop() {
 			await lifeCycle.stop();
+			context.loopLoad.stop();
 			await Promise.all([platform.table.close(), platform.objects.close(), platform.machines.close(), platform.targetHealth?.close()]);
 		},
 	};
--- a/packages/node/src/traffic-router.ts
+++ b/packages/node/src/traffic-router.ts
@@ -17,6 +17,7 @@
 
 /** Prefixes hold for all methods, so that the router needs only one. */
 const anyMethod = 'GET';
+const mostRememberedKeys = 10_000;
 
 export function createTrafficRouter(configuration: TrafficConfiguration): TrafficRouter {
 	const router = createRouter({ignoreTrailingSlash: false, caseSensitive: true});
@@ -26,6 +27,20 @@
 
 	const customers = new Map(configuration.customers.flatMap(customer => customer.keyHashes.map(hash => [hash, customer] as const)));
 	const services = new Map(configuration.services.map(service => [service.name, service]));
+	const customersByKey = new Map<string, TrafficCustomer | undefined>();
+	const findCustomer = (key: string): TrafficCustomer | undefined => {
+		// A key that came before needs no hash; unknown keys mustn't fill the memory.
+		if (!customersByKey.has(key)) {
+			if (customersByKey.size >= mostRememberedKeys) {
+				customersByKey.clear();
+			}
+
+			customersByKey.set(key, customers.get(hashText(key)));
+		}
+
+		return customersByKey.get(key);
+	};
+
 	const counters = new Map<string, DestinationCounter>();
 	return {
 		configuration,
@@ -33,7 +48,7 @@
 			const found: {readonly store: TrafficRoute} | null = router.find(anyMethod, path, {host}); // eslint-disable-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument
 			return found?.store;
 		},
-		findCustomer: key => customers.get(hashText(key)),
+		findCustomer,
 		getService: name => services.get(name),
 		takeDestination(route) {
 			const [only, ...others] = route.destinations;
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -16,6 +16,8 @@
 	type: z.literal('gateway-report'),
 	/** Whether look-ups may name the sender. */
 	isServing: z.boolean(),
+	/** The part of the time in which the sender's event loop works, from 0 to 1. */
+	use: z.number().min(0).max(1),
 	revisions: revisionsSchema,
 	/** Requests per second that came to the sender, by customer; customers without any are left out. */
 	demands: z.record(z.string(), z.number().min(0)),
