Let objects keep to targets by factors, and count a queue at one target there only

Cause: two new tests. The part of the objects that keeps to a target settled at a miss in four instead of one in eight, as it grew by steps and shrank by a factor; a queue at one target counted as use of the others' free slots, so that an object waited for its cache while a free target would have been sooner.

Also: no errors of format and lint; the judgement of an answer's head stands in a function of its own.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -14,7 +14,9 @@
 import {headerNames} from './constants.js';
 import type {RequestDispatcher} from './link-meter.js';
 import {getAnswerHeaders} from './request-headers.js';
-import {type HeaderReader, type ReportedLoad, type TargetDialect, ownDialect} from './target-dialect.js';
+import {
+	type HeaderReader, type ReportedLoad, type TargetDialect, ownDialect,
+} from './target-dialect.js';
 
 export type ForwardOptions = {
 	readonly pool: RequestDispatcher;
@@ -179,61 +181,33 @@
 
 	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
 		const read: HeaderReader = name => getRawHeader(rawHeaders, name);
-		const echoed = read(dialect.requestIdHeader);
-		const isOther = dialect.isOtherTarget(status, read);
-		const isAnonymousRefusal = echoed === undefined && dialect.acceptsAnonymousRefusal && (isOther || dialect.isRefusal(status, read));
-		if (isAnonymousRefusal) {
-			receiveRefusal(false, isOther);
-			return;
-		}
-
-		if (echoed === undefined ? options.requiresEcho : echoed !== options.requestId) {
-			abort('target', 'the answer belongs to another request');
+		const verdict = judgeHead(options, dialect, status, read);
+		if (verdict.kind === 'refusal') {
+			receiveRefusal(verdict.isEchoed, verdict.isOther);
 			return;
 		}
 
-		if (dialect.isLeaving(read) && echoed !== undefined) {
-			options.onLeaving?.();
-		}
-
-		const load = dialect.getLoad(read);
-		if (load) {
-			options.onLoad?.(load);
-		}
-
-		if ((isOther || dialect.isRefusal(status, read)) && !options.isPeer) {
-			receiveRefusal(echoed !== undefined, isOther);
+		if (verdict.kind === 'unusable') {
+			abort('target', verdict.reason);
 			return;
 		}
 
-		if (!dialect.isGenuine(status, read)) {
-			abort('target', 'the answer can\'t be the target\'s own');
-			return;
-		}
-
-		const outcome = read(headerNames.outcome);
-
+		const {isEchoed} = verdict;
 		const length = read('content-length');
-		const isEndMarked = length !== undefined || read('transfer-encoding') !== undefined;
-		if (!isEndMarked && !isBodyless(options.method, status) && !dialect.allowsAnswerWithoutLength) {
-			abort('target', 'the answer doesn\'t tell where it ends');
-			return;
-		}
-
 		const headers = getAnswerHeaders(rawHeaders, read('connection'));
 		const replayed = options.isPeer ? read(headerNames.replayed) : undefined;
 		if (replayed !== undefined) {
 			headers.push(headerNames.replayed, replayed);
 		}
 
-		const head: AnswerHead = options.isPeer ? {status, headers, outcome: requestOutcomes.find(known => known === outcome) ?? 'unknown'} : {status, headers};
+		const head: AnswerHead = options.isPeer ? {status, headers, outcome: requestOutcomes.find(known => known === read(headerNames.outcome)) ?? 'unknown'} : {status, headers};
 		answer = {
-			kind: 'held', head, isEchoed: echoed !== undefined, chunks: [], bytes: 0,
+			kind: 'held', head, isEchoed, chunks: [], bytes: 0,
 		};
 		if (length === undefined) {
 			setImmediate(streamUnlessWhole);
 		} else if (Number(length) > maximumHeldAnswerBytes && !isBodyless(options.method, status)) {
-			stream(head, echoed !== undefined, []);
+			stream(head, isEchoed, []);
 		}
 	};
 
@@ -314,6 +288,49 @@
 	return {outcome, abort};
 }
 
+type HeadVerdict
+	= | {readonly kind: 'answer'; readonly isEchoed: boolean}
+		/** The target says that it didn't run the request. */
+		| {readonly kind: 'refusal'; readonly isEchoed: boolean; readonly isOther: boolean}
+		| {readonly kind: 'unusable'; readonly reason: string};
+
+/** Whether the head belongs to the request and what it says; tells the load and a leaving target to those who asked. */
+function judgeHead(options: ForwardOptions, dialect: TargetDialect, status: number, read: HeaderReader): HeadVerdict {
+	const echoed = read(dialect.requestIdHeader);
+	const isEchoed = echoed !== undefined;
+	const isOther = dialect.isOtherTarget(status, read);
+	const isRefusal = !options.isPeer && (isOther || dialect.isRefusal(status, read));
+	if (!isEchoed && isRefusal && dialect.acceptsAnonymousRefusal) {
+		return {kind: 'refusal', isEchoed, isOther};
+	}
+
+	if (isEchoed ? echoed !== options.requestId : options.requiresEcho) {
+		return {kind: 'unusable', reason: 'the answer belongs to another request'};
+	}
+
+	if (isEchoed && dialect.isLeaving(read)) {
+		options.onLeaving?.();
+	}
+
+	const load = dialect.getLoad(read);
+	if (load) {
+		options.onLoad?.(load);
+	}
+
+	if (isRefusal) {
+		return {kind: 'refusal', isEchoed, isOther};
+	}
+
+	if (!dialect.isGenuine(status, read)) {
+		return {kind: 'unusable', reason: 'the answer can\'t be the target\'s own'};
+	}
+
+	const isEndMarked = read('content-length') !== undefined || read('transfer-encoding') !== undefined;
+	return isEndMarked || isBodyless(options.method, status) || dialect.allowsAnswerWithoutLength
+		? {kind: 'answer', isEchoed}
+		: {kind: 'unusable', reason: 'the answer doesn\'t tell where it ends'};
+}
+
 function getCause(error: unknown): LossCause {
 	if (error instanceof AttemptAbort) {
 		return error.abortCause;
--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -5,7 +5,8 @@
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
 	type FinishCandidate, type ObjectMemory, type RunKind, type RunTime, type TrafficRoute, type TrafficService,
-	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition, getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
+	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition,
+	getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
 	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 import type {ObjectPlacement} from '@catkindale/protocol';
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -130,13 +130,13 @@
 	const outcome = await attempt.outcome;
 	exchange.callerGone.removeEventListener('abort', cancel);
 	connection.release();
-	learn(parts, exchange.route, chosen, outcome, {milliseconds: context.clock.monotonic() - startedAt, load});
+	learn(parts, {chosen, outcome}, exchange.route, {milliseconds: context.clock.monotonic() - startedAt, load});
 	return outcome;
 }
 
 type Learnt = {readonly milliseconds: number; readonly load: ReportedLoad | undefined};
 
-function learn(parts: GatewayParts, route: TrafficRoute, chosen: ChosenTarget, outcome: ForwardOutcome, learnt: Learnt): void {
+function learn(parts: GatewayParts, {chosen, outcome}: AttemptRecord, route: TrafficRoute, learnt: Learnt): void {
 	if (outcome.kind === 'shed' && outcome.isOther) {
 		parts.targets.markLeaving(chosen.entry);
 	}
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -62,7 +62,9 @@
 			context,
 			targets,
 			chooser,
-			quotas: createGatewayQuotas({clock, ownId, namedGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance}),
+			quotas: createGatewayQuotas({
+				clock, ownId, namedGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance,
+			}),
 			budgets: createGatewayBudgets(clock, {ratio: repeatRatio, reserve: repeatReserve, windowMilliseconds: repeatWindowMilliseconds}),
 			router: undefined,
 			latency: new Histogram({
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -66,7 +66,9 @@
 	let measuredAt = clock.monotonic();
 
 	const getEntry = (name: string): CustomerEntry => {
-		const known = entries.get(name) ?? {bucket: createCustomerBucket(clock.monotonic()), arrivals: 0, demand: 0, promisedUntil: 0};
+		const known = entries.get(name) ?? {
+			bucket: createCustomerBucket(clock.monotonic()), arrivals: 0, demand: 0, promisedUntil: 0,
+		};
 		entries.set(name, known);
 		return known;
 	};
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -105,7 +105,7 @@
 
 			for (const target of targets) {
 				const known = entries.get(target.id);
-				if (known && known.target.startedAt === target.startedAt && known.target.address === target.address) {
+				if (known && isSameStart(known.target, target)) {
 					update(known, target);
 					continue;
 				}
@@ -134,3 +134,7 @@
 		},
 	};
 }
+
+function isSameStart(left: TrafficTarget, right: TrafficTarget): boolean {
+	return left.startedAt === right.startedAt && left.address === right.address;
+}
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -41,7 +41,7 @@
 
 	const destroy = (slot: Slot): void => {
 		// A destroyed client has nothing left to tell.
-		void slot.client.destroy(); // eslint-disable-line promise/prefer-await-to-then
+		void slot.client.destroy();
 	};
 
 	const open = (): Slot => {
--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -112,6 +112,20 @@
 			bus.publish({type: 'peer-send', to, message});
 		};
 
+		const learnFromPeer = ({configuration, orders, targets}: KnowledgeMessage, from: string): void => {
+			if (configuration) {
+				learnConfiguration(configuration, from);
+			}
+
+			if (orders) {
+				learnOrders(orders, from);
+			}
+
+			if (targets) {
+				learnTargets(targets, from);
+			}
+		};
+
 		const endings = [
 			bus.subscribe('traffic-configuration-read', ({configuration}) => {
 				learnConfiguration(configuration, 'table');
@@ -123,37 +137,16 @@
 				learnTargets(targets, 'table');
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
-				switch (message.type) {
-					case 'gateway-report': {
-						compare(from, message.revisions);
-						break;
-					}
-
-					case 'knowledge-wish': {
-						answerWish(from, message.parts);
-						break;
-					}
-
-					case 'knowledge': {
-						if (message.configuration) {
-							learnConfiguration(message.configuration, from);
-						}
-
-						if (message.orders) {
-							learnOrders(message.orders, from);
-						}
-
-						if (message.targets) {
-							learnTargets(message.targets, from);
-						}
-
-						break;
-					}
-
-					default: {
-						// Other tasks take the other messages.
-						break;
-					}
+				if (message.type === 'gateway-report') {
+					compare(from, message.revisions);
+				}
+
+				if (message.type === 'knowledge-wish') {
+					answerWish(from, message.parts);
+				}
+
+				if (message.type === 'knowledge') {
+					learnFromPeer(message, from);
 				}
 			}),
 		];
--- a/packages/node/src/traffic-router.ts
+++ b/packages/node/src/traffic-router.ts
@@ -45,7 +45,7 @@
 	return {
 		configuration,
 		findRoute(host, path) {
-			const found: {readonly store: TrafficRoute} | null = router.find(anyMethod, path, {host}); // eslint-disable-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument
+			const found: {readonly store: TrafficRoute} | null = router.find(anyMethod, path, {host});
 			return found?.store;
 		},
 		findCustomer,
--- a/packages/node/src/version-trial-plugin.ts
+++ b/packages/node/src/version-trial-plugin.ts
@@ -7,7 +7,7 @@
  */
 import {rankMembers} from '@catkindale/common';
 import {getTrialStage, judgeTrial} from '@catkindale/policy';
-import type {TrialState} from '@catkindale/protocol';
+import type {TrialCountsMessage, TrialStageMessage, TrialState} from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
@@ -207,6 +207,26 @@
 			return trial?.revision === revision ? trial : undefined;
 		};
 
+		const followStage = (message: TrialStageMessage, from: string): void => {
+			const trial = find(message);
+			if (trial?.state !== 'running') {
+				return;
+			}
+
+			trial.share = message.share;
+			if (message.state !== 'running') {
+				end(trial, message.state, `told by ${from}`);
+			}
+		};
+
+		const learnCounts = (message: TrialCountsMessage, from: string): void => {
+			const trial = find(message);
+			if (trial) {
+				trial.told.set(from, message.routes);
+				judge(trial);
+			}
+		};
+
 		const endings = [
 			bus.subscribe('traffic-orders-changed', ({orders}) => {
 				trials.setOrders(orders.versions.map(order => ({...order})), clock.monotonic());
@@ -215,42 +235,17 @@
 				gateways = members.map(({id}) => id);
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
-				switch (message.type) {
-					case 'trial-stage': {
-						const trial = find(message);
-						if (trial?.state === 'running') {
-							trial.share = message.share;
-							if (message.state !== 'running') {
-								end(trial, message.state, `told by ${from}`);
-							}
-						}
-
-						break;
-					}
-
-					case 'trial-counts': {
-						const trial = find(message);
-						if (trial) {
-							trial.told.set(from, message.routes);
-							judge(trial);
-						}
-
-						break;
-					}
-
-					case 'trial-halt': {
-						const trial = find(message);
-						if (trial) {
-							end(trial, 'reverted', `told by ${from}: ${message.reason}`);
-						}
+				if (message.type === 'trial-stage') {
+					followStage(message, from);
+				}
 
-						break;
-					}
+				if (message.type === 'trial-counts') {
+					learnCounts(message, from);
+				}
 
-					default: {
-						// Other tasks take the other messages.
-						break;
-					}
+				const halted = message.type === 'trial-halt' ? find(message) : undefined;
+				if (halted && message.type === 'trial-halt') {
+					end(halted, 'reverted', `told by ${from}: ${message.reason}`);
 				}
 			}),
 		];
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -65,7 +65,8 @@
 	let running = 0;
 	let slots = 0;
 	for (const candidate of candidates) {
-		running += Math.min(candidate.expectedRunning, candidate.slots * 2);
+		// A queue at one target leaves the slots of the others free.
+		running += Math.min(candidate.expectedRunning, candidate.slots);
 		slots += candidate.slots;
 	}
 
--- a/packages/policy/src/object-admission.ts
+++ b/packages/policy/src/object-admission.ts
@@ -13,7 +13,7 @@
  * All nodes order the objects alike, so that they keep to much the same ones.
  * The admitted part turns slowly over all objects, so that each has its time.
  *
- * Both follow additive increase and multiplicative decrease (Chiu and Jain,
+ * The admitted part follows additive increase and multiplicative decrease (Chiu and Jain,
  * "Analysis of the increase and decrease algorithms for congestion avoidance",
  * Computer Networks and ISDN Systems 17, 1989).
  */
@@ -38,10 +38,10 @@
 const longQueuePart = 0.5;
 /** These two settle where about one in eight expected objects isn't cached. */
 const missDecreaseFactor = 0.97;
-const hitIncreaseStep = 0.004;
+const hitIncreaseFactor = 1.004;
 /** These two settle where a target is full about a third as often as it has two slots free. */
 const fullDecreaseFactor = 0.985;
-const roomIncreaseStep = 0.005;
+const roomIncreaseFactor = 1.007;
 const roomSlots = 2;
 const leastKeptShare = 0.05;
 /** In this time the admitted part passes over all objects. */
@@ -67,7 +67,7 @@
 
 /** Learns whether an object that was expected in the target's cache was there. */
 export function updateKeptShareByCache(admission: ObjectAdmission, isHit: boolean): ObjectAdmission {
-	return changeKeptShare(admission, isHit ? hitIncreaseStep : undefined, missDecreaseFactor);
+	return changeKeptShare(admission, isHit ? hitIncreaseFactor : missDecreaseFactor);
 }
 
 /** Learns from the slots in use that the target told. */
@@ -77,7 +77,7 @@
 		return admission;
 	}
 
-	return changeKeptShare(admission, used < slots ? roomIncreaseStep : undefined, fullDecreaseFactor);
+	return changeKeptShare(admission, used < slots ? roomIncreaseFactor : fullDecreaseFactor);
 }
 
 /** Nodes that send the same objects agree on the part bit by bit. */
@@ -85,8 +85,8 @@
 	return {...admission, keptShare: (admission.keptShare + toldShare) / 2};
 }
 
-function changeKeptShare(admission: ObjectAdmission, increase: number | undefined, decreaseFactor: number): ObjectAdmission {
-	const keptShare = increase === undefined ? Math.max(leastKeptShare, admission.keptShare * decreaseFactor) : Math.min(1, admission.keptShare + increase);
+function changeKeptShare(admission: ObjectAdmission, factor: number): ObjectAdmission {
+	const keptShare = Math.min(1, Math.max(leastKeptShare, admission.keptShare * factor));
 	return keptShare === admission.keptShare ? admission : {...admission, keptShare};
 }
 
--- /dev/null
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -0,0 +1,252 @@
+/** The gateway's decisions about objects, quotas, cold targets, splits, repeats and moves to new versions. */
+import {describe, expect, it} from 'vitest';
+import {createRandom} from '@catkindale/common';
+import {
+	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, addCounts, chooseGateways, classifyRun, createAttemptBudget, createCustomerBucket,
+	createDestinationCounter, createObjectMemory, createRunTime, createTargetCondition, createWarmupRate, earnAttempt, fillCustomerBucket, fullAdmission, getAllowedRegions,
+	getCustomerShare, getExpectedRunning, getObjectPosition, getTokenDelay, getTrialStage, getTurnedPosition, getWarmupShare, judgeTrial, mergeKeptShare, noCounts,
+	recordAnswer, recordFailure, recordSent, recordTold, takeAttempt, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
+} from '@catkindale/policy';
+
+describe('objects', () => {
+	const queues = [
+		{
+			told: 'a long queue shrinks the admitted part', waiting: 3, before: 0.8, isLess: true,
+		},
+		{
+			told: 'a refusal shrinks it', waiting: Number.POSITIVE_INFINITY, before: 0.8, isLess: true,
+		},
+		{
+			told: 'no queue lets it grow', waiting: 0, before: 0.8, isLess: false,
+		},
+	];
+	it.each(queues)('$told', ({waiting, before, isLess}) => {
+		const admission = updateAdmittedShare({...fullAdmission, admittedShare: before}, {waiting, slots: 4}, 1000);
+		expect(admission.admittedShare < before).toBe(isLess);
+		expect(admission.admittedShare > before).toBe(!isLess);
+	});
+
+	it('a full target that is asked for more objects than it caches settles near what it caches', () => {
+		const random = createRandom(7);
+		const [objects, room] = [77, 35];
+		const cached: number[] = [];
+		let admission: ObjectAdmission = fullAdmission;
+		let hits = 0;
+		let late = 0;
+		for (let count = 0; count < 20_000; count++) {
+			const object = random.integer(0, objects - 1);
+			if (getObjectPosition(`object-${object}`, 'target') >= admission.keptShare) {
+				continue;
+			}
+
+			const place = cached.indexOf(object);
+			const isHit = place !== -1;
+			if (isHit) {
+				cached.splice(place, 1);
+			}
+
+			cached.push(object);
+			if (cached.length > room) {
+				cached.shift();
+			}
+
+			admission = updateKeptShareByCache(admission, isHit);
+			if (count > 10_000) {
+				late += 1;
+				hits += isHit ? 1 : 0;
+			}
+		}
+
+		expect(hits / late).toBeGreaterThan(0.8);
+		expect(admission.keptShare).toBeGreaterThan(0.7 * room / objects);
+		expect(admission.keptShare).toBeLessThan(1.5 * room / objects);
+	});
+
+	const loads = [{running: 4, waiting: 0, isLess: true}, {running: 4, waiting: 5, isLess: true}, {running: 1, waiting: 0, isLess: false}];
+	it.each(loads)('$running running and $waiting waiting of 4 slots: the kept part shrinks: $isLess', load => {
+		const admission = updateKeptShareByLoad({...fullAdmission, keptShare: 0.5}, {...load, slots: 4});
+		expect(admission.keptShare < 0.5).toBe(load.isLess);
+	});
+
+	it('gateways of a region agree on a part bit by bit', () => {
+		expect(mergeKeptShare({...fullAdmission, keptShare: 0.4}, 0.8).keptShare).toBeCloseTo(0.6);
+	});
+
+	it('each object has its time: the admitted part passes over all of them', () => {
+		const position = getObjectPosition('object', 'target');
+		const times = Array.from({length: 90}, (_, second) => getTurnedPosition(position, second * 1000));
+		expect(times.filter(turned => turned < 0.3).length).toBeGreaterThan(20);
+		expect(times.filter(turned => turned >= 0.3).length).toBeGreaterThan(50);
+	});
+
+	it('are remembered for a while, and as far as memory goes', () => {
+		const memory = createObjectMemory();
+		expect(memory.record('a', 'target', 0)).toBe(true);
+		expect(memory.record('a', 'target', 1000)).toBe(false);
+		expect(memory.isWarm('a', 'target', 15_000)).toBe(true);
+		expect(memory.isWarm('a', 'target', 40_000)).toBe(false);
+		for (let index = 0; index < 30_000; index++) {
+			memory.record(`object-${index}`, 'target', 50_000);
+		}
+
+		expect(memory.getSize()).toBe(20_000);
+		memory.forgetTarget('target');
+		expect(memory.isWarm('object-29999', 'target', 50_000)).toBe(false);
+	});
+});
+
+describe('run times', () => {
+	const runs = [{milliseconds: 150, kind: 'cached'}, {milliseconds: 470, kind: 'uncached'}, {milliseconds: 2000, kind: 'slow'}];
+	it.each(runs)('$milliseconds ms is $kind', ({milliseconds, kind}) => {
+		expect(classifyRun({coldMilliseconds: 480, warmMilliseconds: 144}, milliseconds)).toBe(kind);
+	});
+
+	it('follow short answers quickly and long ones slowly', () => {
+		const start = createRunTime(300);
+		expect(start.coldMilliseconds).toBe(480);
+		const shorter = updateRunTime(start, false, 280);
+		const longer = updateRunTime(start, false, 680);
+		expect(start.coldMilliseconds - shorter.coldMilliseconds).toBeGreaterThan(5 * (longer.coldMilliseconds - start.coldMilliseconds));
+	});
+});
+
+describe('a target\'s condition', () => {
+	it('counts own requests exactly and others\' as told, fading', () => {
+		const told = recordTold(recordSent(createTargetCondition(0)), {running: 4, waiting: 2, slots: 4}, 0);
+		expect(getExpectedRunning(told, 0)).toBeCloseTo(6);
+		expect(getExpectedRunning(told, 1000)).toBeLessThan(4);
+		expect(getExpectedRunning(told, 60_000)).toBeCloseTo(1);
+	});
+
+	it('keeps requests away for longer with each failure in a row, until an answer', () => {
+		const first = recordFailure(createTargetCondition(0), 0);
+		const second = recordFailure(first, 0);
+		const third = recordFailure(second, 0);
+		expect([first, second, third].map(({avoidedUntil}) => Math.max(0, avoidedUntil))).toEqual([0, 250, 500]);
+		expect(recordAnswer(third, 1)).toMatchObject({failuresInRow: 0, avoidedUntil: Number.NEGATIVE_INFINITY});
+	});
+});
+
+describe('customers\' quotas', () => {
+	const fleets = [
+		{fleet: 'even demand', demands: [10, 10, 10, 10]},
+		{fleet: 'all at one node', demands: [40, 0, 0, 0]},
+		{fleet: 'none yet', demands: [0, 0, 0, 0]},
+		{fleet: 'mixed', demands: [1, 7, 30, 2]},
+	];
+	it.each(fleets)('$fleet: the shares add up to the rate', ({demands}) => {
+		const byNode = new Map(demands.map((demand, index) => [`node-${index}`, demand]));
+		const shares = [...byNode.keys()].map(ownId => getCustomerShare({ownId, demands: byNode}));
+		expect(shares.reduce((sum, share) => sum + share, 0)).toBeCloseTo(1);
+		expect(Math.min(...shares)).toBeGreaterThan(0);
+	});
+
+	it('a restarted node begins with an empty bucket', () => {
+		const limit = {ratePerSecond: 10, burst: 5};
+		const empty = createCustomerBucket(0);
+		expect(getTokenDelay(fillCustomerBucket(empty, limit, 0), limit)).toBe(100);
+		expect(getTokenDelay(fillCustomerBucket(empty, limit, 100), limit)).toBe(0);
+		expect(fillCustomerBucket(empty, limit, 60_000).tokens).toBe(5);
+	});
+
+	const homes = [
+		{route: [], customer: [], allowed: undefined},
+		{route: ['oslo'], customer: [], allowed: ['oslo']},
+		{route: ['oslo', 'bergen'], customer: ['bergen', 'tromso'], allowed: ['bergen']},
+		{route: ['oslo'], customer: ['tromso'], allowed: []},
+	];
+	it.each(homes)('homes of route $route and customer $customer allow $allowed', ({route, customer, allowed}) => {
+		const regions = getAllowedRegions({regions: route} as unknown as TrafficRoute, {regions: customer} as unknown as TrafficCustomer);
+		expect(regions === undefined ? undefined : [...regions]).toEqual(allowed);
+	});
+});
+
+describe('cold targets', () => {
+	it('get no more than their rate in any second from all nodes together', () => {
+		const nodes = Array.from({length: 11}, (_, index) => `node-${index}`);
+		const [rate, overage, slack] = [7.7, 1.5, 5];
+		const sent: number[] = [];
+		for (const node of nodes) {
+			const share = getWarmupShare(node, nodes, 'target', rate);
+			let bucket = createWarmupRate(0);
+			for (let now = 0; now < 3000; now += 5) {
+				const taken = takeWarmupRequest(bucket, share, now);
+				bucket = taken ?? bucket;
+				if (taken) {
+					sent.push(now);
+				}
+			}
+		}
+
+		const most = Math.max(...sent.map(start => sent.filter(time => time >= start && time < start + 1000).length));
+		expect(most).toBeLessThanOrEqual((rate * overage) + slack);
+		expect(sent.length).toBeGreaterThan(rate * 2);
+	});
+});
+
+describe('splits and repeats', () => {
+	it('destinations get their shares also over few requests', () => {
+		const counter = createDestinationCounter([{service: 'a', weight: 90}, {service: 'b', weight: 10}]);
+		const chosen = Array.from({length: 20}, () => counter.next());
+		expect(chosen.filter(service => service === 'b')).toHaveLength(2);
+	});
+
+	it('repeats stay within the ratio and the reserve of a window', () => {
+		const limits = {ratio: 0.1, reserve: 3, windowMilliseconds: 10_000};
+		let budget = createAttemptBudget(limits, 0);
+		let repeats = 0;
+		for (let index = 0; index < 1000; index++) {
+			budget = earnAttempt(budget, limits, index * 10);
+			const taken = takeAttempt(budget);
+			budget = taken ?? budget;
+			repeats += taken ? 1 : 0;
+		}
+
+		expect(repeats).toBeGreaterThan(90);
+		expect(repeats).toBeLessThanOrEqual(100 + limits.reserve);
+	});
+
+	const places = [
+		{zone: 'a1', uses: {}, chosen: ['a1-1']},
+		{zone: 'a1', uses: {'a1-1': 0.9}, chosen: ['a1-1', 'a2-1']},
+		{zone: 'a3', uses: {}, chosen: ['a1-1', 'a2-1']},
+	];
+	it.each(places)('a caller of $zone with uses $uses is sent to $chosen', ({zone, uses, chosen}) => {
+		const gateways = [{id: 'a1-1', region: 'a', zone: 'a1'}, {id: 'a2-1', region: 'a', zone: 'a2'}, {id: 'b1-1', region: 'b', zone: 'b1'}];
+		expect(chooseGateways(gateways, {region: 'a', zone, uses: new Map(Object.entries(uses))}).map(({id}) => id)).toEqual(chosen);
+	});
+});
+
+describe('a move to a new version', () => {
+	const stages = [
+		{elapsed: 0, requests: 0, stage: {kind: 'move', share: 0.05}},
+		{elapsed: 0.49, requests: 500, stage: {kind: 'move', share: 0.05}},
+		{elapsed: 0.51, requests: 50, stage: {kind: 'move', share: 0.2}},
+		{elapsed: 0.75, requests: 50, stage: {kind: 'move', share: 1}},
+		{elapsed: 0.75, requests: 3, stage: {kind: 'move', share: 0.05}},
+		{elapsed: 0.83, requests: 50, stage: {kind: 'complete'}},
+		{elapsed: 0.83, requests: 3, stage: {kind: 'move', share: 0.05}},
+		{elapsed: 0.98, requests: 500, stage: {kind: 'abandon'}},
+	];
+	it.each(stages)('after $elapsed of its time with $requests requests: $stage.kind', ({elapsed, requests, stage}) => {
+		expect(getTrialStage(elapsed, requests)).toEqual(stage);
+	});
+
+	const good = {requests: 400, failures: 1, slow: 8};
+	const evidences: ReadonlyArray<{readonly shown: string; readonly evidence: readonly TrialEvidence[]; readonly verdict: string}> = [
+		{shown: 'nothing', evidence: [], verdict: 'sound'},
+		{shown: 'two failures, which may be chance', evidence: [{route: 'a', trial: {requests: 4, failures: 2, slow: 0}, settled: good}], verdict: 'sound'},
+		{shown: 'failures on all routes', evidence: [{route: 'a', trial: {requests: 8, failures: 4, slow: 0}, settled: good}], verdict: 'bad'},
+		{shown: 'failures on one route only', evidence: [{route: 'a', trial: {requests: 90, failures: 0, slow: 0}, settled: good}, {route: 'b', trial: {requests: 5, failures: 3, slow: 0}, settled: noCounts}], verdict: 'bad'},
+		{shown: 'as many failures as before', evidence: [{route: 'a', trial: {requests: 40, failures: 12, slow: 0}, settled: {requests: 400, failures: 120, slow: 0}}], verdict: 'sound'},
+		{shown: 'slow answers', evidence: [{route: 'a', trial: {requests: 12, failures: 0, slow: 8}, settled: good}], verdict: 'bad'},
+		{shown: 'as slow as before', evidence: [{route: 'a', trial: {requests: 12, failures: 0, slow: 6}, settled: {requests: 100, failures: 0, slow: 40}}], verdict: 'sound'},
+	];
+	it.each(evidences)('$shown: $verdict', ({evidence, verdict}) => {
+		expect(judgeTrial(evidence).kind).toBe(verdict);
+	});
+
+	it('counts add up', () => {
+		expect(addCounts(good, {requests: 1, failures: 1, slow: 0})).toEqual({requests: 401, failures: 2, slow: 8});
+	});
+});
