Refuse what piled up at a late gateway, the less urgent first

Change: the event loop's lateness is measured each 50 ms and held for 0.4 s; above 200 ms requests are refused with 503 and 'not run', urgent routes from 325 and 450 ms on.

--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -1,6 +1,8 @@
 /** Decides whether a request may run at a gateway: its route, its key, its customer's quota. */
 import type {IncomingMessage} from 'node:http';
-import type {TrafficCustomer, TrafficRoute, TrafficService} from '@catkindale/policy';
+import {
+	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, isShedLate,
+} from '@catkindale/policy';
 import type {GatewayParts} from './gateway-parts.js';
 import type {Problem} from './problem.js';
 import type {TrafficRouter} from './traffic-router.js';
@@ -10,8 +12,10 @@
 		| {readonly kind: 'refused'; readonly problem: Problem; readonly route: TrafficRoute | undefined; readonly customer: TrafficCustomer | undefined};
 
 const portSuffix = /:\d+$/v;
+/** Look-ups name other gateways by then. */
+const lateRetryMilliseconds = 700;
 
-export function checkGatewayRequest({context: {profile}, quotas}: GatewayParts, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
+export function checkGatewayRequest({context: {profile, loopLoad}, quotas}: GatewayParts, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
 	const host = (request.headers.host ?? '').replace(portSuffix, '').toLowerCase();
 	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 	const route = router.findRoute(host, path);
@@ -36,6 +40,17 @@
 		}, route, customer);
 	}
 
+	if (isShedLate(loopLoad.getLateMilliseconds(), getPriority(route, customer))) {
+		return refuse({
+			status: 503,
+			outcome: 'not-run',
+			reason: 'gateway-late',
+			detail: 'this VM has more requests than its processor can serve',
+			retryAfterMilliseconds: lateRetryMilliseconds,
+			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
+		}, route, customer);
+	}
+
 	const service = router.getService(router.takeDestination(route) ?? '');
 	if (!service) {
 		return refuse({
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -4,7 +4,6 @@
  * that is expected to finish it first. One log line tells each decision.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setImmediate} from 'node:timers/promises';
 import {Counter, Histogram} from 'prom-client';
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
 import type {Member, TrafficCustomer, TrafficRoute} from '@catkindale/policy';
@@ -175,10 +174,6 @@
 		callerGone: caller.signal,
 	};
 	try {
-		if (context.loopLoad.isLate()) {
-			await readArrived();
-		}
-
 		const end = await run(state, exchange, router);
 		if (customer && getOutcome(end.records) === 'not-run') {
 			state.quotas.giveBack(customer);
@@ -192,12 +187,6 @@
 	}
 }
 
-/** Lets the event loop read what has arrived meanwhile, such as the caller's close behind its request. */
-async function readArrived(): Promise<void> {
-	await setImmediate();
-	await setImmediate();
-}
-
 async function run(state: GatewayState, exchange: GatewayExchange, router: TrafficRouter): Promise<ExchangeEnd> {
 	const {request, response, deadlineAt} = exchange;
 	const {bodyBytes, idleTimeoutMilliseconds} = router.configuration.limits;
--- a/packages/node/src/loop-load.ts
+++ b/packages/node/src/loop-load.ts
@@ -1,28 +1,27 @@
-/** How busy the process is: the part of the time in which its event loop works, and whether its timers run late. */
+/** How busy the process is: the part of the time in which its event loop works, and how late it is. */
 import {performance} from 'node:perf_hooks';
 
 export type LoopLoad = {
 	/** The busy part of the time since the last call, from 0 to 1. */
 	takeUse: () => number;
-	/** Whether what arrives may have waited for long before it is read. */
-	isLate: () => boolean;
+	/** About how long what is read now has waited to be read. */
+	getLateMilliseconds: () => number;
 	stop: () => void;
 };
 
-const checkMilliseconds = 100;
-/** Timers are late by some milliseconds at any time. */
-const lateMilliseconds = 50;
-/** After a late check what piled up takes a while to be read. */
-const lateHoldMilliseconds = 500;
+const checkMilliseconds = 50;
+/** Reading what has piled up takes several turns of the loop. */
+const heldMilliseconds = 400;
 
 export function startLoopLoad(): LoopLoad {
 	let utilization = performance.eventLoopUtilization();
 	let checkedAt = performance.now();
-	let lateUntil = 0;
+	let latest = {milliseconds: 0, at: 0};
 	const timer = setInterval(() => {
 		const now = performance.now();
-		if (now - checkedAt - checkMilliseconds > lateMilliseconds) {
-			lateUntil = now + lateHoldMilliseconds;
+		const milliseconds = Math.max(0, now - checkedAt - checkMilliseconds);
+		if (milliseconds >= latest.milliseconds || now - latest.at > heldMilliseconds) {
+			latest = {milliseconds, at: now};
 		}
 
 		checkedAt = now;
@@ -34,7 +33,8 @@
 			utilization = current;
 			return use;
 		},
-		isLate: () => performance.now() < lateUntil || performance.now() - checkedAt - checkMilliseconds > lateMilliseconds,
+		// What came while the loop stood still is read over the next turns; a longer turn now makes it later.
+		getLateMilliseconds: () => Math.max(latest.milliseconds, performance.now() - checkedAt - checkMilliseconds),
 		stop() {
 			clearInterval(timer);
 		},
--- a/packages/policy/tests/gateway-policy.test.ts
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -4,7 +4,7 @@
 import {
 	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, addCounts, chooseGateways, classifyRun, createAttemptBudget, createCustomerBucket,
 	createDestinationCounter, createObjectMemory, createRunTime, createTargetCondition, createWarmupRate, earnAttempt, fillCustomerBucket, fullAdmission, getAllowedRegions,
-	getCustomerShare, getExpectedRunning, getObjectPosition, getTokenDelay, getTrialStage, getTurnedPosition, getWarmupShare, judgeTrial, mergeKeptShare, noCounts,
+	getCustomerShare, getExpectedRunning, getObjectPosition, getTokenDelay, getTrialStage, getTurnedPosition, getWarmupShare, isShedLate, judgeTrial, mergeKeptShare, noCounts,
 	recordAnswer, recordFailure, recordSent, recordTold, takeAttempt, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 
@@ -217,6 +217,20 @@
 	});
 });
 
+describe('a late gateway', () => {
+	const cases = [
+		{late: 20, priority: 2, isShed: false},
+		{late: 250, priority: 2, isShed: true},
+		{late: 250, priority: 1, isShed: false},
+		{late: 350, priority: 1, isShed: true},
+		{late: 350, priority: 0, isShed: false},
+		{late: 500, priority: 0, isShed: true},
+	];
+	it.each(cases)('$late ms late, priority $priority: refused: $isShed', ({late, priority, isShed}) => {
+		expect(isShedLate(late, priority)).toBe(isShed);
+	});
+});
+
 describe('a move to a new version', () => {
 	const stages = [
 		{elapsed: 0, requests: 0, stage: {kind: 'move', share: 0.05}},
