--- a/packages/node/src/bounded-log.ts
+++ b/packages/node/src/bounded-log.ts
@@ -3,7 +3,7 @@
  * blocking, at a bounded rate. What goes beyond the rate is counted, and the
  * count is logged once a second.
  */
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import {
 	type Clock, type LogFields, type Logger, formatLogLine, logLevels,
 } from '@catkindale/common';
@@ -18,7 +18,7 @@
 
 /** Standard output, written in the background. */
 export function createStandardOutputSink(): LineSink {
-	const stream = new SonicBoom({fd: 1, sync: false, maxLength: longestBacklogBytes});
+	const stream = new sonicBoom.SonicBoom({fd: 1, sync: false, maxLength: longestBacklogBytes});
 	// Standard output may be closed by whoever reads it; there is no other place to say so.
 	stream.on('error', () => undefined);
 	return line => {
--- a/packages/policy/tests/finish-choice.test.ts
+++ b/packages/policy/tests/finish-choice.test.ts
@@ -19,16 +19,65 @@
 type Case = {readonly load: string; readonly candidates: readonly FinishCandidate[]; readonly left?: number; readonly chosen: string};
 
 const cases: readonly Case[] = [
-	{load: 'all cold at the start: the first of the object\'s order', candidates: [createCandidate('other'), createCandidate('second', {rank: 1}), createCandidate('first', {rank: 0})], chosen: 'first'},
+	{
+		load: 'all cold at the start: the first of the object\'s order',
+		candidates: [
+			createCandidate('other'),
+			createCandidate('second', {rank: 1}),
+			createCandidate('first', {rank: 0}),
+		],
+		chosen: 'first',
+	},
 	{load: 'an object cached away, not at home', candidates: [createCandidate('home'), createCandidate('away', {...foreign, isKnownWarm: true})], chosen: 'away'},
-	{load: 'an object cached at home and away', candidates: [createCandidate('away', {...foreign, isKnownWarm: true}), createCandidate('home', {isKnownWarm: true})], chosen: 'home'},
-	{load: 'a hot object: its full target gives way to the second of its order', candidates: [createCandidate('first', {rank: 0, isKnownWarm: true, expectedRunning: 9}), createCandidate('second', {rank: 1})], chosen: 'second'},
+	{
+		load: 'an object cached at home and away',
+		candidates: [
+			createCandidate('away', {...foreign, isKnownWarm: true}),
+			createCandidate('home', {isKnownWarm: true}),
+		],
+		chosen: 'home',
+	},
+	{
+		load: 'a hot object: its full target gives way to the second of its order',
+		candidates: [
+			createCandidate('first', {rank: 0, isKnownWarm: true, expectedRunning: 9}),
+			createCandidate('second', {rank: 1}),
+		],
+		chosen: 'second',
+	},
 	{load: 'one target slow', candidates: [createCandidate('slow', {rank: 0, isKnownWarm: true, slowness: 5}), createCandidate('sound', {rank: 1})], chosen: 'sound'},
-	{load: 'one region with few targets, all full', candidates: [createCandidate('home', {expectedRunning: 10, rank: 0}), createCandidate('away', {...foreign, rank: 0})], chosen: 'away'},
+	{
+		load: 'one region with few targets, all full',
+		candidates: [
+			createCandidate('home', {expectedRunning: 10, rank: 0}),
+			createCandidate('away', {...foreign, rank: 0}),
+		],
+		chosen: 'away',
+	},
 	{load: 'a target that has just started', candidates: [createCandidate('started', {isStarting: true}), createCandidate('running')], chosen: 'running'},
-	{load: 'an object that its target has no room for', candidates: [createCandidate('full', {rank: 0, isKept: false}), createCandidate('away', {...foreign, rank: 0})], chosen: 'away'},
-	{load: 'a nearly full fleet: an object waits for its cache', candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 5}), createCandidate('uncached', {expectedRunning: 3})], chosen: 'cached'},
-	{load: 'bound to homes that are full: the wait outlasts the request', candidates: [createCandidate('home', {isKnownWarm: true, expectedRunning: 20})], chosen: 'too-late'},
+	{
+		load: 'an object that its target has no room for',
+		candidates: [
+			createCandidate('full', {rank: 0, isKept: false}),
+			createCandidate('away', {...foreign, rank: 0}),
+		],
+		chosen: 'away',
+	},
+	{
+		load: 'a nearly full fleet: an object waits for its cache',
+		candidates: [
+			createCandidate('cached', {isKnownWarm: true, expectedRunning: 5}),
+			createCandidate('uncached', {expectedRunning: 3}),
+		],
+		chosen: 'cached',
+	},
+	{
+		load: 'bound to homes that are full: the wait outlasts the request',
+		candidates: [
+			createCandidate('home', {isKnownWarm: true, expectedRunning: 20}),
+		],
+		chosen: 'too-late',
+	},
 	{
 		load: 'little time left, but the object may be cached', candidates: [createCandidate('home')], left: 200, chosen: 'home',
 	},
--- a/packages/policy/tests/gateway-policy.test.ts
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -251,7 +251,14 @@
 		{shown: 'nothing', evidence: [], verdict: 'sound'},
 		{shown: 'two failures, which may be chance', evidence: [{route: 'a', trial: {requests: 4, failures: 2, slow: 0}, settled: good}], verdict: 'sound'},
 		{shown: 'failures on all routes', evidence: [{route: 'a', trial: {requests: 8, failures: 4, slow: 0}, settled: good}], verdict: 'bad'},
-		{shown: 'failures on one route only', evidence: [{route: 'a', trial: {requests: 90, failures: 0, slow: 0}, settled: good}, {route: 'b', trial: {requests: 5, failures: 3, slow: 0}, settled: noCounts}], verdict: 'bad'},
+		{
+			shown: 'failures on one route only',
+			evidence: [
+				{route: 'a', trial: {requests: 90, failures: 0, slow: 0}, settled: good},
+				{route: 'b', trial: {requests: 5, failures: 3, slow: 0}, settled: noCounts},
+			],
+			verdict: 'bad',
+		},
 		{shown: 'as many failures as before', evidence: [{route: 'a', trial: {requests: 40, failures: 12, slow: 0}, settled: {requests: 400, failures: 120, slow: 0}}], verdict: 'sound'},
 		{shown: 'slow answers', evidence: [{route: 'a', trial: {requests: 12, failures: 0, slow: 8}, settled: good}], verdict: 'bad'},
 		{shown: 'as slow as before', evidence: [{route: 'a', trial: {requests: 12, failures: 0, slow: 6}, settled: {requests: 100, failures: 0, slow: 40}}], verdict: 'sound'},
