--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -8,7 +8,7 @@
 	type AttemptEnd, type Customer, type Route, isRetriable, isRetriableStatus,
 } from '@catkindale/policy';
 import {sendWholeAnswer} from './answer.js';
-import {type BodyFailureKind, type CallerBody, readCallerBody} from './caller-body.js';
+import {type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
 import {type AttemptRecord, firstFailureStatus, getTrialEnd} from './exchange-attempt.js';
@@ -17,7 +17,7 @@
 import type {HedgeDelays} from './hedge-delays.js';
 import type {LinkMeter} from './link-meter.js';
 import type {NodeContext} from './node-context.js';
-import {type Problem, sendProblem} from './problem.js';
+import {type Problem, getBodyProblem, sendProblem} from './problem.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {RoutingTable} from './routing-table.js';
 import type {TargetPools} from './target-pools.js';
@@ -283,25 +283,3 @@
 		status: 502, outcome, reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
 	};
 }
-
-function getBodyProblem(kind: BodyFailureKind, outcome: RequestOutcome): Problem {
-	switch (kind) {
-		case 'too-large': {
-			return {
-				status: 413, outcome, reason: 'body-too-large', detail: 'the body is above the limit',
-			};
-		}
-
-		case 'too-slow': {
-			return {
-				status: 408, outcome, reason: 'body-too-slow', detail: 'the body came too slowly',
-			};
-		}
-
-		case 'caller-gone': {
-			return {
-				status: 499, outcome, reason: 'caller-gone', detail: 'the caller went away',
-			};
-		}
-	}
-}
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -14,7 +14,7 @@
 import type {AttemptEnding, ChoiceRefusal, ChosenTarget} from './gateway-chooser.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {getGatewayHeaders} from './gateway-headers.js';
-import type {Problem} from './problem.js';
+import {type Problem, getBodyProblem} from './problem.js';
 import type {ReportedLoad} from './target-dialect.js';
 import type {AttemptKind} from './version-trials.js';
 
@@ -306,25 +306,16 @@
 		}
 
 		case 'body-too-large': {
-			return {
-				status: 413, outcome, reason: 'body-too-large', detail: 'the body is above the limit',
-			};
+			return getBodyProblem('too-large', outcome);
 		}
 
 		case 'body-too-slow': {
-			return outcome === 'not-run'
-				? {
-					status: 408, outcome, reason: 'body-too-slow', detail: 'the body came too slowly',
-				}
-				: {
-					status: 502, outcome, reason: 'body-too-slow', detail: 'the body came too slowly; a target has part of it',
-				};
+			// A status 408 would promise that nothing ran.
+			return {...getBodyProblem('too-slow', outcome), ...(outcome !== 'not-run' && {status: 502})};
 		}
 
 		case 'caller-gone': {
-			return {
-				status: 499, outcome, reason: 'caller-gone', detail: 'the caller went away',
-			};
+			return getBodyProblem('caller-gone', outcome);
 		}
 
 		case 'link':
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -21,7 +21,7 @@
 import {createGatewayTargets} from './gateway-targets.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import {type Problem, sendProblem} from './problem.js';
+import {getBodyProblem, sendProblem} from './problem.js';
 import {type TrafficRouter, createTrafficRouter} from './traffic-router.js';
 
 const startOrder = 40;
@@ -197,21 +197,9 @@
 			response.writeContinue();
 		}
 	});
-	return body.ok ? runGatewayExchange(state, exchange, body.value) : {result: {kind: 'problem', problem: bodyProblems[body.error]}, records: []};
+	return body.ok ? runGatewayExchange(state, exchange, body.value) : {result: {kind: 'problem', problem: getBodyProblem(body.error, 'not-run')}, records: []};
 }
 
-const bodyProblems: Record<'too-large' | 'too-slow' | 'caller-gone', Problem> = {
-	'too-large': {
-		status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
-	},
-	'too-slow': {
-		status: 408, outcome: 'not-run', reason: 'body-too-slow', detail: 'the body came too slowly',
-	},
-	'caller-gone': {
-		status: 499, outcome: 'not-run', reason: 'caller-gone', detail: 'the caller went away',
-	},
-};
-
 /** The caller's own limit or the route's, whichever ends first. */
 function getLimitMilliseconds(request: IncomingMessage, route: TrafficRoute, deadlineHeader: string): number {
 	const wanted = Number(getHeader(request, deadlineHeader) ?? Number.NaN);
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -15,9 +15,9 @@
 	admit: (customer: TrafficCustomer) => QuotaAdmission;
 	/** Gives the token back of a request that no target ran. */
 	giveBack: (customer: TrafficCustomer) => void;
-	/** Requests per second of each customer since the last call, smoothed. */
 	/** Prepares the quotas of the configuration's customers, which fill from now on. */
 	setCustomers: (customers: readonly TrafficCustomer[]) => void;
+	/** Requests per second of each customer since the last call, smoothed. */
 	measureDemands: () => Readonly<Record<string, number>>;
 	setDemands: (demands: ReadonlyMap<string, Readonly<Record<string, number>>>, knownGateways: number) => void;
 };
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -2,7 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {Buffer} from 'node:buffer';
 import {type RequestOutcome, millisecondsPerSecond} from '@catkindale/common';
-import {hasBody} from './caller-body.js';
+import {type BodyFailureKind, hasBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 
 export type Problem = {
@@ -68,3 +68,26 @@
 	request.once('close', end);
 	request.resume();
 }
+
+/** What a caller is told whose body couldn't be read to its end. */
+export function getBodyProblem(kind: BodyFailureKind, outcome: RequestOutcome): Problem {
+	switch (kind) {
+		case 'too-large': {
+			return {
+				status: 413, outcome, reason: 'body-too-large', detail: 'the body is above the limit',
+			};
+		}
+
+		case 'too-slow': {
+			return {
+				status: 408, outcome, reason: 'body-too-slow', detail: 'the body came too slowly',
+			};
+		}
+
+		case 'caller-gone': {
+			return {
+				status: 499, outcome, reason: 'caller-gone', detail: 'the caller went away',
+			};
+		}
+	}
+}
--- a/packages/policy/src/customer-share.ts
+++ b/packages/policy/src/customer-share.ts
@@ -5,14 +5,9 @@
  * that hears from nobody falls back to an equal part.
  */
 
-export type CustomerDemand = {
-	/** Requests per second that came to the node. */
-	readonly perSecond: number;
-};
-
 export type ShareInput = {
 	readonly ownId: string;
-	/** Every node that may use a share now, this one included. */
+	/** Requests per second at every node that may use a share now, this one included. */
 	readonly demands: ReadonlyMap<string, number>;
 };
 
