--- a/.ci/known-red.mjs
+++ b/.ci/known-red.mjs
@@ -46,21 +46,15 @@
 
 const knownText = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : '';
 const known = knownText.split('\n').filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim());
-// A test that failed once and whose cause isn't found may fail or pass; either is printed.
-const seenOnce = knownText.split('\n').filter(line => line.startsWith('once: ')).map(line => line.slice('once: '.length).trim());
 const tests = getFailedTests();
 const verifications = getFailedVerifications();
 const failed = [...tests.failed, ...verifications.failed];
-const unexpected = failed.filter(name => !known.includes(name) && !seenOnce.includes(name));
+const unexpected = failed.filter(name => !known.includes(name));
 const healed = known.filter(name => !failed.includes(name));
 for (const name of known) {
 	console.log(`known red: ${name}`);
 }
 
-for (const name of seenOnce) {
-	console.log(`seen red once, ${failed.includes(name) ? 'red again' : 'green now'}: ${name}`);
-}
-
 for (const name of unexpected) {
 	console.log(`FAILED: ${name}`);
 }
