Decide in one place what may be tried again, for entries and gateways

Both now use attempt-end.ts and the policy's isRetriable.

Also: a cold target's senders are ranked once for each fleet instead of for each request; three members that nothing called are gone.

--- a/packages/node/src/caller-profile.ts
+++ b/packages/node/src/caller-profile.ts
@@ -40,7 +40,6 @@
 		readonly read: (query: URLSearchParams) => LookupRequest;
 		readonly write: (answer: LookupAnswer) => unknown;
 	};
-	readonly readinessPath: string;
 	/** The key that came with a request. */
 	readonly getKey: (request: IncomingMessage) => string | undefined;
 };
@@ -61,7 +60,6 @@
 		read: query => ({region: query.get('region') ?? undefined, zone: query.get('zone') ?? undefined}),
 		write: ({addresses, timeToLiveMilliseconds}) => ({addresses, timeToLiveSeconds: timeToLiveMilliseconds / 1000}),
 	},
-	readinessPath: '/readyz',
 	getKey: request => getBearerKey(request),
 };
 
--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -22,8 +22,6 @@
 	startDraining: () => void;
 	/** Waits for what runs, at most for the grace time. */
 	drain: (graceMilliseconds: number) => Promise<void>;
-	/** Requests that have no complete answer yet. */
-	getRunning: () => number;
 	close: () => void;
 };
 
@@ -77,7 +75,6 @@
 
 			await drainServer(server, graceMilliseconds);
 		},
-		getRunning: () => running.size,
 		close() {
 			server.closeAllConnections();
 		},
--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt of an exchange at a selected target, and what later choices learn from it. */
 import type {Target, TrialEnd} from '@catkindale/policy';
+import {firstFailureStatus} from './attempt-end.js';
 import {type TimedDispatcher, createTimedDispatcher} from './attempt-timing.js';
 import type {CallerBody} from './caller-body.js';
 import type {EntryParts, Exchange, ExchangeSignals} from './exchange.js';
@@ -26,9 +27,6 @@
 	readonly abort: (cause: LossCause) => void;
 };
 
-/** Statuses from here on say that the target failed. */
-export const firstFailureStatus = 500;
-
 export function beginAttempt(parts: EntryParts, exchange: Exchange, attemptParts: AttemptParts): RunningAttempt {
 	const attempt = attemptParts.signals.selection.aborted ? undefined : start(parts, exchange, attemptParts);
 	return {
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -5,13 +5,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestOutcome} from '@catkindale/common';
 import {
-	type AttemptEnd, type Customer, type Route, isRetriable, isRetriableStatus,
+	type Customer, type Route, isRetriable,
 } from '@catkindale/policy';
 import {sendWholeAnswer} from './answer.js';
+import {getAttemptEnd, getOutcome} from './attempt-end.js';
 import {type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
-import {type AttemptRecord, firstFailureStatus, getTrialEnd} from './exchange-attempt.js';
+import {type AttemptRecord, getTrialEnd} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
 import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
@@ -154,6 +155,7 @@
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
 	const last = records.at(-1)!;
 	const isOnTrial = last.target.version !== parts.versions.chooseForRetry(exchange.route.service);
+	// Any failure of a version on trial may be the version's own, which the settled one doesn't share.
 	const end = getAttemptEnd(last.outcome, isOnTrial);
 	return isRetriable(end, exchange.route.idempotent)
 		&& records.length < maximumAttempts
@@ -162,39 +164,6 @@
 		&& parts.retries.take(exchange.route.service);
 }
 
-/** Any failure of a version on trial may be the version's own, which the settled one doesn't share. */
-function getAttemptEnd(outcome: ForwardOutcome, isOnTrial: boolean): AttemptEnd {
-	switch (outcome.kind) {
-		case 'answered': {
-			const {status} = outcome.answer;
-			const isFailed = isRetriableStatus(status) || (isOnTrial && status >= firstFailureStatus);
-			return isFailed ? {kind: 'failed', status} : {kind: 'final'};
-		}
-
-		case 'streamed': {
-			return {kind: 'final'};
-		}
-
-		case 'not-sent': {
-			return outcome.cause === 'target' ? {kind: 'not-run'} : {kind: 'final'};
-		}
-
-		case 'shed': {
-			return {kind: 'not-run'};
-		}
-
-		case 'lost': {
-			return outcome.cause === 'target' && !outcome.isStreaming ? {kind: 'unknown'} : {kind: 'final'};
-		}
-	}
-}
-
-/** Whether any attempt may have run; an earlier attempt counts even if the last wasn't sent. */
-function getOutcome(records: readonly AttemptRecord[]): RequestOutcome {
-	const mayHaveRun = records.some(({outcome}) => outcome.kind !== 'not-sent' && outcome.kind !== 'shed');
-	return mayHaveRun ? 'unknown' : 'not-run';
-}
-
 function getRefusal(selection: Selection & {readonly kind: 'refused'}, records: readonly AttemptRecord[]): ExchangeResult {
 	const failed = records.findLast(({outcome}) => outcome.kind === 'answered');
 	if (failed?.outcome.kind === 'answered') {
--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -10,6 +10,7 @@
 	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 import type {ObjectPlacement} from '@catkindale/protocol';
+import {firstFailureStatus} from './attempt-end.js';
 import type {ReportedLoad} from './target-dialect.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
 
@@ -81,7 +82,6 @@
 const noTargetRetryMilliseconds = 300;
 const leastRetryMilliseconds = 50;
 const mostRetryMilliseconds = 2000;
-const firstFailureStatus = 500;
 const shareDigits = 3;
 const mostRankings = 5000;
 
@@ -89,6 +89,7 @@
 	const memory: ObjectMemory = createObjectMemory();
 	const runTimes = new Map<string, RunTime>();
 	const rankings = new Map<string, ObjectRanking>();
+	const warmupParts = new Map<string, number>();
 	let placements: ObjectPlacement[] = [];
 	let rankedGeneration = -1;
 	let gateways: readonly string[] = [ownId];
@@ -117,8 +118,15 @@
 		return ranking;
 	};
 
-	const getWarmupPart = (entry: GatewayTarget, service: TrafficService): number =>
-		service.warmupRequestsPerSecond === undefined ? Number.POSITIVE_INFINITY : getWarmupShare(ownId, gateways, entry.target.id, service.warmupRequestsPerSecond);
+	/** This gateway's part of a cold target's rate; ranking the gateways anew for each request would cost too much. */
+	const getWarmupPart = ({target: {id}}: GatewayTarget): number => {
+		const part = warmupParts.get(id) ?? getWarmupShare(ownId, gateways, id, 1);
+		warmupParts.set(id, part);
+		return part;
+	};
+
+	const getWarmupRate = (entry: GatewayTarget, service: TrafficService): number =>
+		service.warmupRequestsPerSecond === undefined ? Number.POSITIVE_INFINITY : service.warmupRequestsPerSecond * getWarmupPart(entry);
 
 	const isUsable = (entry: GatewayTarget, request: ChoiceRequest, now: number): boolean => {
 		const {target, condition} = entry;
@@ -131,7 +139,7 @@
 			return false;
 		}
 
-		return entry.coldUntil <= now || takeWarmupRequest(entry.warmupRate, getWarmupPart(entry, request.service), now) !== undefined;
+		return entry.coldUntil <= now || takeWarmupRequest(entry.warmupRate, getWarmupRate(entry, request.service), now) !== undefined;
 	};
 
 	const getCandidate = (entry: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => {
@@ -225,7 +233,7 @@
 
 			const entry = entries.find(({target}) => target.id === choice.id)!;
 			if (entry.coldUntil > now) {
-				entry.warmupRate = takeWarmupRequest(entry.warmupRate, getWarmupPart(entry, service), now) ?? entry.warmupRate;
+				entry.warmupRate = takeWarmupRequest(entry.warmupRate, getWarmupRate(entry, service), now) ?? entry.warmupRate;
 			}
 
 			const running = getExpectedRunning(entry.condition, now);
@@ -287,6 +295,7 @@
 		},
 		setGateways(ids) {
 			gateways = ids.includes(ownId) ? ids : [...ids, ownId];
+			warmupParts.clear();
 		},
 		setEvacuatedZones(zones) {
 			evacuated = new Set(zones);
@@ -315,6 +324,7 @@
 		},
 		forgetTarget(id) {
 			memory.forgetTarget(id);
+			warmupParts.delete(id);
 		},
 	};
 }
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -6,9 +6,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestOutcome} from '@catkindale/common';
 import {
-	type RunKind, type TrafficCustomer, type TrafficRoute, type TrafficService, getAllowedRegions,
+	type RunKind, type TrafficCustomer, type TrafficRoute, type TrafficService, getAllowedRegions, isRetriable,
 } from '@catkindale/policy';
 import type {WholeAnswer} from './answer.js';
+import {firstFailureStatus, getAttemptEnd, getOutcome} from './attempt-end.js';
 import type {CallerBody} from './caller-body.js';
 import {type ForwardOutcome, type LossCause, startAttempt} from './forward.js';
 import type {AttemptEnding, ChoiceRefusal, ChosenTarget} from './gateway-chooser.js';
@@ -44,7 +45,6 @@
 
 export type ExchangeEnd = {readonly result: GatewayResult; readonly records: readonly AttemptRecord[]};
 
-const firstFailureStatus = 500;
 /** Attempts that reached no target don't count against the route, but must end. */
 const mostAttempts = 5;
 /** A target that answers so late that nobody waits is of no use. */
@@ -216,33 +216,9 @@
 		return false;
 	}
 
-	switch (outcome.kind) {
-		case 'answered': {
-			return outcome.answer.status >= firstFailureStatus && exchange.route.isIdempotent && parts.budgets.take(exchange.service.name);
-		}
-
-		case 'streamed': {
-			return false;
-		}
-
-		case 'shed': {
-			return parts.budgets.take(exchange.service.name);
-		}
-
-		case 'not-sent': {
-			return outcome.cause === 'target';
-		}
-
-		case 'lost': {
-			return outcome.cause === 'target' && !outcome.isStreaming && exchange.route.isIdempotent && parts.budgets.take(exchange.service.name);
-		}
-	}
-}
-
-/** Whether any attempt may have run; an earlier attempt counts even if the last wasn't sent. */
-export function getOutcome(records: readonly AttemptRecord[]): RequestOutcome {
-	const mayHaveRun = records.some(({outcome}) => outcome.kind !== 'not-sent' && outcome.kind !== 'shed');
-	return mayHaveRun ? 'unknown' : 'not-run';
+	const isRetriableEnd = isRetriable(getAttemptEnd(outcome, true), exchange.route.isIdempotent);
+	// What reached no target costs targets nothing.
+	return isRetriableEnd && (outcome.kind === 'not-sent' || parts.budgets.take(exchange.service.name));
 }
 
 function getRefusal({context: {profile}}: GatewayParts, refusal: ChoiceRefusal, records: readonly AttemptRecord[]): GatewayResult {
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -8,13 +8,14 @@
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
 import type {Member, TrafficCustomer, TrafficRoute} from '@catkindale/policy';
 import {sendWholeAnswer} from './answer.js';
+import {getOutcome} from './attempt-end.js';
 import {readCallerBody} from './caller-body.js';
 import {gatewayRole} from './constants.js';
 import {createGatewayBudgets} from './gateway-budgets.js';
 import {checkGatewayRequest} from './gateway-check.js';
 import {createGatewayChooser} from './gateway-chooser.js';
 import {
-	type ExchangeEnd, type GatewayExchange, type GatewayResult, getOutcome, runGatewayExchange,
+	type ExchangeEnd, type GatewayExchange, type GatewayResult, runGatewayExchange,
 } from './gateway-exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {createGatewayQuotas} from './gateway-quotas.js';
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -17,7 +17,6 @@
 	acquire: () => TargetConnection | undefined;
 	/** Closes the idle connections; those in use close when they are given back. */
 	retireAll: () => void;
-	getOpenCount: () => number;
 	close: () => Promise<void>;
 };
 
@@ -111,7 +110,6 @@
 				slot.isRetired = true;
 			}
 		},
-		getOpenCount: () => idle.length + inUse.size,
 		async close() {
 			await Promise.all([...idle.splice(0), ...inUse].map(async slot => slot.client.destroy()));
 		},
