--- a/.ci/known-red.mjs
+++ b/.ci/known-red.mjs
@@ -20,16 +20,21 @@
 	}
 
 	const {testResults, numTotalTests, success} = JSON.parse(readFileSync(report, 'utf8'));
+	const messages = new Map();
 	const failed = testResults.flatMap(file => {
 		const name = path.relative(process.cwd(), file.name);
-		const assertions = file.assertionResults.filter(result => result.status === 'failed').map(result => `${name} > ${result.fullName}`);
+		const assertions = file.assertionResults.filter(result => result.status === 'failed').map(result => {
+			const fullName = `${name} > ${result.fullName}`;
+			messages.set(fullName, result.failureMessages.join('\n'));
+			return fullName;
+		});
 		return file.status === 'failed' && assertions.length === 0 ? [`${name} > (the file)`] : assertions;
 	});
 	if (!success && failed.length === 0) {
 		failed.push('npm test > (ended with an error outside the tests)');
 	}
 
-	return {failed, total: numTotalTests};
+	return {failed, messages, total: numTotalTests};
 }
 
 function getFailedVerifications() {
@@ -56,7 +61,8 @@
 }
 
 for (const name of unexpected) {
-	console.log(`FAILED: ${name}`);
+	// The end of a log is what is kept of it, so that the cause must stand there.
+	console.log(`FAILED: ${name}\n${tests.messages.get(name) ?? ''}`);
 }
 
 for (const name of healed) {
