Read callers' ends before late requests are passed on, and promise tokens only in time

At the west gateways hundreds of requests were passed on and their callers' ends read 0 to 5 ms later. The HTTP server tells a caller's end only after it has closed the connection itself; it is now read from the socket's own end. A request that was read over 0.1 s late first lets the loop read again.

Also: a request beyond its customer's quota is promised a token only if it comes within the caller's time, so that nobody is told to come back in vain; a refusal goes out in one write; whoever is beyond its quota is refused before the gateway refuses others for being late.

Ruled out: lateness of the event loop's turns.

--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -8,10 +8,19 @@
 import type {TrafficRouter} from './traffic-router.js';
 
 export type GatewayCheck
-	= | {readonly kind: 'admitted'; readonly route: TrafficRoute; readonly service: TrafficService; readonly customer: TrafficCustomer | undefined}
-		| {readonly kind: 'refused'; readonly problem: Problem; readonly route: TrafficRoute | undefined; readonly customer: TrafficCustomer | undefined};
+	= | {
+		readonly kind: 'admitted';
+		readonly route: TrafficRoute;
+		readonly service: TrafficService;
+		readonly customer: TrafficCustomer | undefined;
+		/** The time in which the request must end. */
+		readonly limitMilliseconds: number;
+	}
+	| {readonly kind: 'refused'; readonly problem: Problem; readonly route: TrafficRoute | undefined; readonly customer: TrafficCustomer | undefined};
 
 const portSuffix = /:\d+$/v;
+/** For requests that name no deadline, on routes without one. */
+const defaultLimitMilliseconds = 30_000;
 /** Look-ups name other gateways by then. */
 const lateRetryMilliseconds = 700;
 
@@ -40,17 +49,6 @@
 		}, route, customer);
 	}
 
-	if (isShedLate(loopLoad.getLateMilliseconds(), getPriority(route, customer))) {
-		return refuse({
-			status: 503,
-			outcome: 'not-run',
-			reason: 'gateway-late',
-			detail: 'this VM has more requests than its processor can serve',
-			retryAfterMilliseconds: lateRetryMilliseconds,
-			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
-		}, route, customer);
-	}
-
 	const service = router.getService(router.takeDestination(route) ?? '');
 	if (!service) {
 		return refuse({
@@ -58,7 +56,8 @@
 		}, route, customer);
 	}
 
-	const admission = customer ? quotas.admit(customer) : {kind: 'admitted' as const};
+	const limitMilliseconds = getLimitMilliseconds(request, route, profile.headers.deadline);
+	const admission = customer ? quotas.admit(customer, limitMilliseconds) : {kind: 'admitted' as const};
 	if (admission.kind === 'refused') {
 		return refuse({
 			status: 429,
@@ -70,11 +69,35 @@
 		}, route, customer);
 	}
 
+	// Whoever is beyond its quota has been refused before, so that no customer crowds out the others here.
+	if (isShedLate(loopLoad.getLateMilliseconds(), getPriority(route, customer))) {
+		if (customer) {
+			quotas.giveBack(customer);
+		}
+
+		return refuse({
+			status: 503,
+			outcome: 'not-run',
+			reason: 'gateway-late',
+			detail: 'this VM has more requests than its processor can serve',
+			retryAfterMilliseconds: lateRetryMilliseconds,
+			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
+		}, route, customer);
+	}
+
 	return {
-		kind: 'admitted', route, service, customer,
+		kind: 'admitted', route, service, customer, limitMilliseconds,
 	};
 }
 
+/** The caller's own limit or the route's, whichever ends first. */
+function getLimitMilliseconds({headers}: IncomingMessage, route: TrafficRoute, deadlineHeader: string): number {
+	const wanted = Number(headers[deadlineHeader] ?? Number.NaN);
+	const ofCaller = wanted > 0 ? wanted : Number.POSITIVE_INFINITY;
+	const limit = Math.min(ofCaller, route.timeoutMilliseconds ?? Number.POSITIVE_INFINITY);
+	return Number.isFinite(limit) ? limit : defaultLimitMilliseconds;
+}
+
 function refuse(problem: Problem, route?: TrafficRoute, customer?: TrafficCustomer): GatewayCheck {
 	return {
 		kind: 'refused', problem, route, customer,
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -10,6 +10,7 @@
 import {sendWholeAnswer} from './answer.js';
 import {getOutcome} from './attempt-end.js';
 import {readCallerBody} from './caller-body.js';
+import {watchCallerEnd} from './caller-end.js';
 import {gatewayRole} from './constants.js';
 import {createGatewayBudgets} from './gateway-budgets.js';
 import {checkGatewayRequest} from './gateway-check.js';
@@ -29,6 +30,10 @@
 const latencyBucketsSeconds = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 2, 5];
 /** Below the time in which an object is usually asked for again. */
 const placementsPauseMilliseconds = 200;
+/** A request that has waited so long to be read may have been given up by its caller. */
+const lateMilliseconds = 100;
+/** The first immediate runs in the turn that read the request, the second after the next has read its connection again. */
+const turnsToReadEnds = 2;
 /** Bodies up to this size are kept, so that a request that a target refused can go to another. */
 const bufferedBodyBytes = 524_288;
 
@@ -151,7 +156,7 @@
 		return;
 	}
 
-	const {route, service, customer} = check;
+	const {route, service, customer, limitMilliseconds} = check;
 	const caller = new AbortController();
 	const leave = (): void => {
 		if (!response.writableFinished) {
@@ -159,15 +164,17 @@
 		}
 	};
 
-	response.once('close', leave);
-	// The caller's end is seen some turns of the event loop before its connection has closed.
-	request.once('aborted', leave);
+	const stopWatching = watchCallerEnd(request, leave);
+	response.once('close', () => {
+		stopWatching();
+		leave();
+	});
 	const exchange: GatewayExchange = {
 		request,
 		response,
 		requestId,
 		startedAt,
-		deadlineAt: startedAt + getLimitMilliseconds(request, route, profile.headers.deadline),
+		deadlineAt: startedAt + limitMilliseconds,
 		route,
 		service,
 		customer,
@@ -175,6 +182,10 @@
 		callerGone: caller.signal,
 	};
 	try {
+		if (context.loopLoad.getLateMilliseconds() > lateMilliseconds) {
+			await letLoopTurn();
+		}
+
 		const end = await run(state, exchange, router);
 		if (customer && getOutcome(end.records) === 'not-run') {
 			state.quotas.giveBack(customer);
@@ -188,6 +199,15 @@
 	}
 }
 
+/** Reads what has arrived, the ends of callers among it. */
+async function letLoopTurn(): Promise<void> {
+	for (let turn = 0; turn < turnsToReadEnds; turn++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 async function run(state: GatewayState, exchange: GatewayExchange, router: TrafficRouter): Promise<ExchangeEnd> {
 	const {request, response, deadlineAt} = exchange;
 	const {bodyBytes, idleTimeoutMilliseconds} = router.configuration.limits;
@@ -201,17 +221,6 @@
 	return body.ok ? runGatewayExchange(state, exchange, body.value) : {result: {kind: 'problem', problem: getBodyProblem(body.error, 'not-run')}, records: []};
 }
 
-/** The caller's own limit or the route's, whichever ends first. */
-function getLimitMilliseconds(request: IncomingMessage, route: TrafficRoute, deadlineHeader: string): number {
-	const wanted = Number(getHeader(request, deadlineHeader) ?? Number.NaN);
-	const ofCaller = wanted > 0 ? wanted : Number.POSITIVE_INFINITY;
-	const limit = Math.min(ofCaller, route.timeoutMilliseconds ?? Number.POSITIVE_INFINITY);
-	return Number.isFinite(limit) ? limit : defaultLimitMilliseconds;
-}
-
-/** For requests that name no deadline, on routes without one. */
-const defaultLimitMilliseconds = 30_000;
-
 function tell({response, requestId}: GatewayExchange, result: GatewayResult, {context: {profile}}: GatewayState): void {
 	switch (result.kind) {
 		case 'answered': {
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -12,7 +12,8 @@
 		| {readonly kind: 'refused'; readonly retryAfterMilliseconds: number; readonly share: number};
 
 export type GatewayQuotas = {
-	admit: (customer: TrafficCustomer) => QuotaAdmission;
+	/** `leftMilliseconds` is the time that the caller has; nothing is promised to it beyond. */
+	admit: (customer: TrafficCustomer, leftMilliseconds: number) => QuotaAdmission;
 	/** Gives the token back of a request that no target ran. */
 	giveBack: (customer: TrafficCustomer) => void;
 	/** Prepares the quotas of the configuration's customers, which fill from now on. */
@@ -56,9 +57,6 @@
 	promisedUntil: number;
 };
 
-/** Callers don't wait longer; telling more would only spread them out beyond their deadlines. */
-const longestPromiseMilliseconds = 2000;
-
 export function createGatewayQuotas({clock, ownId, namedGateways, tolerance}: GatewayQuotasOptions): GatewayQuotas {
 	const entries = new Map<string, CustomerEntry>();
 	let demands: ReadonlyMap<string, Readonly<Record<string, number>>> = new Map();
@@ -97,16 +95,23 @@
 		};
 	};
 
-	/** When the request should come again: each that is refused gets a token of its own to come for. */
-	const promise = (entry: CustomerEntry, limit: BucketLimit, delay: number): number => {
+	/**
+	 * When the request should come again: each that is refused gets a token of
+	 * its own to come for. A caller whose time ends before that learns so and
+	 * needn't ask again; its token goes to the next.
+	 */
+	const promise = (entry: CustomerEntry, limit: BucketLimit, {delay, left}: {readonly delay: number; readonly left: number}): number => {
 		const now = clock.monotonic();
 		const next = Math.max(entry.promisedUntil + (millisecondsPerSecond / limit.ratePerSecond), now + delay);
-		entry.promisedUntil = Math.min(next, now + longestPromiseMilliseconds);
-		return entry.promisedUntil - now;
+		if (next - now <= left) {
+			entry.promisedUntil = next;
+		}
+
+		return next - now;
 	};
 
 	return {
-		admit(customer) {
+		admit(customer, leftMilliseconds) {
 			const entry = getEntry(customer.name);
 			entry.arrivals += 1;
 			if (customer.ratePerSecond === undefined) {
@@ -118,7 +123,7 @@
 			entry.bucket = fillCustomerBucket(entry.bucket, limit, clock.monotonic());
 			const delay = getTokenDelay(entry.bucket, limit);
 			if (delay > 0) {
-				return {kind: 'refused', retryAfterMilliseconds: promise(entry, limit, delay), share};
+				return {kind: 'refused', retryAfterMilliseconds: promise(entry, limit, {delay, left: leftMilliseconds}), share};
 			}
 
 			entry.bucket = {...entry.bucket, tokens: entry.bucket.tokens - 1};
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -1,5 +1,5 @@
 /** Error answers as `application/problem+json` (RFC 9457) that name the outcome. */
-import type {ServerResponse} from 'node:http';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {Buffer} from 'node:buffer';
 import {type RequestOutcome, millisecondsPerSecond} from '@catkindale/common';
 import {type BodyFailureKind, hasBody} from './caller-body.js';
@@ -29,34 +29,37 @@
 		return;
 	}
 
-	response.statusCode = problem.status;
-	response.setHeader('content-type', 'application/problem+json');
-	response.setHeader('cache-control', 'no-store');
-	response.setHeader(headerNames.outcome, problem.outcome);
+	const body = JSON.stringify({
+		status: problem.status, outcome: problem.outcome, reason: problem.reason, detail: problem.detail, answerStatus: problem.answerStatus,
+	});
+	const headers: OutgoingHttpHeaders = {
+		'content-type': 'application/problem+json',
+		'cache-control': 'no-store',
+		[headerNames.outcome]: problem.outcome,
+		'content-length': Buffer.byteLength(body),
+	};
 	if (requestId) {
-		response.setHeader(headerNames.requestId, requestId);
+		headers[headerNames.requestId] = requestId;
 	}
 
 	if (problem.retryAfterMilliseconds !== undefined) {
 		const seconds = problem.retryAfterMilliseconds / millisecondsPerSecond;
-		response.setHeader('retry-after', problem.hasFractionalRetryAfter ? seconds.toFixed(retryAfterDigits) : String(Math.ceil(seconds)));
+		headers['retry-after'] = problem.hasFractionalRetryAfter ? seconds.toFixed(retryAfterDigits) : String(Math.ceil(seconds));
 	}
 
-	const body = Buffer.from(JSON.stringify({
-		status: problem.status, outcome: problem.outcome, reason: problem.reason, detail: problem.detail, answerStatus: problem.answerStatus,
-	}));
-	response.setHeader('content-length', body.length);
 	if (response.req.complete || !hasBody(response.req)) {
+		response.writeHead(problem.status, headers);
+		// Text goes out together with the head, in one write.
 		response.end(body);
 	} else {
+		response.writeHead(problem.status, {...headers, connection: 'close'});
 		endAfterBody(response, body);
 	}
 }
 
 /** A close with unread data would reset the connection before the caller has the answer. */
-function endAfterBody(response: ServerResponse, body: Buffer): void {
+function endAfterBody(response: ServerResponse, body: string): void {
 	const {req: request} = response;
-	response.setHeader('connection', 'close');
 	response.write(body);
 	const end = (): void => {
 		clearTimeout(timer);
