Count connections that wait to be accepted as late

A gateway that gets more new connections than it can serve keeps up to its whole backlog, 511 of them, waiting for a second, while each of its turns is short; so it took itself to be in time, passed on requests whose callers had left, and answered others after their deadline. Shown by 200 connections to a bare server that stood still for a second: one accept in each of the next 200 turns.

Change: as in CoDel, a queue that wasn't seen empty for some time is standing; that time counts as lateness, by which less urgent requests are refused first.

A shorter backlog was not chosen: what it drops gets no answer at all.

--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -71,6 +71,7 @@
 				hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
 			});
 		});
+		context.loopLoad.watchAccepts(callers.server);
 		const servers: Server[] = [];
 		const listenWith = async (address: string | undefined, handler: CallerHandler): Promise<void> => {
 			if (address !== undefined) {
--- a/packages/node/src/loop-load.ts
+++ b/packages/node/src/loop-load.ts
@@ -1,11 +1,15 @@
 /** How busy the process is: the part of the time in which its event loop works, and how late it is. */
+import type {Server} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {type AcceptQueue, watchAcceptQueue} from './accept-queue.js';
 
 export type LoopLoad = {
 	/** The busy part of the time since the last call, from 0 to 1. */
 	takeUse: () => number;
 	/** About how long what is read now has waited to be read. */
 	getLateMilliseconds: () => number;
+	/** Counts what waits to be accepted by the server as late too. */
+	watchAccepts: (server: Server) => void;
 	stop: () => void;
 };
 
@@ -17,6 +21,7 @@
 	let utilization = performance.eventLoopUtilization();
 	let checkedAt = performance.now();
 	let latest = {milliseconds: 0, at: 0};
+	const acceptQueues: AcceptQueue[] = [];
 	const timer = setInterval(() => {
 		const now = performance.now();
 		const milliseconds = Math.max(0, now - checkedAt - checkMilliseconds);
@@ -33,8 +38,15 @@
 			utilization = current;
 			return use;
 		},
-		// What came while the loop stood still is read over the next turns; a longer turn now makes it later.
-		getLateMilliseconds: () => Math.max(latest.milliseconds, performance.now() - checkedAt - checkMilliseconds),
+		getLateMilliseconds: () => Math.max(
+			// What came while the loop stood still is read over the next turns; a longer turn now makes it later.
+			latest.milliseconds,
+			performance.now() - checkedAt - checkMilliseconds,
+			...acceptQueues.map(queue => queue.getStandingMilliseconds()),
+		),
+		watchAccepts(server) {
+			acceptQueues.push(watchAcceptQueue(server));
+		},
 		stop() {
 			clearInterval(timer);
 		},
