Let the randomised run of links show the lease of a link's part again

Cause of the red entry 'using parts of a link without a lease': a node's part of a link is used by others 21 s after it fell silent, and nodes were paused for at most 25 s of a run of 60 s, so that hardly any came back to a part that had been given away.

Change: in the links' run nodes pause for up to 60 s of 120, and one body in ten stalls within the 20 s that a request may take. The test begins with the first seed that shows it.

Ruled out as a mend for 'reusing a part of a link before the bodies on it have ended': the same faults, no breach in seeds 1 to 100; that entry stays red.

--- a/packages/cli/src/verification-link-load.ts
+++ b/packages/cli/src/verification-link-load.ts
@@ -5,6 +5,7 @@
 import {
 	type Configuration, type RequestClass, getLinkName, linkReadBytes, requestClasses,
 } from '@catkindale/policy';
+import {longestBulkMilliseconds} from './verification-request-load.js';
 import type {QuotaCount} from './verification-quota-count.js';
 import type {SimulatedNode} from './verification-quota-node.js';
 import type {World} from './verification-quota-world.js';
@@ -22,7 +23,9 @@
 const smallestBurstBytes = 262_144;
 const largestBurstBytes = 2_000_000;
 const longestPartMilliseconds = 400;
-const longestTransferMilliseconds = 3000;
+const usualTransferMilliseconds = 3000;
+/** A few bodies stall; they have the longest time that a request may take. */
+const stalledShare = 0.1;
 const mostParts = 12;
 const mostTransfersAtOnce = 10;
 
@@ -58,6 +61,8 @@
 function startTransfer({world, count}: LinkFleet, node: SimulatedNode, link: string, requestClass: RequestClass): void {
 	const {random, after, now} = world;
 	const transfer = node.quotas.links.open(link, requestClass);
+	const isStalled = random.fraction() < stalledShare;
+	const longestTransferMilliseconds = isStalled ? longestBulkMilliseconds : usualTransferMilliseconds;
 	const endsAt = now() + longestTransferMilliseconds;
 	let parts = random.integer(1, mostParts);
 	let isComing = false;
@@ -71,7 +76,7 @@
 	/** Bytes that were let come do come, though the node may be paused or dead by then. */
 	const receive = (bytes: number): void => {
 		isComing = true;
-		after(random.integer(0, Math.min(longestPartMilliseconds, endsAt - now())), () => {
+		after(random.integer(0, Math.min(isStalled ? longestTransferMilliseconds : longestPartMilliseconds, endsAt - now())), () => {
 			count.cross(link, bytes);
 			node.run(() => {
 				isComing = false;
--- a/packages/cli/src/verification-quota-fleet.ts
+++ b/packages/cli/src/verification-quota-fleet.ts
@@ -29,7 +29,7 @@
 export type FleetLoad = 'requests' | 'links';
 
 const regions = ['ost', 'sued', 'west'];
-const runMilliseconds = 60_000;
+const runMilliseconds = {requests: 60_000, links: 120_000} as const;
 const warmUpMilliseconds = 4000;
 const requestMilliseconds = 25;
 const checkMilliseconds = 100;
@@ -37,6 +37,8 @@
 const longestFaultMilliseconds = 12_000;
 const longestSpreadMilliseconds = 2000;
 const longestPauseMilliseconds = 25_000;
+/** Longer than the wait before the part of a lost VM is used by others, by which only a paused one can break a limit. */
+const longestLinkPauseMilliseconds = 60_000;
 const shortPauseMilliseconds = 2000;
 const shortReplacementMilliseconds = 300;
 const listLagMilliseconds = 1500;
@@ -101,7 +103,7 @@
 	repeat(world, world.random.integer(shortestFaultMilliseconds, longestFaultMilliseconds), () => {
 		injectFault(fleet);
 	});
-	await world.runUntil(runMilliseconds);
+	await world.runUntil(runMilliseconds[load]);
 	return fleet.count.totals;
 }
 
@@ -342,7 +344,8 @@
 	}
 
 	const isShort = random.fraction() < 0.4;
-	const milliseconds = random.integer(100, isShort ? shortPauseMilliseconds : longestPauseMilliseconds);
+	const longest = fleet.load === 'links' ? longestLinkPauseMilliseconds : longestPauseMilliseconds;
+	const milliseconds = random.integer(100, isShort ? shortPauseMilliseconds : longest);
 	const isFrozen = random.fraction() < 0.5;
 	after(milliseconds, () => {
 		// Requests may reach the node before anything that has waited for it.
--- a/packages/cli/tests/quotas.test.ts
+++ b/packages/cli/tests/quotas.test.ts
@@ -3,7 +3,7 @@
 import {type FleetLoad, productTiming, runQuotaFleet} from '../src/verification-quota-fleet.js';
 import type {QuotaTiming} from '../src/verification-quota-node.js';
 
-type Case = {readonly name: string; readonly change: Partial<QuotaTiming>; readonly invariant: RegExp; readonly load?: FleetLoad};
+type Case = {readonly name: string; readonly change: Partial<QuotaTiming>; readonly invariant: RegExp; readonly load?: FleetLoad; readonly firstSeed?: number};
 
 const mostSeeds = 100;
 const anyInvariant = /add up to no more|burst \+ rate x window|<= slots|<= its slots/v;
@@ -18,7 +18,8 @@
 		name: 'raising parts of a link before all members agree', change: {isRaisingAlone: true}, invariant: linkInvariant, load: 'links',
 	},
 	{
-		name: 'using parts of a link without a lease', change: {leaseMilliseconds: Number.POSITIVE_INFINITY}, invariant: linkInvariant, load: 'links',
+		// Three of the seeds 1 to 100 show it: 68, 77 and 88.
+		name: 'using parts of a link without a lease', change: {leaseMilliseconds: Number.POSITIVE_INFINITY}, invariant: linkInvariant, load: 'links', firstSeed: 68,
 	},
 	{
 		name: 'reusing a fenced part of a link before its lease has ended', change: {expiryMilliseconds: 0, requestMilliseconds: 0}, invariant: linkInvariant, load: 'links',
@@ -26,9 +27,9 @@
 	{
 		name: 'reusing a part of a link before the bodies on it have ended', change: {requestMilliseconds: 0}, invariant: linkInvariant, load: 'links',
 	},
-])('$name breaks a limit', async ({change, invariant, load}) => {
+])('$name breaks a limit', async ({change, invariant, load, firstSeed = 1}) => {
 	let message = '';
-	for (let seed = 1; seed <= mostSeeds && message === ''; seed++) {
+	for (let seed = firstSeed; seed < firstSeed + mostSeeds && message === ''; seed++) {
 		try {
 			await runQuotaFleet(seed, {...productTiming, ...change}, load);
 		} catch (error) {
