Refuse what would join a queue that makes all late, and price the way between regions by bytes

A longer queue serves no more of them. And bodies of 60 KB crossed between regions for a gain of 15 ms.

Change: a request isn't sent when its best target has a queue of over 0.9 of the route's target latency; it is refused at once and told when the queue will be short. What a target in another region must be faster by grows with the bytes of the body.

Tests: finish-choice.test.ts, more than the fleet can serve, a short queue, a full home region with and without a body.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -4,8 +4,8 @@
  */
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
-	type FinishCandidate, type ObjectMemory, type RunKind, type RunTime, type TrafficRoute, type TrafficService,
-	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getObjectPosition,
+	type FinishCandidate, type FinishChoice, type ObjectMemory, type RunKind, type RunTime, type TrafficRoute, type TrafficService,
+	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getForeignPenalty, getObjectPosition,
 	getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
 	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
@@ -22,6 +22,8 @@
 	/** Regions that may serve the request; undefined for all. */
 	readonly regions: ReadonlySet<string> | undefined;
 	readonly leftMilliseconds: number;
+	/** Of the request, as far as is known. */
+	readonly bodyBytes: number;
 	readonly allowsVersion: (version: string) => boolean;
 	/** Targets that have had the request already. */
 	readonly tried: ReadonlySet<string>;
@@ -39,7 +41,7 @@
 	readonly runKey: string;
 };
 
-export type RefusalReason = 'no-target' | 'too-late';
+export type RefusalReason = 'no-target' | 'too-late' | 'queue-full';
 
 export type ChoiceRefusal = {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number};
 
@@ -77,8 +79,6 @@
 	readonly region: string;
 };
 
-/** Bytes that cross between regions are dear; a target there must be faster by this much. */
-const foreignPenaltyMilliseconds = 15;
 const noTargetRetryMilliseconds = 300;
 const leastRetryMilliseconds = 50;
 const mostRetryMilliseconds = 2000;
@@ -224,10 +224,14 @@
 			const runTime = runTimes.get(runKey) ?? createRunTime(route.targetLatencyMilliseconds);
 			runTimes.set(runKey, runTime);
 			const choice = chooseByFinish(admitting.map(entry => getCandidate(entry, objectKey, ranking, now)), {
-				runTime, leftMilliseconds: request.leftMilliseconds, foreignPenaltyMilliseconds, homeRegion: region,
+				runTime,
+				leftMilliseconds: request.leftMilliseconds,
+				targetLatencyMilliseconds: route.targetLatencyMilliseconds,
+				foreignPenaltyMilliseconds: getForeignPenalty(request.bodyBytes),
+				homeRegion: region,
 			});
 			if (choice.kind !== 'chosen') {
-				const wait = choice.kind === 'no-target' ? noTargetRetryMilliseconds : choice.expectedMilliseconds - request.leftMilliseconds;
+				const wait = getRefusalWait(choice, request.leftMilliseconds);
 				return {kind: 'refused', reason: choice.kind, retryAfterMilliseconds: Math.min(mostRetryMilliseconds, Math.max(leastRetryMilliseconds, wait))};
 			}
 
@@ -328,3 +332,20 @@
 		},
 	};
 }
+
+/** The time after which the request may find a target. */
+function getRefusalWait(refusal: Exclude<FinishChoice, {readonly kind: 'chosen'}>, leftMilliseconds: number): number {
+	switch (refusal.kind) {
+		case 'no-target': {
+			return noTargetRetryMilliseconds;
+		}
+
+		case 'too-late': {
+			return refusal.expectedMilliseconds - leftMilliseconds;
+		}
+
+		case 'queue-full': {
+			return refusal.waitMilliseconds;
+		}
+	}
+}
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -57,9 +57,10 @@
 	const records: AttemptRecord[] = [];
 	parts.budgets.earn(service.name);
 	const {trials, clock} = parts.context;
+	const bodyBytes = Number(exchange.request.headers['content-length'] ?? body.prefix.length);
 	let plan = trials.plan(service.name, route.name, exchange.object);
 	const choose = (): ChosenTarget | ChoiceRefusal => parts.chooser.choose({
-		route, service, object: exchange.object, regions, leftMilliseconds: exchange.deadlineAt - clock.monotonic(), tried, allowsVersion: plan.allows,
+		route, service, object: exchange.object, regions, leftMilliseconds: exchange.deadlineAt - clock.monotonic(), bodyBytes, tried, allowsVersion: plan.allows,
 	});
 	for (;;) {
 		if (exchange.callerGone.aborted) {
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -32,6 +32,8 @@
 	readonly runTime: RunTime;
 	/** The time left for the whole request. */
 	readonly leftMilliseconds: number;
+	/** An answer within this time has its full value; undefined if any answer in time has. */
+	readonly targetLatencyMilliseconds: number | undefined;
 	/** Extra cost of a target in another region, for the bytes that cross. */
 	readonly foreignPenaltyMilliseconds: number;
 	readonly homeRegion: string;
@@ -41,6 +43,8 @@
 	= | {readonly kind: 'chosen'; readonly id: string; readonly expectedMilliseconds: number; readonly isWarm: boolean}
 	/** No candidate could answer in time; the soonest would take so long. */
 		| {readonly kind: 'too-late'; readonly expectedMilliseconds: number}
+	/** The best target has a long queue, which is short enough after the wait. */
+		| {readonly kind: 'queue-full'; readonly waitMilliseconds: number}
 		| {readonly kind: 'no-target'};
 
 /**
@@ -60,6 +64,25 @@
 /** The wait at a target whose slots all seem in use, in parts of the usual run. */
 const uncertainWaitPart = 0.6;
 
+/**
+ * The longest queue that requests join, in parts of the latency at which they
+ * still have their full value. A longer one serves no more of them: it makes
+ * all of them late. As with CoDel (RFC 8289), what exceeds it is refused. It
+ * isn't sent to a target with a shorter queue: a run without the cache there
+ * would take the slots of several with it.
+ */
+const longestQueuePart = 0.9;
+
+/** What a kilobyte that crosses between regions is worth in waiting time; the bytes of a link are shared by all. */
+const foreignMillisecondsPerKilobyte = 7.5;
+/** Heads and answer of a usual request. */
+const usualKilobytes = 2;
+
+/** The extra cost of a target in another region, for a request whose body has so many bytes. */
+export function getForeignPenalty(bodyBytes: number): number {
+	return foreignMillisecondsPerKilobyte * (usualKilobytes + (bodyBytes / 1000));
+}
+
 /** The use of all the candidates' slots, 1 when all are taken. */
 export function getUse(candidates: readonly FinishCandidate[]): number {
 	let running = 0;
@@ -92,12 +115,22 @@
 		const soonestPossible = candidate.wayMilliseconds + wait + (request.runTime.warmMilliseconds * candidate.slowness);
 		soonest = Math.min(soonest, soonestPossible);
 		const cost = finish + (slotPrice * run) + (isHome ? 0 : request.foreignPenaltyMilliseconds);
-		if (soonestPossible <= request.leftMilliseconds && (best === undefined || cost < best.cost)) {
+		if (soonestPossible > request.leftMilliseconds) {
+			continue;
+		}
+
+		if (best === undefined || cost < best.cost) {
 			best = {candidate, cost, finish};
 		}
 	}
 
 	if (best) {
+		const longestQueueMilliseconds = longestQueuePart * (request.targetLatencyMilliseconds ?? Number.POSITIVE_INFINITY);
+		const excess = getQueue(best.candidate, request.runTime) - longestQueueMilliseconds;
+		if (excess > 0) {
+			return {kind: 'queue-full', waitMilliseconds: excess};
+		}
+
 		return {
 			kind: 'chosen', id: best.candidate.id, expectedMilliseconds: best.finish, isWarm: best.candidate.isKnownWarm,
 		};
@@ -120,8 +153,16 @@
  * full, and one that seemed full has a queue.
  */
 function getWait(candidate: FinishCandidate, runTime: RunTime): number {
-	const usual = ((usualCachedPart * runTime.warmMilliseconds) + ((1 - usualCachedPart) * runTime.coldMilliseconds)) * candidate.slowness;
 	const use = Math.min(1, candidate.expectedRunning / candidate.slots);
+	return (getUsualRun(candidate, runTime) * uncertainWaitPart * (use ** 2)) + getQueue(candidate, runTime);
+}
+
+/** The time in which the requests before a new one leave it a slot. */
+function getQueue(candidate: FinishCandidate, runTime: RunTime): number {
 	const before = Math.max(0, candidate.expectedRunning + 1 - candidate.slots);
-	return usual * ((uncertainWaitPart * (use ** 2)) + (before / candidate.slots));
+	return getUsualRun(candidate, runTime) * before / candidate.slots;
+}
+
+function getUsualRun({slowness}: FinishCandidate, {coldMilliseconds, warmMilliseconds}: RunTime): number {
+	return ((usualCachedPart * warmMilliseconds) + ((1 - usualCachedPart) * coldMilliseconds)) * slowness;
 }
--- a/packages/policy/tests/finish-choice.test.ts
+++ b/packages/policy/tests/finish-choice.test.ts
@@ -1,11 +1,11 @@
 /** The choice of a target by its expected finish: each case names the load that its rule answers. */
 import {describe, expect, it} from 'vitest';
 import {
-	type FinishCandidate, type FinishRequest, chooseByFinish, getSlotPrice, getUse,
+	type FinishCandidate, type FinishRequest, chooseByFinish, getForeignPenalty, getSlotPrice, getUse,
 } from '@catkindale/policy';
 
 const request: FinishRequest = {
-	runTime: {coldMilliseconds: 480, warmMilliseconds: 144}, leftMilliseconds: 800, foreignPenaltyMilliseconds: 15, homeRegion: 'home',
+	runTime: {coldMilliseconds: 480, warmMilliseconds: 144}, leftMilliseconds: 800, targetLatencyMilliseconds: undefined, foreignPenaltyMilliseconds: 15, homeRegion: 'home',
 };
 
 function createCandidate(id: string, fields: Partial<FinishCandidate> = {}): FinishCandidate {
@@ -16,7 +16,7 @@
 
 const foreign = {region: 'away', wayMilliseconds: 24};
 
-type Case = {readonly load: string; readonly candidates: readonly FinishCandidate[]; readonly left?: number; readonly chosen: string};
+type Case = {readonly load: string; readonly candidates: readonly FinishCandidate[]; readonly left?: number; readonly targetLatency?: number; readonly chosen: string};
 
 const cases: readonly Case[] = [
 	{
@@ -84,12 +84,35 @@
 	{
 		load: 'less time left than any run takes', candidates: [createCandidate('home')], left: 100, chosen: 'too-late',
 	},
+	{
+		load: 'more than the fleet can serve: a queue that would make all of them late',
+		candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 10}), createCandidate('other', {expectedRunning: 10})],
+		targetLatency: 400,
+		chosen: 'queue-full',
+	},
+	{
+		load: 'more than the fleet can serve: an object isn\'t sent past the queue of its cache to spoil another',
+		candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 10}), createCandidate('shorter', {expectedRunning: 8})],
+		targetLatency: 400,
+		chosen: 'queue-full',
+	},
+	{
+		load: 'a short queue, after which an answer has its full value',
+		candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 5}), createCandidate('other', {expectedRunning: 5})],
+		targetLatency: 400,
+		chosen: 'cached',
+	},
+	{
+		load: 'no target latency: all that may end in time waits',
+		candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 8})],
+		chosen: 'cached',
+	},
 	{load: 'no target that may serve', candidates: [], chosen: 'no-target'},
 ];
 
 describe('the choice by expected finish', () => {
-	it.each(cases)('$load', ({candidates, left = request.leftMilliseconds, chosen}) => {
-		const choice = chooseByFinish(candidates, {...request, leftMilliseconds: left});
+	it.each(cases)('$load', ({candidates, left = request.leftMilliseconds, targetLatency, chosen}) => {
+		const choice = chooseByFinish(candidates, {...request, leftMilliseconds: left, targetLatencyMilliseconds: targetLatency});
 		expect(choice.kind === 'chosen' ? choice.id : choice.kind).toBe(chosen);
 	});
 
@@ -99,6 +122,21 @@
 		expect(choice.kind === 'too-late' && choice.expectedMilliseconds).toBeGreaterThan(request.leftMilliseconds);
 	});
 
+	it('asks a caller back when the queue will be short', () => {
+		const full = createCandidate('cached', {isKnownWarm: true, expectedRunning: 10});
+		const choice = chooseByFinish([full], {...request, targetLatencyMilliseconds: 400});
+		const later = chooseByFinish([{...full, expectedRunning: 5}], {...request, targetLatencyMilliseconds: 400});
+		expect(choice).toMatchObject({kind: 'queue-full'});
+		expect(later).toMatchObject({kind: 'chosen'});
+		expect(choice.kind === 'queue-full' && choice.waitMilliseconds).toBeGreaterThan(0);
+	});
+
+	const bodies = [{bytes: 0, chosen: 'away'}, {bytes: 60_000, chosen: 'home'}];
+	it.each(bodies)('a full home region: a body of $bytes bytes goes $chosen', ({bytes, chosen}) => {
+		const candidates = [createCandidate('home', {expectedRunning: 7}), createCandidate('away', foreign)];
+		expect(chooseByFinish(candidates, {...request, foreignPenaltyMilliseconds: getForeignPenalty(bytes)})).toMatchObject({kind: 'chosen', id: chosen});
+	});
+
 	const uses = [{running: 0, use: 0, price: 0}, {running: 1, use: 0.25, price: 0}, {running: 4, use: 1, price: 3}, {running: 9, use: 1, price: 3}];
 	it.each(uses)('with $running running at each target a slot costs $price', ({running, use, price}) => {
 		const measured = getUse([createCandidate('a', {expectedRunning: running}), createCandidate('b', {expectedRunning: running})]);
