End a request that wasn't sent yet when its caller leaves, whatever its route

Cause: a request that may not be repeated ran to its end even if its connection to the target was still being opened when the caller left, so that it was sent for nobody.

Change: until it is handed to the connection, any request ends with its caller; nothing of it is sent later.

Test: forward.test.ts, an attempt that is given up while its connection opens; the attempt at a caller that leaves in mid-run stays as it was (whole-path.test.ts).

Ruled out: ending it later; then nobody knows whether it ran.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -59,6 +59,8 @@
 
 export type Attempt = {
 	readonly outcome: Promise<ForwardOutcome>;
+	/** Whether any of the request may have reached the target. */
+	isSent: () => boolean;
 	/** Cancels the request at the target and closes its connection. */
 	abort: (cause: LossCause) => void;
 };
@@ -285,7 +287,7 @@
 			failWith(error);
 		},
 	});
-	return {outcome, abort};
+	return {outcome, abort, isSent: () => controller !== undefined};
 }
 
 type HeadVerdict
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -120,14 +120,13 @@
 		claimResponse: () => exchange.response.headersSent || exchange.response.destroyed ? undefined : exchange.response,
 	});
 	const cancel = (): void => {
-		attempt.abort('caller-gone');
+		// What may not be repeated runs to its end once it is sent, so that its outcome doesn't depend on its caller.
+		if (exchange.route.isIdempotent || !attempt.isSent()) {
+			attempt.abort('caller-gone');
+		}
 	};
 
-	// A request that may not be repeated runs to its end, so that its outcome doesn't depend on its caller.
-	if (exchange.route.isIdempotent) {
-		exchange.callerGone.addEventListener('abort', cancel);
-	}
-
+	exchange.callerGone.addEventListener('abort', cancel);
 	const outcome = await attempt.outcome;
 	exchange.callerGone.removeEventListener('abort', cancel);
 	connection.release();
