Keep away from targets that owe answers and give none

Change: a target that gives no answer for twice the time of an uncached run gets no more requests while it owes some; an attempt that ends unanswered after three times what was expected keeps requests away as a failure does, once for all attempts of the same silence.

Ruled out: silence alone, since a route's timeout may be shorter than twice an uncached run.

--- a/packages/node/src/gateway-chooser.ts
+++ b/packages/node/src/gateway-chooser.ts
@@ -6,8 +6,8 @@
 import {
 	type FinishCandidate, type FinishChoice, type ObjectMemory, type RunKind, type RunTime, type TrafficRoute, type TrafficService,
 	chooseByFinish, classifyRun, createObjectMemory, createRunTime, getExpectedRunning, getForeignPenalty, getObjectPosition,
-	getTurnedPosition, getWarmupShare, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
-	recordShed, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
+	getTurnedPosition, getWarmupShare, isSilent, mergeKeptShare, recordAnswer, recordEnded, recordFailure, recordSent,
+	recordShed, recordSignOfLife, recordSilence, recordTold, recordUnreachable, takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 import type {ObjectPlacement} from '@catkindale/protocol';
 import {firstFailureStatus} from './attempt-end.js';
@@ -35,6 +35,8 @@
 	readonly isWarm: boolean;
 	readonly wayMilliseconds: number;
 	readonly expectedMilliseconds: number;
+	/** The time in which the target should give some answer. */
+	readonly dueMilliseconds: number;
 	/** Requests at the target, as far as this gateway could tell. */
 	readonly running: number;
 	readonly objectKey: string | undefined;
@@ -50,6 +52,8 @@
 		| {readonly kind: 'shed'; readonly load: ReportedLoad | undefined}
 		| {readonly kind: 'failed'}
 		| {readonly kind: 'unreachable'}
+		/** The request was sent and ended before its answer came. */
+		| {readonly kind: 'unanswered'; readonly milliseconds: number}
 		/** Nothing was learnt of the target. */
 		| {readonly kind: 'ended'};
 
@@ -79,6 +83,12 @@
 	readonly region: string;
 };
 
+/** An answer is due after twice the time that a run without the cache takes; runs differ by about a sixth. */
+const dueFactor = 2;
+/** Answers aren't expected sooner, since this process stands still at times. */
+const leastDueMilliseconds = 500;
+/** A request that ends unanswered after so many times what was expected shows a target that is slow without an answer that tells so. */
+const overdueFactor = 3;
 const noTargetRetryMilliseconds = 300;
 const leastRetryMilliseconds = 50;
 const mostRetryMilliseconds = 2000;
@@ -214,7 +224,7 @@
 			const {route, service} = request;
 			const serving = targets.getServing(service.name);
 			const usable = serving.filter(entry => isUsable(entry, request, now));
-			const sound = usable.filter(({condition}) => condition.avoidedUntil <= now);
+			const sound = usable.filter(({condition}) => condition.avoidedUntil <= now && !isSilent(condition, now));
 			const entries = sound.length > 0 ? sound : usable;
 			const objectKey = route.isSticky && request.object !== undefined ? `${service.name}\n${request.object}` : undefined;
 			const ranking = objectKey === undefined ? undefined : getRanking(objectKey, serving);
@@ -241,13 +251,17 @@
 			}
 
 			const running = getExpectedRunning(entry.condition, now);
-			entry.condition = recordSent(entry.condition);
+			const wayMilliseconds = targets.getWayMilliseconds(entry.target.region);
+			const uncachedMilliseconds = wayMilliseconds + (runTime.coldMilliseconds * entry.condition.slowness);
+			const dueMilliseconds = Math.max(leastDueMilliseconds, dueFactor * Math.max(choice.expectedMilliseconds, uncachedMilliseconds));
+			entry.condition = recordSent(entry.condition, now + dueMilliseconds);
 			return {
 				kind: 'chosen',
 				entry,
 				isWarm: choice.isWarm,
-				wayMilliseconds: targets.getWayMilliseconds(entry.target.region),
+				wayMilliseconds,
 				expectedMilliseconds: choice.expectedMilliseconds,
+				dueMilliseconds,
 				running,
 				objectKey,
 				runKey,
@@ -256,9 +270,11 @@
 		finish(chosen, ending) {
 			const now = clock.monotonic();
 			const {entry, objectKey} = chosen;
+			const wasSilent = isSilent(entry.condition, now);
 			entry.condition = recordEnded(entry.condition);
 			switch (ending.kind) {
 				case 'answered': {
+					entry.condition = recordSignOfLife(entry.condition, now + chosen.dueMilliseconds);
 					learnLoad(entry, ending.load, now);
 					if (ending.status >= firstFailureStatus) {
 						entry.condition = recordFailure(entry.condition, now);
@@ -274,6 +290,7 @@
 				}
 
 				case 'shed': {
+					entry.condition = recordSignOfLife(entry.condition, now + chosen.dueMilliseconds);
 					learnLoad(entry, ending.load, now);
 					entry.condition = recordShed(entry.condition, now);
 					entry.admission = updateAdmittedShare(entry.admission, {waiting: Number.POSITIVE_INFINITY, slots: entry.target.slots}, now);
@@ -290,6 +307,12 @@
 					break;
 				}
 
+				case 'unanswered': {
+					const isOverdue = ending.milliseconds > overdueFactor * chosen.expectedMilliseconds;
+					entry.condition = wasSilent || isOverdue ? recordSilence(entry.condition, now) : entry.condition;
+					break;
+				}
+
 				case 'ended': {
 					break;
 				}
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -203,7 +203,7 @@
 		}
 
 		case 'lost': {
-			return outcome.cause === 'target' ? {kind: 'failed'} : {kind: 'ended'};
+			return outcome.cause === 'target' ? {kind: 'failed'} : {kind: 'unanswered', milliseconds};
 		}
 	}
 }
--- a/packages/policy/src/target-condition.ts
+++ b/packages/policy/src/target-condition.ts
@@ -19,6 +19,8 @@
 	/** What it told of them over some answers. */
 	readonly othersUsual: number;
 	readonly toldAt: number;
+	/** By this time the target should have answered something; undefined while nothing is awaited. */
+	readonly awaitedBy: number | undefined;
 	/** How much longer this target takes than its service usually does. */
 	readonly slowness: number;
 	readonly failuresInRow: number;
@@ -42,7 +44,7 @@
 
 export function createTargetCondition(now: number): TargetCondition {
 	return {
-		ownRunning: 0, othersRunning: 0, othersUsual: 0, toldAt: now, slowness: 1, failuresInRow: 0, avoidedUntil: Number.NEGATIVE_INFINITY,
+		ownRunning: 0, othersRunning: 0, othersUsual: 0, toldAt: now, awaitedBy: undefined, slowness: 1, failuresInRow: 0, avoidedUntil: Number.NEGATIVE_INFINITY,
 	};
 }
 
@@ -54,12 +56,24 @@
 	return state.ownRunning + ((state.othersUsual + surplus) * fading);
 }
 
-export function recordSent(state: TargetCondition): TargetCondition {
-	return {...state, ownRunning: state.ownRunning + 1};
+/** A request was sent whose answer is due at the given time at the latest. */
+export function recordSent(state: TargetCondition, dueAt: number): TargetCondition {
+	return {...state, ownRunning: state.ownRunning + 1, awaitedBy: state.awaitedBy ?? dueAt};
 }
 
 export function recordEnded(state: TargetCondition): TargetCondition {
-	return {...state, ownRunning: Math.max(0, state.ownRunning - 1)};
+	const ownRunning = Math.max(0, state.ownRunning - 1);
+	return {...state, ownRunning, awaitedBy: ownRunning > 0 ? state.awaitedBy : undefined};
+}
+
+/** The target answered, whatever it said; what else it owes may take as long again. Call it after {@link recordEnded}. */
+export function recordSignOfLife(state: TargetCondition, dueAt: number): TargetCondition {
+	return {...state, awaitedBy: state.ownRunning > 0 ? dueAt : undefined};
+}
+
+/** Whether the target owes answers and has given none in the time in which it should have. */
+export function isSilent({awaitedBy}: TargetCondition, now: number): boolean {
+	return awaitedBy !== undefined && now > awaitedBy;
 }
 
 /** Takes what the target told with an answer; call it after {@link recordEnded}. */
@@ -94,6 +108,11 @@
 	return {...state, failuresInRow, avoidedUntil: now + pause};
 }
 
+/** A request ended without an answer while the target was silent: one such end suffices, and those of the same silence add nothing. */
+export function recordSilence(state: TargetCondition, now: number): TargetCondition {
+	return state.avoidedUntil > now ? state : recordUnreachable(state, now);
+}
+
 /** The target can't be reached: one failure suffices. */
 export function recordUnreachable(state: TargetCondition, now: number): TargetCondition {
 	return recordFailure({...state, failuresInRow: Math.max(state.failuresInRow, failuresBeforePause - 1)}, now);
