--- a/packages/cli/tests/rollout-region.test.ts
+++ b/packages/cli/tests/rollout-region.test.ts
@@ -88,7 +88,7 @@
 		expectOneEnd(rollout);
 	}
 
-	expect(ends[0]).toMatchObject({phase: 'done'});
+	expect(ends[0], JSON.stringify(ends[0])).toMatchObject({phase: 'done'});
 	// Nothing was sent to the second service, so that its new version can't be judged.
 	expect(ends[1]).toMatchObject({phase: 'reverted', reason: expect.stringContaining('requests of the new version') as string});
 }, testTimeoutMilliseconds);
