Tell a request's end by one set of functions, for entries and gateways

Cause: the gateway had its own copies of the result's type, of what a lost request is told, of the target's own failure that goes to the caller, and of the request for a body that waits to be asked for. That `Retry-After` may hold fractions was carried in each refusal instead of where it is written.

Change: both use ExchangeResult and tellResult, loss-problem.ts and getFailedAnswer; readCallerBody asks for the body itself; sendProblem is told the form of `Retry-After` once. Only a gateway turns a late body's 408 into 502, as before.

Ruled out: joining the two exchanges; they choose, hedge and budget differently.

--- a/packages/node/src/attempt-end.ts
+++ b/packages/node/src/attempt-end.ts
@@ -1,6 +1,7 @@
 /** What the end of an attempt at a target allows next, and what it leaves known of the request. */
 import type {RequestOutcome} from '@catkindale/common';
 import {type AttemptEnd, isRetriableStatus} from '@catkindale/policy';
+import type {WholeAnswer} from './answer.js';
 import type {ForwardOutcome} from './forward.js';
 
 /** Statuses from here on say that the target failed. */
@@ -38,3 +39,9 @@
 	const mayHaveRun = records.some(({outcome}) => outcome.kind !== 'not-sent' && outcome.kind !== 'shed');
 	return mayHaveRun ? 'unknown' : 'not-run';
 }
+
+/** A target's own failure goes to the caller when no other target could do better. */
+export function getFailedAnswer(records: ReadonlyArray<{readonly outcome: ForwardOutcome}>): WholeAnswer | undefined {
+	const failed = records.findLast(({outcome}) => outcome.kind === 'answered');
+	return failed?.outcome.kind === 'answered' ? failed.outcome.answer : undefined;
+}
--- a/packages/node/src/caller-body.ts
+++ b/packages/node/src/caller-body.ts
@@ -4,7 +4,7 @@
  * sent again; a large one is streamed, with its beginning kept in memory.
  */
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
 import VError from 'verror';
 import {type Result, fail, succeed} from '@catkindale/common';
@@ -57,8 +57,8 @@
 	return request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
 }
 
-/** Resolves once the body is whole or larger than what is kept in memory. `prepare` runs before the first read. */
-export async function readCallerBody(request: IncomingMessage, limits: BodyLimits, prepare: () => void): Promise<Result<CallerBody, BodyFailureKind>> {
+/** Resolves once the body is whole or larger than what is kept in memory. A caller that waits to be asked for it is asked. */
+export async function readCallerBody(request: IncomingMessage, limits: BodyLimits, response: ServerResponse): Promise<Result<CallerBody, BodyFailureKind>> {
 	if (!hasBody(request)) {
 		return succeed(createWholeBody(emptyBody));
 	}
@@ -67,7 +67,10 @@
 		return fail('too-large');
 	}
 
-	prepare();
+	if (request.headers.expect) {
+		response.writeContinue();
+	}
+
 	const source = createSource(request, limits);
 	return readPrefix(source, limits);
 }
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -7,9 +7,9 @@
 import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
 import {createCustomerWeights} from '@catkindale/policy';
 import {
-	type EntryParts, type Exchange, getDeadlineMilliseconds, readExchangeBody, runExchange, tellResult,
+	type EntryParts, type Exchange, getDeadlineMilliseconds, readExchangeBody, runExchange,
 } from './exchange.js';
-import type {ExchangeResult} from './exchange-result.js';
+import {type ExchangeResult, tellResult} from './exchange-result.js';
 import {headerNames} from './constants.js';
 import {type KnowledgeValidity, isKnowledgeCurrent, noValidity} from './freshness-validity.js';
 import {createHedgeDelays} from './hedge-delays.js';
--- a/packages/node/src/exchange-result.ts
+++ b/packages/node/src/exchange-result.ts
@@ -1,6 +1,8 @@
 /** What became of a caller's request, before it is told unless it was streamed. */
-import type {WholeAnswer} from './answer.js';
-import type {Problem} from './problem.js';
+import type {ServerResponse} from 'node:http';
+import {type WholeAnswer, sendWholeAnswer} from './answer.js';
+import {type CallerProfile, ownCallerProfile} from './caller-profile.js';
+import {type Problem, sendProblem} from './problem.js';
 
 export type ExchangeResult
 	= | {readonly kind: 'answered'; readonly answer: WholeAnswer}
@@ -12,3 +14,25 @@
 export function createProblemResult(problem: Problem): ExchangeResult {
 	return {kind: 'problem', problem};
 }
+
+type ToldExchange = {readonly response: ServerResponse; readonly requestId: string};
+
+/** Tells the caller what became of the request; a streamed answer is told already. */
+export function tellResult({response, requestId}: ToldExchange, result: ExchangeResult, {dialect, hasFractionalRetryAfter}: CallerProfile = ownCallerProfile): void {
+	switch (result.kind) {
+		case 'answered': {
+			sendWholeAnswer(response, result.answer, requestId, dialect);
+			break;
+		}
+
+		case 'problem': {
+			sendProblem(response, result.problem, requestId, hasFractionalRetryAfter);
+			break;
+		}
+
+		case 'streamed':
+		case 'cut': {
+			break;
+		}
+	}
+}
--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -3,22 +3,20 @@
  * tries another target where that is safe and the retry budget allows.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {RequestOutcome} from '@catkindale/common';
 import {
 	type Customer, type Route, isRetriable,
 } from '@catkindale/policy';
-import {sendWholeAnswer} from './answer.js';
-import {getAttemptEnd, getOutcome} from './attempt-end.js';
+import {getAttemptEnd, getFailedAnswer, getOutcome} from './attempt-end.js';
 import {type CallerBody, readCallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
 import type {ExchangeResult} from './exchange-result.js';
 import {type AttemptRecord, getTrialEnd} from './exchange-attempt.js';
 import {runHedged} from './exchange-hedge.js';
-import type {ForwardOutcome} from './forward.js';
 import type {HedgeDelays} from './hedge-delays.js';
 import type {LinkMeter} from './link-meter.js';
+import {getLossProblem, getTargetProblem} from './loss-problem.js';
 import type {NodeContext} from './node-context.js';
-import {type Problem, getBodyProblem, sendProblem} from './problem.js';
+import {type Problem, getBodyProblem} from './problem.js';
 import type {RetryBudgets} from './retry-budgets.js';
 import type {RoutingTable} from './routing-table.js';
 import type {TargetPools} from './target-pools.js';
@@ -68,11 +66,7 @@
 	const {bodyBytes, idleTimeoutMilliseconds} = parts.context.settings.limits;
 	const body = await readCallerBody(request, {
 		bodyBytes, idleTimeoutMilliseconds, deadlineMilliseconds: deadlineAt - parts.context.clock.monotonic(),
-	}, () => {
-		if (request.headers.expect) {
-			response.writeContinue();
-		}
-	});
+	}, response);
 	return body.ok ? body.value : getBodyProblem(body.error, 'not-run');
 }
 
@@ -132,26 +126,6 @@
 	return now + Math.min(longestTrialWaitMilliseconds, (exchange.deadlineAt - now) * longestTrialWaitPart);
 }
 
-/** Tells the caller what became of the request; a streamed answer is told already. */
-export function tellResult(exchange: Exchange, result: ExchangeResult): void {
-	switch (result.kind) {
-		case 'answered': {
-			sendWholeAnswer(exchange.response, result.answer, exchange.requestId);
-			break;
-		}
-
-		case 'problem': {
-			sendProblem(exchange.response, result.problem, exchange.requestId);
-			break;
-		}
-
-		case 'streamed':
-		case 'cut': {
-			break;
-		}
-	}
-}
-
 function mayRetry(parts: EntryParts, exchange: Exchange, body: CallerBody, records: readonly AttemptRecord[]): boolean {
 	const last = records.at(-1)!;
 	const isOnTrial = last.target.version !== parts.versions.chooseForRetry(exchange.route.service);
@@ -165,9 +139,9 @@
 }
 
 function getRefusal(selection: Selection & {readonly kind: 'refused'}, records: readonly AttemptRecord[]): ExchangeResult {
-	const failed = records.findLast(({outcome}) => outcome.kind === 'answered');
-	if (failed?.outcome.kind === 'answered') {
-		return {kind: 'answered', answer: failed.outcome.answer};
+	const answer = getFailedAnswer(records);
+	if (answer) {
+		return {kind: 'answered', answer};
 	}
 
 	return {
@@ -193,7 +167,7 @@
 		}
 
 		case 'shed': {
-			return {kind: 'problem', problem: getTargetProblem(getOutcome(records))};
+			return {kind: 'problem', problem: getTargetProblem(getOutcome(records), retryAfterMilliseconds)};
 		}
 
 		case 'not-sent':
@@ -203,52 +177,7 @@
 				return {kind: 'cut'};
 			}
 
-			return {kind: 'problem', problem: getLossProblem(outcome, getOutcome(records))};
+			return {kind: 'problem', problem: getLossProblem(outcome.cause, getOutcome(records), retryAfterMilliseconds)};
 		}
 	}
 }
-
-function getLossProblem({cause}: ForwardOutcome & {readonly kind: 'not-sent' | 'lost'}, outcome: RequestOutcome): Problem {
-	switch (cause) {
-		case 'link': {
-			return {
-				status: 503, outcome, reason: 'link-used-up', detail: 'the link to the target\'s region had no room in time', retryAfterMilliseconds,
-			};
-		}
-
-		case 'deadline': {
-			return {
-				status: 504, outcome, reason: 'deadline', detail: 'the deadline has passed',
-			};
-		}
-
-		case 'body-too-large': {
-			return getBodyProblem('too-large', outcome);
-		}
-
-		case 'body-too-slow': {
-			return getBodyProblem('too-slow', outcome);
-		}
-
-		case 'caller-gone': {
-			return getBodyProblem('caller-gone', outcome);
-		}
-
-		case 'superseded':
-		case 'target': {
-			return getTargetProblem(outcome);
-		}
-	}
-}
-
-function getTargetProblem(outcome: RequestOutcome): Problem {
-	if (outcome === 'not-run') {
-		return {
-			status: 503, outcome, reason: 'target-unavailable', detail: 'the target didn\'t take the request', retryAfterMilliseconds,
-		};
-	}
-
-	return {
-		status: 502, outcome, reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
-	};
-}
--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -65,7 +65,6 @@
 			reason: 'rate-exceeded',
 			detail: `the customer has used this gateway's share ${admission.share.toFixed(3)} of its rate of ${customer?.ratePerSecond} and burst of ${customer?.burst}`,
 			retryAfterMilliseconds: admission.retryAfterMilliseconds,
-			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
 		}, route, customer);
 	}
 
@@ -81,7 +80,6 @@
 			reason: 'gateway-late',
 			detail: 'this VM has more requests than its processor can serve',
 			retryAfterMilliseconds: lateRetryMilliseconds,
-			hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
 		}, route, customer);
 	}
 
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -8,13 +8,16 @@
 import {
 	type RunKind, type TrafficCustomer, type TrafficRoute, type TrafficService, getAllowedRegions, isRetriable,
 } from '@catkindale/policy';
-import type {WholeAnswer} from './answer.js';
-import {firstFailureStatus, getAttemptEnd, getOutcome} from './attempt-end.js';
+import {
+	firstFailureStatus, getAttemptEnd, getFailedAnswer, getOutcome,
+} from './attempt-end.js';
 import type {CallerBody} from './caller-body.js';
+import type {ExchangeResult} from './exchange-result.js';
 import {type ForwardOutcome, type LossCause, startAttempt} from './forward.js';
 import type {AttemptEnding, ChoiceRefusal, ChosenTarget} from './gateway-chooser.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {getGatewayHeaders} from './gateway-headers.js';
+import {getLossProblem} from './loss-problem.js';
 import {type Problem, getBodyProblem} from './problem.js';
 import type {ReportedLoad} from './target-dialect.js';
 import type {AttemptKind} from './version-trials.js';
@@ -34,16 +37,9 @@
 	readonly callerGone: AbortSignal;
 };
 
-export type GatewayResult
-	= | {readonly kind: 'answered'; readonly answer: WholeAnswer}
-		| {readonly kind: 'streamed'; readonly status: number}
-		/** A streamed answer was cut. */
-		| {readonly kind: 'cut'}
-		| {readonly kind: 'problem'; readonly problem: Problem};
-
 type AttemptRecord = {readonly chosen: ChosenTarget; readonly outcome: ForwardOutcome};
 
-export type ExchangeEnd = {readonly result: GatewayResult; readonly records: readonly AttemptRecord[]};
+export type ExchangeEnd = {readonly result: ExchangeResult; readonly records: readonly AttemptRecord[]};
 
 /** Attempts that reached no target don't count against the route, but must end. */
 const mostAttempts = 5;
@@ -64,7 +60,7 @@
 	});
 	for (;;) {
 		if (exchange.callerGone.aborted) {
-			return {result: {kind: 'problem', problem: getLossProblem(parts, 'caller-gone', getOutcome(records))}, records};
+			return {result: {kind: 'problem', problem: getBodyProblem('caller-gone', getOutcome(records))}, records};
 		}
 
 		let choice = choose();
@@ -75,7 +71,7 @@
 		}
 
 		if (choice.kind === 'refused') {
-			return {result: getRefusal(parts, choice, records), records};
+			return {result: getRefusal(choice, records), records};
 		}
 
 		const outcome = await runAttempt(parts, exchange, body, choice);
@@ -83,7 +79,7 @@
 		records.push({chosen: choice, outcome});
 		plan = trials.planSettled(service.name);
 		if (!mayTryAgain(parts, exchange, body, records)) {
-			return {result: getResult(parts, records), records};
+			return {result: getResult(records), records};
 		}
 	}
 }
@@ -221,32 +217,23 @@
 	return isRetriableEnd && (outcome.kind === 'not-sent' || parts.budgets.take(exchange.service.name));
 }
 
-function getRefusal({context: {profile}}: GatewayParts, refusal: ChoiceRefusal, records: readonly AttemptRecord[]): GatewayResult {
-	const failed = getFailedAnswer(records);
-	if (failed) {
-		return failed;
+function getRefusal(refusal: Omit<ChoiceRefusal, 'kind'>, records: readonly AttemptRecord[]): ExchangeResult {
+	const answer = getFailedAnswer(records);
+	if (answer) {
+		return {kind: 'answered', answer};
 	}
 
 	const outcome = getOutcome(records);
 	const problem: Problem = {
 		status: outcome === 'not-run' ? 503 : 502, outcome, reason: refusal.reason, detail: 'no target can take the request in time',
 	};
-	return {
-		kind: 'problem',
-		problem: outcome === 'not-run' ? {...problem, retryAfterMilliseconds: refusal.retryAfterMilliseconds, hasFractionalRetryAfter: profile.hasFractionalRetryAfter} : problem,
-	};
-}
-
-/** A target's own failure goes to the caller when no other target could do better. */
-function getFailedAnswer(records: readonly AttemptRecord[]): GatewayResult | undefined {
-	const failed = records.findLast(({outcome}) => outcome.kind === 'answered');
-	return failed?.outcome.kind === 'answered' ? {kind: 'answered', answer: failed.outcome.answer} : undefined;
+	return {kind: 'problem', problem: outcome === 'not-run' ? {...problem, retryAfterMilliseconds: refusal.retryAfterMilliseconds} : problem};
 }
 
 /** What a caller waits before it asks again after its targets refused it. */
 const shedRetryMilliseconds = 150;
 
-function getResult(parts: GatewayParts, records: readonly AttemptRecord[]): GatewayResult {
+function getResult(records: readonly AttemptRecord[]): ExchangeResult {
 	const {outcome} = records.at(-1)!;
 	switch (outcome.kind) {
 		case 'answered': {
@@ -258,7 +245,7 @@
 		}
 
 		case 'shed': {
-			return getRefusal(parts, {kind: 'refused', reason: 'no-target', retryAfterMilliseconds: shedRetryMilliseconds}, records);
+			return getRefusal({reason: 'no-target', retryAfterMilliseconds: shedRetryMilliseconds}, records);
 		}
 
 		case 'not-sent':
@@ -267,43 +254,14 @@
 				return {kind: 'cut'};
 			}
 
-			return getFailedAnswer(records) ?? {kind: 'problem', problem: getLossProblem(parts, outcome.cause, getOutcome(records))};
+			const answer = getFailedAnswer(records);
+			return answer ? {kind: 'answered', answer} : {kind: 'problem', problem: getEndProblem(outcome.cause, getOutcome(records))};
 		}
 	}
 }
 
-function getLossProblem({context: {profile}}: GatewayParts, cause: LossCause, outcome: RequestOutcome): Problem {
-	const retry = {retryAfterMilliseconds: shedRetryMilliseconds, hasFractionalRetryAfter: profile.hasFractionalRetryAfter};
-	switch (cause) {
-		case 'deadline': {
-			return {
-				status: 504, outcome, reason: 'deadline', detail: 'the deadline has passed',
-			};
-		}
-
-		case 'body-too-large': {
-			return getBodyProblem('too-large', outcome);
-		}
-
-		case 'body-too-slow': {
-			// A status 408 would promise that nothing ran.
-			return {...getBodyProblem('too-slow', outcome), ...(outcome !== 'not-run' && {status: 502})};
-		}
-
-		case 'caller-gone': {
-			return getBodyProblem('caller-gone', outcome);
-		}
-
-		case 'link':
-		case 'superseded':
-		case 'target': {
-			return outcome === 'not-run'
-				? {
-					status: 503, outcome, reason: 'target-unavailable', detail: 'the target didn\'t take the request', ...retry,
-				}
-				: {
-					status: 502, outcome, reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
-				};
-		}
-	}
+function getEndProblem(cause: LossCause, outcome: RequestOutcome): Problem {
+	const problem = getLossProblem(cause, outcome, shedRetryMilliseconds);
+	// A status 408 would promise that nothing ran.
+	return cause === 'body-too-slow' && outcome !== 'not-run' ? {...problem, status: 502} : problem;
 }
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -7,16 +7,16 @@
 import {Counter, Histogram} from 'prom-client';
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
 import type {Member, TrafficCustomer, TrafficRoute} from '@catkindale/policy';
-import {sendWholeAnswer} from './answer.js';
 import {getOutcome} from './attempt-end.js';
 import {readCallerBody} from './caller-body.js';
 import {watchCallerEnd} from './caller-end.js';
 import {gatewayRole} from './constants.js';
+import {type ExchangeResult, tellResult} from './exchange-result.js';
 import {createGatewayBudgets} from './gateway-budgets.js';
 import {checkGatewayRequest} from './gateway-check.js';
 import {createGatewayChooser} from './gateway-chooser.js';
 import {
-	type ExchangeEnd, type GatewayExchange, type GatewayResult, runGatewayExchange,
+	type ExchangeEnd, type GatewayExchange, runGatewayExchange,
 } from './gateway-exchange.js';
 import type {GatewayParts} from './gateway-parts.js';
 import {createGatewayQuotas} from './gateway-quotas.js';
@@ -151,7 +151,7 @@
 
 	const check = checkGatewayRequest(state, router, request);
 	if (check.kind === 'refused') {
-		sendProblem(response, check.problem, requestId);
+		sendProblem(response, check.problem, requestId, profile.hasFractionalRetryAfter);
 		report(state, {requestId, startedAt, ...check}, {result: {kind: 'problem', problem: check.problem}, records: []});
 		return;
 	}
@@ -191,7 +191,7 @@
 			state.quotas.giveBack(customer);
 		}
 
-		tell(exchange, end.result, state);
+		tellResult(exchange, end.result, profile);
 		report(state, exchange, end);
 	} catch (error) {
 		context.logger.error('request_failed', {request: requestId, route: route.name, reason: getErrorMessage(error)});
@@ -213,33 +213,10 @@
 	const {bodyBytes, idleTimeoutMilliseconds} = router.configuration.limits;
 	const body = await readCallerBody(request, {
 		bodyBytes, bufferedBytes: bufferedBodyBytes, idleTimeoutMilliseconds, deadlineMilliseconds: deadlineAt - state.context.clock.monotonic(),
-	}, () => {
-		if (request.headers.expect) {
-			response.writeContinue();
-		}
-	});
+	}, response);
 	return body.ok ? runGatewayExchange(state, exchange, body.value) : {result: {kind: 'problem', problem: getBodyProblem(body.error, 'not-run')}, records: []};
 }
 
-function tell({response, requestId}: GatewayExchange, result: GatewayResult, {context: {profile}}: GatewayState): void {
-	switch (result.kind) {
-		case 'answered': {
-			sendWholeAnswer(response, result.answer, requestId, profile.dialect);
-			break;
-		}
-
-		case 'problem': {
-			sendProblem(response, result.problem, requestId);
-			break;
-		}
-
-		case 'streamed':
-		case 'cut': {
-			break;
-		}
-	}
-}
-
 type Reported = {
 	readonly requestId: string;
 	readonly startedAt: number;
@@ -280,7 +257,7 @@
 	});
 }
 
-function getStatus(result: GatewayResult): number | undefined {
+function getStatus(result: ExchangeResult): number | undefined {
 	switch (result.kind) {
 		case 'answered': {
 			return result.answer.status;
--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -68,8 +68,7 @@
 				reason: 'not-configured',
 				detail: 'this VM has no configuration yet',
 				retryAfterMilliseconds: configurationWaitMilliseconds,
-				hasFractionalRetryAfter: profile.hasFractionalRetryAfter,
-			});
+			}, undefined, profile.hasFractionalRetryAfter);
 		});
 		context.loopLoad.watchAccepts(callers.server);
 		const servers: Server[] = [];
--- /dev/null
+++ b/packages/node/src/loss-problem.ts
@@ -0,0 +1,51 @@
+/** What a caller is told of a request that got no answer, by what ended it. */
+import type {RequestOutcome} from '@catkindale/common';
+import type {LossCause} from './forward.js';
+import {type Problem, getBodyProblem} from './problem.js';
+
+/** `retryAfterMilliseconds` is told only to callers whose request didn't run. */
+export function getLossProblem(cause: LossCause, outcome: RequestOutcome, retryAfterMilliseconds: number): Problem {
+	switch (cause) {
+		case 'link': {
+			return {
+				status: 503, outcome, reason: 'link-used-up', detail: 'the link to the target\'s region had no room in time', retryAfterMilliseconds,
+			};
+		}
+
+		case 'deadline': {
+			return {
+				status: 504, outcome, reason: 'deadline', detail: 'the deadline has passed',
+			};
+		}
+
+		case 'body-too-large': {
+			return getBodyProblem('too-large', outcome);
+		}
+
+		case 'body-too-slow': {
+			return getBodyProblem('too-slow', outcome);
+		}
+
+		case 'caller-gone': {
+			return getBodyProblem('caller-gone', outcome);
+		}
+
+		case 'superseded':
+		case 'target': {
+			return getTargetProblem(outcome, retryAfterMilliseconds);
+		}
+	}
+}
+
+/** What a target's failure means that left no answer. */
+export function getTargetProblem(outcome: RequestOutcome, retryAfterMilliseconds: number): Problem {
+	if (outcome === 'not-run') {
+		return {
+			status: 503, outcome, reason: 'target-unavailable', detail: 'the target didn\'t take the request', retryAfterMilliseconds,
+		};
+	}
+
+	return {
+		status: 502, outcome, reason: 'answer-lost', detail: 'the request may have run; its answer was lost',
+	};
+}
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -12,8 +12,6 @@
 	readonly reason: string;
 	readonly detail: string;
 	readonly retryAfterMilliseconds?: number;
-	/** Whether the caller understands fractions of a second in `Retry-After`. */
-	readonly hasFractionalRetryAfter?: boolean;
 	/** The status of the answer that the request got earlier, for a repeated request. */
 	readonly answerStatus?: number;
 };
@@ -23,8 +21,11 @@
 /** How long the rest of an unread body is taken before the connection is closed. */
 const lingerMilliseconds = 1000;
 
-/** Sends the problem; does nothing if an answer has begun already. */
-export function sendProblem(response: ServerResponse, problem: Problem, requestId?: string): void {
+/**
+ * Sends the problem; does nothing if an answer has begun already. Fractions of
+ * a second stand in `Retry-After` only for callers that understand them.
+ */
+export function sendProblem(response: ServerResponse, problem: Problem, requestId?: string, hasFractionalRetryAfter = false): void {
 	if (response.headersSent || response.destroyed) {
 		return;
 	}
@@ -44,7 +45,7 @@
 
 	if (problem.retryAfterMilliseconds !== undefined) {
 		const seconds = problem.retryAfterMilliseconds / millisecondsPerSecond;
-		headers['retry-after'] = problem.hasFractionalRetryAfter ? seconds.toFixed(retryAfterDigits) : String(Math.ceil(seconds));
+		headers['retry-after'] = hasFractionalRetryAfter ? seconds.toFixed(retryAfterDigits) : String(Math.ceil(seconds));
 	}
 
 	if (response.req.complete || !hasBody(response.req)) {
