Let the gateway's quotas, cold targets and repeats use the token bucket that stands

Cause: customers' buckets, the rate of cold targets and the budget of repeats each filled and took tokens by code of their own, beside token-bucket.ts.

Change: they use it; the wait for a whole token moves there, and one takeToken serves every bucket and budget. A customer's bucket has the rate and burst of its latest request. Tests build the same buckets by createTokenBucket; their assertions are unchanged.

Ruled out: the filling of repeats by requests, which no other budget does, stays in attempt-budget.ts.

Behaviour is meant to be the same.

--- a/packages/node/src/gateway-budgets.ts
+++ b/packages/node/src/gateway-budgets.ts
@@ -1,7 +1,7 @@
 /** This gateway's budget of repeats for each service. */
 import type {Clock} from '@catkindale/common';
 import {
-	type AttemptBudget, type AttemptBudgetLimits, createAttemptBudget, earnAttempt, takeAttempt,
+	type AttemptBudget, type AttemptBudgetLimits, createAttemptBudget, earnAttempt, takeToken,
 } from '@catkindale/policy';
 
 export type GatewayBudgets = {
@@ -22,7 +22,7 @@
 			budgets.set(service, earnAttempt(get(service), limits, clock.monotonic()));
 		},
 		take(service) {
-			const taken = takeAttempt(get(service));
+			const taken = takeToken(get(service));
 			if (taken) {
 				budgets.set(service, taken);
 			}
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -2,9 +2,9 @@
  * Admits customers' requests within this gateway's shares of their rates, and
  * measures what customers ask of this gateway.
  */
-import type {Clock} from '@catkindale/common';
+import {type Clock, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type BucketLimit, type CustomerBucket, type TrafficCustomer, createCustomerBucket, fillCustomerBucket, getCustomerShare, getTokenDelay,
+	type TokenBucket, type TrafficCustomer, createTokenBucket, fillTokenBucket, getCustomerShare, getTokenDelay, takeToken,
 } from '@catkindale/policy';
 
 export type QuotaAdmission
@@ -43,14 +43,14 @@
 /** How much of the latest measurement goes into the demand that is told. */
 const demandWeight = 0.5;
 const leastDemand = 0.05;
-const millisecondsPerSecond = 1000;
 const fleetPerNamedGateway = 4;
 /** Parts of the tolerated excess; what they leave covers nodes that differ on the shares for a heartbeat. */
 const usedOveragePart = 0.3;
 const usedExcessPart = 0.4;
 
 type CustomerEntry = {
-	bucket: CustomerBucket;
+	/** Its rate and burst are those of the latest request. */
+	bucket: TokenBucket;
 	arrivals: number;
 	demand: number;
 	/** Until this time the tokens to come are promised to requests that were refused. */
@@ -65,7 +65,8 @@
 
 	const getEntry = (name: string): CustomerEntry => {
 		const known = entries.get(name) ?? {
-			bucket: createCustomerBucket(clock.monotonic()), arrivals: 0, demand: 0, promisedUntil: 0,
+			// It begins empty, since its tokens may have been used by a node before.
+			bucket: createTokenBucket(0, 0, 0, clock.monotonic()), arrivals: 0, demand: 0, promisedUntil: 0,
 		};
 		entries.set(name, known);
 		return known;
@@ -85,12 +86,12 @@
 	 * Shares are never used evenly: a node with few requests wastes what grows
 	 * beyond its burst. A part of the tolerated excess makes up for it.
 	 */
-	const getLimit = (customer: TrafficCustomer, share: number): BucketLimit => {
+	const getLimit = (customer: TrafficCustomer, share: number): Pick<TokenBucket, 'rate' | 'burst'> => {
 		const ratePerSecond = customer.ratePerSecond ?? 0;
 		const allowed = (ratePerSecond * tolerance.windowMilliseconds / millisecondsPerSecond) + customer.burst;
 		const excess = tolerance.slackRequests + (tolerance.overage * allowed);
 		return {
-			ratePerSecond: ratePerSecond * share * (1 + (usedOveragePart * tolerance.overage)),
+			rate: ratePerSecond * share * (1 + (usedOveragePart * tolerance.overage)),
 			burst: Math.max(customer.burst * share, 1 + (usedExcessPart * excess / Math.max(1, demands.size))),
 		};
 	};
@@ -100,9 +101,9 @@
 	 * its own to come for. A caller whose time ends before that learns so and
 	 * needn't ask again; its token goes to the next.
 	 */
-	const promise = (entry: CustomerEntry, limit: BucketLimit, {delay, left}: {readonly delay: number; readonly left: number}): number => {
+	const promise = (entry: CustomerEntry, {delay, left}: {readonly delay: number; readonly left: number}): number => {
 		const now = clock.monotonic();
-		const next = Math.max(entry.promisedUntil + (millisecondsPerSecond / limit.ratePerSecond), now + delay);
+		const next = Math.max(entry.promisedUntil + (millisecondsPerSecond / entry.bucket.rate), now + delay);
 		if (next - now <= left) {
 			entry.promisedUntil = next;
 		}
@@ -119,14 +120,13 @@
 			}
 
 			const share = getShare(customer.name);
-			const limit = getLimit(customer, share);
-			entry.bucket = fillCustomerBucket(entry.bucket, limit, clock.monotonic());
-			const delay = getTokenDelay(entry.bucket, limit);
-			if (delay > 0) {
-				return {kind: 'refused', retryAfterMilliseconds: promise(entry, limit, {delay, left: leftMilliseconds}), share};
+			entry.bucket = fillTokenBucket({...entry.bucket, ...getLimit(customer, share)}, clock.monotonic());
+			const taken = takeToken(entry.bucket);
+			if (!taken) {
+				return {kind: 'refused', retryAfterMilliseconds: promise(entry, {delay: getTokenDelay(entry.bucket), left: leftMilliseconds}), share};
 			}
 
-			entry.bucket = {...entry.bucket, tokens: entry.bucket.tokens - 1};
+			entry.bucket = taken;
 			return {kind: 'admitted'};
 		},
 		giveBack(customer) {
--- a/packages/policy/src/attempt-budget.ts
+++ b/packages/policy/src/attempt-budget.ts
@@ -22,8 +22,3 @@
 	const reserved = Math.max(0, now - budget.filledAt) / limits.windowMilliseconds * (limits.reserve / 2);
 	return {tokens: Math.min(limits.reserve, budget.tokens + reserved + limits.ratio), filledAt: now};
 }
-
-/** Takes one repeat; undefined if the budget is spent. */
-export function takeAttempt(budget: AttemptBudget): AttemptBudget | undefined {
-	return budget.tokens >= 1 ? {...budget, tokens: budget.tokens - 1} : undefined;
-}
--- a/packages/policy/src/customer-share.ts
+++ b/packages/policy/src/customer-share.ts
@@ -27,22 +27,3 @@
 	const byDemand = total > 0 ? own / total : 1 / nodes;
 	return floor + ((1 - floorPart) * byDemand);
 }
-
-export type CustomerBucket = {readonly tokens: number; readonly filledAt: number};
-
-export type BucketLimit = {readonly ratePerSecond: number; readonly burst: number};
-
-/** A new bucket is empty, since its tokens may have been used by a node before. */
-export function createCustomerBucket(now: number): CustomerBucket {
-	return {tokens: 0, filledAt: now};
-}
-
-export function fillCustomerBucket(bucket: CustomerBucket, limit: BucketLimit, now: number): CustomerBucket {
-	const grown = Math.max(0, now - bucket.filledAt) / 1000 * limit.ratePerSecond;
-	return {tokens: Math.min(Math.max(1, limit.burst), bucket.tokens + grown), filledAt: now};
-}
-
-/** Milliseconds until the bucket holds a whole token; 0 if it does now. */
-export function getTokenDelay(bucket: CustomerBucket, limit: BucketLimit): number {
-	return bucket.tokens >= 1 ? 0 : (1 - bucket.tokens) / limit.ratePerSecond * 1000;
-}
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -5,6 +5,8 @@
  * Source: the retry budget of Finagle, Twitter, 2016.
  */
 
+import {takeToken} from './token-bucket.js';
+
 export type RetryBudget = {
 	/** Retries that may be made now. */
 	readonly tokens: number;
@@ -27,7 +29,7 @@
 
 /** Takes one retry; undefined if the budget is spent. */
 export function takeRetry(budget: RetryBudget): RetryBudget | undefined {
-	return budget.tokens >= 1 ? {tokens: budget.tokens - 1} : undefined;
+	return takeToken(budget);
 }
 
 /** What one attempt showed, as far as another attempt depends on it. */
--- a/packages/policy/src/token-bucket.ts
+++ b/packages/policy/src/token-bucket.ts
@@ -30,6 +30,11 @@
 }
 
 /** Takes one token; undefined if there is none. The bucket must be filled. */
-export function takeToken(bucket: TokenBucket): TokenBucket | undefined {
+export function takeToken<Bucket extends {readonly tokens: number}>(bucket: Bucket): Bucket | undefined {
 	return bucket.tokens >= 1 ? {...bucket, tokens: bucket.tokens - 1} : undefined;
 }
+
+/** Milliseconds until the bucket holds a whole token; 0 if it does now. The bucket must be filled. */
+export function getTokenDelay({rate, tokens}: TokenBucket): number {
+	return tokens >= 1 ? 0 : (1 - tokens) / rate * millisecondsPerSecond;
+}
--- a/packages/policy/src/warmup-rate.ts
+++ b/packages/policy/src/warmup-rate.ts
@@ -4,11 +4,16 @@
  * there until it is warm.
  */
 import {rankMembers} from '@catkindale/common';
+import {type TokenBucket, fillTokenBucket, takeToken} from './token-bucket.js';
 
 /** Nodes that may send to one cold target. More would leave each less than a request at a time. */
 export const warmupSenders = 2;
 
-export type WarmupRate = {readonly tokens: number; readonly filledAt: number};
+/** The rate itself changes with the nodes and the configuration. */
+export type WarmupRate = Pick<TokenBucket, 'tokens' | 'filledAt'>;
+
+/** Requests that may be sent at once. */
+const burst = 1;
 
 /** The share of a cold target's rate that the node may use, in requests per second. */
 export function getWarmupShare(ownId: string, nodeIds: readonly string[], targetId: string, ratePerSecond: number): number {
@@ -18,11 +23,10 @@
 }
 
 export function createWarmupRate(now: number): WarmupRate {
-	return {tokens: 1, filledAt: now};
+	return {tokens: burst, filledAt: now};
 }
 
 /** Takes one request from the rate; undefined if there is none now. */
 export function takeWarmupRequest(rate: WarmupRate, sharePerSecond: number, now: number): WarmupRate | undefined {
-	const tokens = Math.min(1, rate.tokens + (Math.max(0, now - rate.filledAt) / 1000 * sharePerSecond));
-	return tokens >= 1 && sharePerSecond > 0 ? {tokens: tokens - 1, filledAt: now} : undefined;
+	return sharePerSecond > 0 ? takeToken(fillTokenBucket({...rate, rate: sharePerSecond, burst}, now)) : undefined;
 }
--- a/packages/policy/tests/gateway-policy.test.ts
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -2,10 +2,10 @@
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '@catkindale/common';
 import {
-	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, addCounts, chooseGateways, classifyRun, createAttemptBudget, createCustomerBucket,
-	createDestinationCounter, createObjectMemory, createRunTime, createTargetCondition, createWarmupRate, earnAttempt, fillCustomerBucket, fullAdmission, getAllowedRegions,
+	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, addCounts, chooseGateways, classifyRun, createAttemptBudget,
+	createDestinationCounter, createObjectMemory, createRunTime, createTargetCondition, createTokenBucket, createWarmupRate, earnAttempt, fillTokenBucket, fullAdmission, getAllowedRegions,
 	getCustomerShare, getExpectedRunning, getObjectPosition, getTokenDelay, getTrialStage, getTurnedPosition, getWarmupShare, isShedLate, isSilent, judgeTrial, mergeKeptShare, noCounts,
-	recordAnswer, recordEnded, recordFailure, recordSent, recordSignOfLife, recordSilence, recordTold, takeAttempt,
+	recordAnswer, recordEnded, recordFailure, recordSent, recordSignOfLife, recordSilence, recordTold, takeToken,
 	takeWarmupRequest, updateAdmittedShare, updateKeptShareByCache, updateKeptShareByLoad, updateRunTime,
 } from '@catkindale/policy';
 
@@ -190,11 +190,10 @@
 	});
 
 	it('a restarted node begins with an empty bucket', () => {
-		const limit = {ratePerSecond: 10, burst: 5};
-		const empty = createCustomerBucket(0);
-		expect(getTokenDelay(fillCustomerBucket(empty, limit, 0), limit)).toBe(100);
-		expect(getTokenDelay(fillCustomerBucket(empty, limit, 100), limit)).toBe(0);
-		expect(fillCustomerBucket(empty, limit, 60_000).tokens).toBe(5);
+		const empty = createTokenBucket(10, 5, 0, 0);
+		expect(getTokenDelay(fillTokenBucket(empty, 0))).toBe(100);
+		expect(getTokenDelay(fillTokenBucket(empty, 100))).toBe(0);
+		expect(fillTokenBucket(empty, 60_000).tokens).toBe(5);
 	});
 
 	const homes = [
@@ -245,7 +244,7 @@
 		let repeats = 0;
 		for (let index = 0; index < 1000; index++) {
 			budget = earnAttempt(budget, limits, index * 10);
-			const taken = takeAttempt(budget);
+			const taken = takeToken(budget);
 			budget = taken ?? budget;
 			repeats += taken ? 1 : 0;
 		}
