Work out customers' shares once for each report of demands, and keep only fields that are used

Cause: each request that a quota checks built a table of all gateways' demands anew, though these change twice a second. Services carried a health path, a limit on connections and a warm-up time that nothing read.

Change: a share holds until the next demands. Seconds and kilobytes are converted by named constants.

Behaviour is meant to be the same.

--- a/packages/node/src/caller-profile.ts
+++ b/packages/node/src/caller-profile.ts
@@ -4,6 +4,7 @@
  * brings the profile of its platform; everything else knows only these types.
  */
 import type {IncomingMessage} from 'node:http';
+import {millisecondsPerSecond} from '@catkindale/common';
 import {bearerPrefix} from './request-headers.js';
 import {headerNames} from './constants.js';
 import {type TargetDialect, ownDialect} from './target-dialect.js';
@@ -58,7 +59,7 @@
 	lookup: {
 		path: '/v1/gateways',
 		read: query => ({region: query.get('region') ?? undefined, zone: query.get('zone') ?? undefined}),
-		write: ({addresses, timeToLiveMilliseconds}) => ({addresses, timeToLiveSeconds: timeToLiveMilliseconds / 1000}),
+		write: ({addresses, timeToLiveMilliseconds}) => ({addresses, timeToLiveSeconds: timeToLiveMilliseconds / millisecondsPerSecond}),
 	},
 	getKey: request => getBearerKey(request),
 };
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -61,6 +61,8 @@
 	const entries = new Map<string, CustomerEntry>();
 	let demands: ReadonlyMap<string, Readonly<Record<string, number>>> = new Map();
 	let knownGateways = 0;
+	/** They hold until the next demands. */
+	const shares = new Map<string, number>();
 	let measuredAt = clock.monotonic();
 
 	const getEntry = (name: string): CustomerEntry => {
@@ -73,7 +75,7 @@
 	};
 
 	/** A gateway that hears from less than half of the others uses less than an equal part. */
-	const getShare = (customer: string): number => {
+	const calculateShare = (customer: string): number => {
 		const known = Math.max(knownGateways, namedGateways);
 		if (demands.size * 2 <= known) {
 			return 1 / (2 * Math.max(known, namedGateways * fleetPerNamedGateway));
@@ -82,6 +84,12 @@
 		return getCustomerShare({ownId, demands: new Map([...demands].map(([id, byCustomer]) => [id, byCustomer[customer] ?? 0]))});
 	};
 
+	const getShare = (customer: string): number => {
+		const share = shares.get(customer) ?? calculateShare(customer);
+		shares.set(customer, share);
+		return share;
+	};
+
 	/**
 	 * Shares are never used evenly: a node with few requests wastes what grows
 	 * beyond its burst. A part of the tolerated excess makes up for it.
@@ -156,6 +164,7 @@
 		setDemands(next, known) {
 			demands = next;
 			knownGateways = known;
+			shares.clear();
 		},
 	};
 }
--- a/packages/node/src/version-trial-plugin.ts
+++ b/packages/node/src/version-trial-plugin.ts
@@ -5,7 +5,7 @@
  * service sets the shares and records the move; another takes over when that
  * one no longer serves.
  */
-import {rankMembers} from '@catkindale/common';
+import {millisecondsPerSecond, rankMembers} from '@catkindale/common';
 import {getTrialStage, judgeTrial} from '@catkindale/policy';
 import type {TrialCountsMessage, TrialStageMessage, TrialState} from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
@@ -37,7 +37,7 @@
 			trial.state = state;
 			trial.share = state === 'complete' ? 1 : 0;
 			logger.info('version_trial_ended', {
-				service: trial.service, version: trial.version, revision: trial.revision, state, reason, seconds: ((clock.monotonic() - trial.startedAt) / 1000).toFixed(2),
+				service: trial.service, version: trial.version, revision: trial.revision, state, reason, seconds: ((clock.monotonic() - trial.startedAt) / millisecondsPerSecond).toFixed(2),
 			});
 		};
 
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -75,12 +75,13 @@
 
 /** What a kilobyte that crosses between regions is worth in waiting time; the bytes of a link are shared by all. */
 const foreignMillisecondsPerKilobyte = 7.5;
+const bytesPerKilobyte = 1000;
 /** Heads and answer of a usual request. */
 const usualKilobytes = 2;
 
 /** The extra cost of a target in another region, for a request whose body has so many bytes. */
 export function getForeignPenalty(bodyBytes: number): number {
-	return foreignMillisecondsPerKilobyte * (usualKilobytes + (bodyBytes / 1000));
+	return foreignMillisecondsPerKilobyte * (usualKilobytes + (bodyBytes / bytesPerKilobyte));
 }
 
 /** The use of all the candidates' slots, 1 when all are taken. */
--- a/packages/policy/src/traffic-configuration.ts
+++ b/packages/policy/src/traffic-configuration.ts
@@ -36,10 +36,6 @@
 
 export const trafficServiceSchema = z.object({
 	name: z.string(),
-	healthPath: z.string().optional(),
-	/** Connections that a target accepts from all nodes together. */
-	connectionsPerTarget: z.int().positive().optional(),
-	warmupMilliseconds: milliseconds,
 	/** Requests per second that a cold target bears; undefined for no limit. */
 	warmupRequestsPerSecond: z.number().positive().optional(),
 });
