--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -12,8 +12,19 @@
 		| {readonly kind: 'not-sent'; readonly reason: string}
 		| {readonly kind: 'lost'; readonly reason: string};
 
+/** What differs from call to call. */
+export type CallOptions = {
+	/** Instead of the time limit of all calls, for one that waits at the service. */
+	readonly timeoutMilliseconds?: number;
+	/** Gives the call up. */
+	readonly signal?: AbortSignal | undefined;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+type Method = 'GET' | 'POST' | 'PUT';
+
 export type HttpCaller = {
-	call: (method: 'GET' | 'POST' | 'PUT', path: string, body?: string | Uint8Array) => Promise<CallOutcome>;
+	call: (method: Method, path: string, body?: string | Uint8Array, options?: CallOptions) => Promise<CallOutcome>;
 	close: () => Promise<void>;
 };
 
@@ -27,7 +38,7 @@
 	});
 	let callsInFlight = 0;
 	return {
-		async call(method, path, body) {
+		async call(method, path, body, options = {}) {
 			if (callsInFlight >= settings.maximumCallsInFlight) {
 				return {kind: 'not-sent', reason: `${callsInFlight} calls are in flight already`};
 			}
@@ -35,7 +46,7 @@
 			callsInFlight += 1;
 			try {
 				return await send(pool, {
-					method, path, body, timeoutMilliseconds: settings.timeoutMilliseconds,
+					method, path, body, ...options, timeoutMilliseconds: options.timeoutMilliseconds ?? settings.timeoutMilliseconds,
 				});
 			} finally {
 				callsInFlight -= 1;
@@ -47,26 +58,28 @@
 	};
 }
 
-type SendOptions = {
-	readonly method: 'GET' | 'POST' | 'PUT';
+type SendOptions = CallOptions & {
+	readonly method: Method;
 	readonly path: string;
 	readonly body: string | Uint8Array | undefined;
 	readonly timeoutMilliseconds: number;
 };
 
 async function send(pool: Pool, options: SendOptions): Promise<CallOutcome> {
+	const timeout = AbortSignal.timeout(options.timeoutMilliseconds);
 	try {
 		const response = await pool.request({
 			method: options.method,
 			path: options.path,
 			body: options.body,
-			signal: AbortSignal.timeout(options.timeoutMilliseconds),
+			signal: options.signal ? AbortSignal.any([timeout, options.signal]) : timeout,
+			...(options.headers && {headers: options.headers}),
 		});
 		const body = await response.body.bytes();
 		return {kind: 'answered', status: response.statusCode, body};
 	} catch (error) {
 		const code = getErrorCode(error) ?? '';
-		return {kind: codesBeforeSending.has(code) ? 'not-sent' : 'lost', reason: `${code} ${getErrorMessage(error)}`};
+		return {kind: codesBeforeSending.has(code) ? 'not-sent' : 'lost', reason: `${code} ${getErrorMessage(error)}`.trim()};
 	}
 }
 
