--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,8 @@
 /** Small stand-ins of the platform and of targets, for development and tests. */
 export * from './machine-list-standin.js';
 export * from './object-store-standin.js';
-export type {Standin} from './standin.js';
+export {
+	type Standin, listen, readJson, sendJson,
+} from './standin.js';
 export * from './table-standin.js';
 export * from './target-standin.js';
