Keep the records of moves to new versions in a module of their own

Cause: the start of version-trial-plugin.ts was 200 lines, a quarter of them about reading and writing the record and what a conflict means for it.

Change: version-trial-records.ts holds that; the plugin asks whether the record is known, says a state already, or took one.

Ruled out: splitting leader and follower too; they share the trial and its end.

Measured: npx vitest run platform packages/node: 208 passed; xo and tsc without findings. Behaviour is meant to be the same.

--- a/packages/node/src/version-trial-plugin.ts
+++ b/packages/node/src/version-trial-plugin.ts
@@ -11,7 +11,8 @@
 import {gatewayRole} from './constants.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import {type StoredTrialRecord, type TrialRecord} from './version-board.js';
+import type {TrialRecord} from './version-board.js';
+import {createTrialRecords} from './version-trial-records.js';
 import {type Trial, getTrialEvidence} from './version-trials.js';
 
 const startOrder = 45;
@@ -26,8 +27,7 @@
 		const {bus, clock, logger, trials, versionBoard} = context;
 		const ownId = context.settings.node.name;
 		let gateways: readonly string[] = [ownId];
-		/** What is recorded of each service's latest move; undefined before it was read. */
-		let records: Map<string, StoredTrialRecord> | undefined;
+		const records = createTrialRecords({board: versionBoard, clock, logger});
 
 		const end = (trial: Trial, state: Exclude<TrialState, 'running'>, reason: string): void => {
 			if (trial.state !== 'running') {
@@ -77,51 +77,17 @@
 		};
 
 		const readRecords = async (): Promise<void> => {
-			const outcome = await versionBoard?.read();
-			if (outcome?.kind !== 'done') {
-				logger.warn('version_record_unread', {reason: outcome && 'reason' in outcome ? outcome.reason : outcome?.kind});
-				return;
-			}
-
-			records = new Map(outcome.value.map(record => [record.service, record]));
-			for (const trial of trials.getAll()) {
-				const record = records.get(trial.service);
-				if (record) {
+			for (const record of await records.read()) {
+				const trial = trials.get(record.service);
+				if (trial) {
 					adopt(trial, record);
 				}
 			}
 		};
 
-		/** Whether the record says this already. */
-		const isRecorded = (trial: Trial, state: TrialState): boolean => {
-			const record = records?.get(trial.service);
-			return record?.revision === trial.revision && record.state === state;
-		};
-
-		const write = async (trial: Trial, state: TrialState): Promise<boolean> => {
-			const {service, version, revision} = trial;
-			const known = records?.get(service);
-			const startedAt = clock.wall() - (clock.monotonic() - trial.startedAt);
-			const record = {
-				service, version, revision, state, startedAt,
-			};
-			const outcome = await versionBoard?.write(record, known?.rowVersion ?? 0);
-			logger.info('version_record_written', {
-				service, version, revision, state, outcome: outcome?.kind,
-			});
-			if (outcome?.kind === 'done') {
-				records?.set(service, {...record, rowVersion: outcome.value});
-				return true;
-			}
-
-			// A conflict or a lost answer is resolved by what the record says.
-			records = undefined;
-			return false;
-		};
-
 		const lead = async (trial: Trial): Promise<void> => {
 			if (trial.state === 'reverted') {
-				await (isRecorded(trial, 'reverted') || write(trial, 'reverted'));
+				await (records.isRecorded(trial, 'reverted') || records.write(trial, 'reverted'));
 				return;
 			}
 
@@ -141,13 +107,13 @@
 						trial.share = stage.share;
 					}
 
-					await (isRecorded(trial, 'running') || write(trial, 'running'));
+					await (records.isRecorded(trial, 'running') || records.write(trial, 'running'));
 					break;
 				}
 
 				case 'complete': {
 					trial.share = 1;
-					if (await write(trial, 'complete')) {
+					if (await records.write(trial, 'complete')) {
 						end(trial, 'complete', 'in time');
 					}
 
@@ -180,11 +146,11 @@
 			}
 		};
 
-		const isOpen = (trial: Trial): boolean => trial.state === 'running' || (isLeader(trial) && !isRecorded(trial, trial.state));
+		const isOpen = (trial: Trial): boolean => trial.state === 'running' || (isLeader(trial) && !records.isRecorded(trial, trial.state));
 
 		const tick = async (): Promise<void> => {
 			const open = trials.getAll().filter(trial => isOpen(trial));
-			if (open.length > 0 && records === undefined) {
+			if (open.length > 0 && !records.isKnown()) {
 				await readRecords();
 			}
 
@@ -193,7 +159,7 @@
 				judge(trial);
 				if (isLeader(trial)) {
 					// Without the record a restarted leader can't tell what was decided.
-					if (records !== undefined) {
+					if (records.isKnown()) {
 						await lead(trial);
 					}
 
--- /dev/null
+++ b/packages/node/src/version-trial-records.ts
@@ -0,0 +1,65 @@
+/**
+ * What is recorded of the latest move of each service to a new version. After
+ * a conflict or a lost answer the record itself tells what holds, so that it
+ * must be read again.
+ */
+import type {Clock, Logger} from '@catkindale/common';
+import type {TrialState} from '@catkindale/protocol';
+import type {StoredTrialRecord, TrialRecord, VersionBoard} from './version-board.js';
+import type {Trial} from './version-trials.js';
+
+export type TrialRecords = {
+	/** Whether the records are known: they were read, and every write since is settled. */
+	isKnown: () => boolean;
+	/** Reads all records; none when they can't be read now. */
+	read: () => Promise<readonly TrialRecord[]>;
+	/** Whether the record says this already. */
+	isRecorded: (trial: Trial, state: TrialState) => boolean;
+	/** Whether the state was recorded. */
+	write: (trial: Trial, state: TrialState) => Promise<boolean>;
+};
+
+export type TrialRecordsOptions = {
+	/** Absent where moves aren't recorded. */
+	readonly board: VersionBoard | undefined;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+export function createTrialRecords({board, clock, logger}: TrialRecordsOptions): TrialRecords {
+	let records: Map<string, StoredTrialRecord> | undefined;
+	return {
+		isKnown: () => records !== undefined,
+		async read() {
+			const outcome = await board?.read();
+			if (outcome?.kind !== 'done') {
+				logger.warn('version_record_unread', {reason: outcome && 'reason' in outcome ? outcome.reason : outcome?.kind});
+				return [];
+			}
+
+			records = new Map(outcome.value.map(record => [record.service, record]));
+			return outcome.value;
+		},
+		isRecorded(trial, state) {
+			const record = records?.get(trial.service);
+			return record?.revision === trial.revision && record.state === state;
+		},
+		async write(trial, state) {
+			const {service, version, revision} = trial;
+			const record = {
+				service, version, revision, state, startedAt: clock.wall() - (clock.monotonic() - trial.startedAt),
+			};
+			const outcome = await board?.write(record, records?.get(service)?.rowVersion ?? 0);
+			logger.info('version_record_written', {
+				service, version, revision, state, outcome: outcome?.kind,
+			});
+			if (outcome?.kind === 'done') {
+				records?.set(service, {...record, rowVersion: outcome.value});
+				return true;
+			}
+
+			records = undefined;
+			return false;
+		},
+	};
+}
