Plan a rollout's last step early enough for late writes

Cause: a rollout within 12 s was planned to be complete after 0.85 of its time, 0.3 s before the latest time for that word (1.5 s before the deadline). A step that came late, since its share brought its requests slowly or the node that writes was lost, was made up for only down to half of each following step, and the last one never, so that a good version was taken back.

Ruled out: too few requests (32 of 30 were judged after 5 s, three steps took 1.5 s each); a longer deadline in the test, which hides the fault.

--- a/packages/policy/src/rollout-plan.ts
+++ b/packages/policy/src/rollout-plan.ts
@@ -21,6 +21,8 @@
 const marginPart = 0.05;
 const shortestMarginMilliseconds = 1500;
 const longestMarginMilliseconds = 30 * millisecondsPerSecond;
+/** Between the planned completion and the latest one: two nodes of the ranking fail to write it, each for 0.7 s. */
+const completionSlackMilliseconds = 1500;
 /** Time for a step to come into force everywhere and to be judged. */
 const shortestRisingStepMilliseconds = 2500;
 const shortestDwellMilliseconds = 300;
@@ -60,13 +62,21 @@
 
 /** The wall time at which a step ends by the plan. */
 export function getStepEnd(times: RolloutTimes, step: number, steps: number): number {
-	const duration = times.deadlineAt - times.startedAt;
 	if (step === 0) {
+		const duration = times.deadlineAt - times.startedAt;
 		return times.startedAt + (duration * watchStartsAt);
 	}
 
 	const risingMilliseconds = getRisingStep(times, steps) * (getRisingSteps(steps) - step + 1);
-	return times.startedAt + (duration * completionAt) - risingMilliseconds;
+	return getPlannedCompletion(times) - risingMilliseconds;
+}
+
+/** The wall time at which the last step ends by the plan; short rollouts leave time for late writes as well. */
+function getPlannedCompletion(times: RolloutTimes): number {
+	const duration = times.deadlineAt - times.startedAt;
+	const latest = getCommitTime(times) - completionSlackMilliseconds;
+	const earliest = times.startedAt + (duration * earliestRiseStartsAt);
+	return Math.max(earliest, Math.min(latest, times.startedAt + (duration * completionAt)));
 }
 
 /** The shortest time in milliseconds for which a step is watched when the plan is late. */
@@ -80,10 +90,11 @@
 }
 
 /** The planned time of one rising step in milliseconds. */
-function getRisingStep({startedAt, deadlineAt}: RolloutTimes, steps: number): number {
-	const duration = deadlineAt - startedAt;
+function getRisingStep(times: RolloutTimes, steps: number): number {
+	const duration = times.deadlineAt - times.startedAt;
+	const completesAfter = getPlannedCompletion(times) - times.startedAt;
 	const risingSteps = getRisingSteps(steps);
-	const shortest = duration * (completionAt - latestRiseStartsAt);
-	const longest = duration * (completionAt - earliestRiseStartsAt);
+	const shortest = Math.max(0, completesAfter - (duration * latestRiseStartsAt));
+	const longest = completesAfter - (duration * earliestRiseStartsAt);
 	return Math.min(longest, Math.max(shortest, risingSteps * shortestRisingStepMilliseconds)) / risingSteps;
 }
--- a/packages/policy/tests/rollout-decision.test.ts
+++ b/packages/policy/tests/rollout-decision.test.ts
@@ -110,6 +110,49 @@
 	});
 });
 
+describe('a good version whose steps come late', () => {
+	const second = 1000;
+	const usualWrite = 300;
+	/** The next node of the ranking writes 0.7 s later, for the 4 s until the lost one is out of the list of members. */
+	const writeOfNext = 950;
+	const silence = 4 * second;
+	test.each([
+		{
+			name: 'the node that writes is lost at the start', deadline: 12 * second, lostAt: 0, sampledFrom: 0,
+		},
+		{
+			name: 'the node that writes is lost near the end', deadline: 12 * second, lostAt: 8 * second, sampledFrom: 0,
+		},
+		{
+			name: 'the watched share brings its requests slowly', deadline: 12 * second, lostAt: Infinity, sampledFrom: 5 * second,
+		},
+		{
+			name: 'the same, and a node is lost', deadline: 12 * second, lostAt: 3 * second, sampledFrom: 4 * second,
+		},
+		{
+			name: 'the same within 16 s', deadline: 16 * second, lostAt: 5 * second, sampledFrom: 6 * second,
+		},
+		{
+			name: 'the same within minutes', deadline: 10 * minute, lostAt: 6 * minute, sampledFrom: 4 * minute,
+		},
+	])('$name: it is done in time', ({deadline, lostAt, sampledFrom}) => {
+		let row = startRollout({...rollout, deadline: new Date(deadline).toISOString()}, {instances: 3, configurationVersion: 1}, 0);
+		let wantedAt: number | undefined;
+		for (let now = 0; row.phase === 'running'; now += 50) {
+			const judged = now < sampledFrom ? 0 : 1000;
+			const writeDelay = now >= lostAt && now < lostAt + silence ? writeOfNext : usualWrite;
+			const decision = decideRollout(row, {...good, judged, samples: judged}, now);
+			wantedAt = decision.kind === 'hold' ? undefined : wantedAt ?? now;
+			if (decision.kind !== 'hold' && now >= wantedAt! + writeDelay) {
+				row = changeRollout(row, decision, now);
+				wantedAt = undefined;
+			}
+		}
+
+		expect(row.phase, row.reason).toBe('done');
+	});
+});
+
 test('a rollout with too little traffic is taken back and says so', () => {
 	const decision = decideRollout(getRow({step: 2}), {...good, judged: 22}, 9.4 * minute);
 	expect(decision).toMatchObject({kind: 'revert', reason: expect.stringContaining('too little traffic to judge: 22 of 50 requests') as string});
