Hold back no request to a cold target whose service tells no rate

Cause: such a target's rate was infinite, and an infinite rate times no time is not a number, so that a second request in the same millisecond found no token and went to a target that is further away, or was refused.

Ruled out: the platform's sites, which all tell a rate; there nothing changes.

Conclusion: mended.

--- a/packages/policy/src/warmup-rate.ts
+++ b/packages/policy/src/warmup-rate.ts
@@ -26,7 +26,14 @@
 	return {tokens: burst, filledAt: now};
 }
 
-/** Takes one request from the rate; undefined if there is none now. */
+/**
+ * Takes one request from the rate; undefined if there is none now.
+ * @param sharePerSecond infinite where the target's service tells no rate
+ */
 export function takeWarmupRequest(rate: WarmupRate, sharePerSecond: number, now: number): WarmupRate | undefined {
+	if (sharePerSecond === Number.POSITIVE_INFINITY) {
+		return rate;
+	}
+
 	return sharePerSecond > 0 ? takeToken(fillTokenBucket({...rate, rate: sharePerSecond, burst}, now)) : undefined;
 }
--- a/packages/policy/tests/gateway-policy.test.ts
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -2,7 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '@catkindale/common';
 import {
-	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, addCounts, chooseGateways, classifyRun, createAttemptBudget,
+	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, type WarmupRate, addCounts, chooseGateways, classifyRun, createAttemptBudget,
 	createDestinationCounter, createObjectMemory, createRunTime, createTargetCondition, createTokenBucket, createWarmupRate, earnAttempt, fillTokenBucket, fullAdmission, getAllowedRegions,
 	getCustomerShare, getExpectedRunning, getObjectPosition, getTokenDelay, getTrialStage, getTurnedPosition, getWarmupShare, isShedLate, isSilent, judgeTrial, mergeKeptShare, noCounts,
 	recordAnswer, recordEnded, recordFailure, recordSent, recordSignOfLife, recordSilence, recordTold, takeToken,
@@ -229,6 +229,15 @@
 		expect(most).toBeLessThanOrEqual((rate * overage) + slack);
 		expect(sent.length).toBeGreaterThan(rate * 2);
 	});
+
+	it('a service without a rate holds back no requests, also within one millisecond', () => {
+		let rate: WarmupRate | undefined = createWarmupRate(0);
+		for (let request = 0; request < 3; request++) {
+			rate &&= takeWarmupRequest(rate, Number.POSITIVE_INFINITY, 0);
+		}
+
+		expect(rate).toBeDefined();
+	});
 });
 
 describe('splits and repeats', () => {
