Keep the leader's part of a move to a new version in a module of its own

Cause: the plug-in's start was a function of 200 lines, in which what any gateway does and what the first of them does stood together, so that neither could be tested without all of it.

Ruled out: any change of what happens; the code moved, and the end of a move became a function of its own, since both sides use it.

--- /dev/null
+++ b/packages/node/src/end-version-trial.ts
@@ -0,0 +1,17 @@
+/** Ends a move to a new version at this gateway: it is complete, or the version gets nothing more. */
+import {type Clock, type Logger, millisecondsPerSecond} from '@catkindale/common';
+import type {TrialState} from '@catkindale/protocol';
+import type {Trial} from './version-trials.js';
+
+/** The first end of a move stands; later ones change nothing. */
+export function endVersionTrial(trial: Trial, state: Exclude<TrialState, 'running'>, reason: string, {clock, logger}: {readonly clock: Clock; readonly logger: Logger}): void {
+	if (trial.state !== 'running') {
+		return;
+	}
+
+	trial.state = state;
+	trial.share = state === 'complete' ? 1 : 0;
+	logger.info('version_trial_ended', {
+		service: trial.service, version: trial.version, revision: trial.revision, state, reason, seconds: ((clock.monotonic() - trial.startedAt) / millisecondsPerSecond).toFixed(2),
+	});
+}
--- a/packages/node/src/version-trial-plugin.ts
+++ b/packages/node/src/version-trial-plugin.ts
@@ -5,13 +5,14 @@
  * service sets the shares and records the move; another takes over when that
  * one no longer serves.
  */
-import {millisecondsPerSecond, rankMembers} from '@catkindale/common';
-import {getTrialStage, judgeTrial} from '@catkindale/policy';
-import type {TrialCountsMessage, TrialStageMessage, TrialState} from '@catkindale/protocol';
+import {rankMembers} from '@catkindale/common';
+import {judgeTrial} from '@catkindale/policy';
+import type {TrialCountsMessage, TrialStageMessage} from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
+import {endVersionTrial} from './end-version-trial.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import type {TrialRecord} from './version-board.js';
+import {createTrialLeader} from './version-trial-leader.js';
 import {createTrialRecords} from './version-trial-records.js';
 import {type Trial, getTrialEvidence} from './version-trials.js';
 
@@ -29,21 +30,9 @@
 		let gateways: readonly string[] = [ownId];
 		const records = createTrialRecords({board: versionBoard, clock, logger});
 
-		const end = (trial: Trial, state: Exclude<TrialState, 'running'>, reason: string): void => {
-			if (trial.state !== 'running') {
-				return;
-			}
-
-			trial.state = state;
-			trial.share = state === 'complete' ? 1 : 0;
-			logger.info('version_trial_ended', {
-				service: trial.service, version: trial.version, revision: trial.revision, state, reason, seconds: ((clock.monotonic() - trial.startedAt) / millisecondsPerSecond).toFixed(2),
-			});
-		};
-
 		const halt = (trial: Trial, reason: string): void => {
 			const {service, version, revision} = trial;
-			end(trial, 'reverted', reason);
+			endVersionTrial(trial, 'reverted', reason, {clock, logger});
 			bus.publish({
 				type: 'peer-broadcast', message: {
 					type: 'trial-halt', service, version, revision, reason,
@@ -60,72 +49,9 @@
 
 		const isLeader = (trial: Trial): boolean => rankMembers(trial.service, gateways.map(id => ({id})))[0]?.id === ownId;
 
-		/** Takes over what is recorded of a move that this gateway knows less of. */
-		const adopt = (trial: Trial, record: TrialRecord): void => {
-			if (record.revision !== trial.revision) {
-				return;
-			}
-
-			const elapsed = clock.wall() - record.startedAt;
-			if (elapsed > clock.monotonic() - trial.startedAt && elapsed < trial.durationMilliseconds) {
-				trial.startedAt = clock.monotonic() - elapsed;
-			}
-
-			if (record.state !== 'running') {
-				end(trial, record.state, 'recorded');
-			}
-		};
-
-		const readRecords = async (): Promise<void> => {
-			for (const record of await records.read()) {
-				const trial = trials.get(record.service);
-				if (trial) {
-					adopt(trial, record);
-				}
-			}
-		};
-
-		const lead = async (trial: Trial): Promise<void> => {
-			if (trial.state === 'reverted') {
-				await (records.isRecorded(trial, 'reverted') || records.write(trial, 'reverted'));
-				return;
-			}
-
-			if (trial.state === 'complete') {
-				return;
-			}
-
-			const elapsedPart = (clock.monotonic() - trial.startedAt) / trial.durationMilliseconds;
-			const trialRequests = getTrialEvidence(trial).reduce((sum, {trial: counts}) => sum + counts.requests, 0);
-			const stage = getTrialStage(elapsedPart, trialRequests);
-			switch (stage.kind) {
-				case 'move': {
-					if (stage.share !== trial.share) {
-						logger.info('version_share', {
-							service: trial.service, version: trial.version, share: stage.share, from: trial.share, elapsed: elapsedPart.toFixed(2), requests: trialRequests,
-						});
-						trial.share = stage.share;
-					}
-
-					await (records.isRecorded(trial, 'running') || records.write(trial, 'running'));
-					break;
-				}
-
-				case 'complete': {
-					trial.share = 1;
-					if (await records.write(trial, 'complete')) {
-						end(trial, 'complete', 'in time');
-					}
-
-					break;
-				}
-
-				case 'abandon': {
-					halt(trial, 'not complete before the deadline');
-					break;
-				}
-			}
-		};
+		const leader = createTrialLeader({
+			records, clock, logger, halt,
+		});
 
 		const tellStage = ({service, version, revision, state, share}: Trial): void => {
 			bus.publish({
@@ -151,7 +77,7 @@
 		const tick = async (): Promise<void> => {
 			const open = trials.getAll().filter(trial => isOpen(trial));
 			if (open.length > 0 && !records.isKnown()) {
-				await readRecords();
+				await leader.readRecords(trials);
 			}
 
 			for (const trial of open) {
@@ -160,7 +86,7 @@
 				if (isLeader(trial)) {
 					// Without the record a restarted leader can't tell what was decided.
 					if (records.isKnown()) {
-						await lead(trial);
+						await leader.advance(trial);
 					}
 
 					tellStage(trial);
@@ -181,7 +107,7 @@
 
 			trial.share = message.share;
 			if (message.state !== 'running') {
-				end(trial, message.state, `told by ${from}`);
+				endVersionTrial(trial, message.state, `told by ${from}`, {clock, logger});
 			}
 		};
 
@@ -211,7 +137,7 @@
 
 				const halted = message.type === 'trial-halt' ? find(message) : undefined;
 				if (halted && message.type === 'trial-halt') {
-					end(halted, 'reverted', `told by ${from}: ${message.reason}`);
+					endVersionTrial(halted, 'reverted', `told by ${from}: ${message.reason}`, {clock, logger});
 				}
 			}),
 		];
