Let the recorded end of a move to a new version hold, and be learnt by all

Cause: read for what the store's faults can do at each step of a move. (1) The answer to 'complete' is lost and the version is halted before the record is read again: the gateways took the move back and sent everything to the old targets, which the operator stops on that word. (2) The leader tells the end once; a gateway that was cut off then sent a part of the requests to the old targets for good. (3) Counts were told in the same task that waits for the store, so that failures weren't added up while the store gave no answer.

Now a recorded completion is final; a gateway that hears nothing of the leader for a second, or whose end isn't recorded yet, reads the record, once a second at most; telling and judging never wait for the store.

Ruled out: telling the end for longer, which a leader that dies then doesn't. The task is a function of its own, to be tested without a node.

Cost: one read of the record a gateway and move.

--- a/packages/node/src/end-version-trial.ts
+++ b/packages/node/src/end-version-trial.ts
@@ -3,9 +3,13 @@
 import type {TrialState} from '@catkindale/protocol';
 import type {Trial} from './version-trials.js';
 
-/** The first end of a move stands; later ones change nothing. */
+/**
+ * A completion is final: operators stop the old targets once it is recorded.
+ * It therefore also holds where the move was taken back before that was known.
+ * @param state complete only if that is recorded
+ */
 export function endVersionTrial(trial: Trial, state: Exclude<TrialState, 'running'>, reason: string, {clock, logger}: {readonly clock: Clock; readonly logger: Logger}): void {
-	if (trial.state !== 'running') {
+	if (trial.state === 'complete' || trial.state === state) {
 		return;
 	}
 
--- /dev/null
+++ b/packages/node/src/version-trial-task.ts
@@ -0,0 +1,174 @@
+/**
+ * Moves services to new versions. Each gateway sends its part of the requests
+ * to the new version and tells the others what became of them; any of them
+ * halts a bad version for all at once. The gateway that ranks first for the
+ * service sets the shares and records the move; another takes over when that
+ * one no longer serves.
+ */
+import {rankMembers} from '@catkindale/common';
+import type {Task} from '@catkindale/kernel';
+import {judgeTrial} from '@catkindale/policy';
+import type {TrialCountsMessage, TrialStageMessage} from '@catkindale/protocol';
+import {endVersionTrial} from './end-version-trial.js';
+import type {NodeContext} from './node-context.js';
+import {startPeriodicWork} from './periodic-work.js';
+import {createTrialLeader} from './version-trial-leader.js';
+import {createTrialRecords} from './version-trial-records.js';
+import {type Trial, getTrialEvidence} from './version-trials.js';
+
+/** Counts and shares travel this often while a move is under way. */
+const tickMilliseconds = 250;
+/** Four messages of the leader: after that a gateway reads the record itself, and no more often. */
+const leaderSilenceMilliseconds = 1000;
+
+/** @param ownId the name of this gateway among those that serve */
+export function startVersionTrials(ownId: string, {
+	bus, clock, logger, trials, versionBoard,
+}: Pick<NodeContext, 'bus' | 'clock' | 'logger' | 'trials' | 'versionBoard'>): Task {
+	let gateways: readonly string[] = [ownId];
+	let readAt = Number.NEGATIVE_INFINITY;
+	const records = createTrialRecords({board: versionBoard, clock, logger});
+
+	const halt = (trial: Trial, reason: string): void => {
+		const {service, version, revision} = trial;
+		endVersionTrial(trial, 'reverted', reason, {clock, logger});
+		bus.publish({
+			type: 'peer-broadcast', message: {
+				type: 'trial-halt', service, version, revision, reason,
+			},
+		});
+	};
+
+	const judge = (trial: Trial): void => {
+		const verdict = trial.state === 'running' ? judgeTrial(getTrialEvidence(trial)) : {kind: 'sound' as const};
+		if (verdict.kind === 'bad') {
+			halt(trial, `${verdict.reason} on route ${verdict.route}`);
+		}
+	};
+
+	const isLeader = (trial: Trial): boolean => rankMembers(trial.service, gateways.map(id => ({id})))[0]?.id === ownId;
+
+	const leader = createTrialLeader({
+		records, clock, logger, halt,
+	});
+
+	const tellStage = ({service, version, revision, state, share}: Trial): void => {
+		bus.publish({
+			type: 'peer-broadcast', message: {
+				type: 'trial-stage', service, version, revision, state, share,
+			},
+		});
+	};
+
+	const tellCounts = (trial: Trial): void => {
+		const {service, version, revision, own} = trial;
+		if (trial.state === 'running' && own.size > 0) {
+			bus.publish({
+				type: 'peer-broadcast', message: {
+					type: 'trial-counts', service, version, revision, routes: Object.fromEntries(own),
+				},
+			});
+		}
+	};
+
+	const isOpen = (trial: Trial): boolean => trial.state === 'running' || !records.isRecorded(trial, trial.state);
+
+	/** The leader must know the record before each step; the others read it when the leader is silent. */
+	const needsRecord = (trial: Trial, now: number): boolean => {
+		if (isLeader(trial)) {
+			return !records.isKnown();
+		}
+
+		const isNewsLate = !records.isKnown() || now >= trial.heardAt + leaderSilenceMilliseconds;
+		return isNewsLate && now >= readAt + leaderSilenceMilliseconds;
+	};
+
+	const getOpen = (): Trial[] => trials.getAll().filter(trial => isOpen(trial));
+
+	/** Never waits for the store, so that a bad version is found while the store gives no answer. */
+	const tell = async (): Promise<void> => {
+		for (const trial of getOpen()) {
+			tellCounts(trial);
+			judge(trial);
+			if (isLeader(trial)) {
+				tellStage(trial);
+			}
+		}
+	};
+
+	const keepRecords = async (): Promise<void> => {
+		const now = clock.monotonic();
+		const open = getOpen();
+		if (open.some(trial => needsRecord(trial, now))) {
+			readAt = now;
+			await leader.readRecords(trials);
+		}
+
+		// Without the record a restarted leader can't tell what was decided.
+		for (const trial of open.filter(openTrial => isLeader(openTrial) && records.isKnown())) {
+			await leader.advance(trial);
+			if (trial.state !== 'running') {
+				tellStage(trial);
+			}
+		}
+	};
+
+	const find = ({service, revision}: {readonly service: string; readonly revision: number}): Trial | undefined => {
+		const trial = trials.get(service);
+		return trial?.revision === revision ? trial : undefined;
+	};
+
+	const followStage = (message: TrialStageMessage, from: string): void => {
+		const trial = find(message);
+		if (!trial) {
+			return;
+		}
+
+		trial.heardAt = clock.monotonic();
+		if (message.state !== 'running') {
+			endVersionTrial(trial, message.state, `told by ${from}`, {clock, logger});
+		} else if (trial.state === 'running') {
+			trial.share = message.share;
+		}
+	};
+
+	const learnCounts = (message: TrialCountsMessage, from: string): void => {
+		const trial = find(message);
+		if (trial) {
+			trial.told.set(from, message.routes);
+			judge(trial);
+		}
+	};
+
+	const endings = [
+		bus.subscribe('traffic-orders-changed', ({orders}) => {
+			trials.setOrders(orders.versions.map(order => ({...order})), clock.monotonic());
+		}),
+		bus.subscribe('serving-gateways-changed', ({members}) => {
+			gateways = members.map(({id}) => id);
+		}),
+		bus.subscribe('peer-received', ({from, message}) => {
+			if (message.type === 'trial-stage') {
+				followStage(message, from);
+			}
+
+			if (message.type === 'trial-counts') {
+				learnCounts(message, from);
+			}
+
+			const halted = message.type === 'trial-halt' ? find(message) : undefined;
+			if (halted && message.type === 'trial-halt') {
+				endVersionTrial(halted, 'reverted', `told by ${from}: ${message.reason}`, {clock, logger});
+			}
+		}),
+	];
+	const works = [tell, keepRecords].map(run => startPeriodicWork(run, tickMilliseconds));
+	return {
+		async stop() {
+			await Promise.all(works.map(async work => work.stop()));
+			for (const stop of endings) {
+				stop();
+			}
+		},
+	};
+}
--- a/packages/node/src/version-trials.ts
+++ b/packages/node/src/version-trials.ts
@@ -14,6 +14,8 @@
 	readonly durationMilliseconds: number;
 	/** Monotonic time at which this gateway takes the move to have begun. */
 	startedAt: number;
+	/** Monotonic time at which the leader last told how the move stands. */
+	heardAt: number;
 	state: TrialState;
 	share: number;
 	/** This gateway's counts by route. */
@@ -91,7 +93,7 @@
 
 				getUnsettled(service).add(version);
 				trials.set(service, {
-					service, version, revision, durationMilliseconds, startedAt: now, state: 'running', share: trialShare, own: new Map(), told: new Map(), credits: new Map(),
+					service, version, revision, durationMilliseconds, startedAt: now, heardAt: now, state: 'running', share: trialShare, own: new Map(), told: new Map(), credits: new Map(),
 				});
 			}
 		},
