Send requests to the version that the last complete move left, also during the next move

Cause: a version stayed among those that get nothing outside their own trial after the move to it was complete. While the last move was known as complete that didn't matter.

Now the version of the last complete move is the settled one. The record of a move carries it on, since the record of the move before is gone then: for gateways that restarted or missed that end. Each gateway reads the record once for each move.

--- a/packages/node/src/version-board.ts
+++ b/packages/node/src/version-board.ts
@@ -9,6 +9,8 @@
 	readonly state: TrialState;
 	/** When the order was first seen; wall time in milliseconds. */
 	readonly startedAt: number;
+	/** The version of the last complete move before this one; absent if there was none. */
+	readonly settledVersion?: string | undefined;
 };
 
 export type StoredTrialRecord = TrialRecord & {
--- a/packages/node/src/version-trial-leader.ts
+++ b/packages/node/src/version-trial-leader.ts
@@ -7,12 +7,12 @@
 import {getTrialStage} from '@catkindale/policy';
 import {endVersionTrial} from './end-version-trial.js';
 import type {TrialRecord} from './version-board.js';
-import type {TrialRecords} from './version-trial-records.js';
+import {type TrialRecords, getSettledVersion} from './version-trial-records.js';
 import {type Trial, type VersionTrials, getTrialEvidence} from './version-trials.js';
 
 export type TrialLeader = {
 	/** Takes over what is recorded of the moves that are under way. */
-	readRecords: (trials: Pick<VersionTrials, 'get'>) => Promise<void>;
+	readRecords: (trials: Pick<VersionTrials, 'get' | 'settle'>) => Promise<void>;
 	/** Takes the move as far as its time and the evidence allow. */
 	advance: (trial: Trial) => Promise<void>;
 };
@@ -29,7 +29,12 @@
 	records, clock, logger, halt,
 }: TrialLeaderOptions): TrialLeader {
 	/** Takes over what is recorded of a move that this gateway knows less of. */
-	const adopt = (trial: Trial, record: TrialRecord): void => {
+	const adopt = (trials: Pick<VersionTrials, 'settle'>, trial: Trial, record: TrialRecord): void => {
+		const settledVersion = getSettledVersion(record, trial.revision);
+		if (settledVersion !== undefined) {
+			trials.settle(trial.service, settledVersion);
+		}
+
 		if (record.revision !== trial.revision) {
 			return;
 		}
@@ -82,7 +87,7 @@
 			for (const record of await records.read()) {
 				const trial = trials.get(record.service);
 				if (trial) {
-					adopt(trial, record);
+					adopt(trials, trial, record);
 				}
 			}
 		},
--- a/packages/node/src/version-trial-records.ts
+++ b/packages/node/src/version-trial-records.ts
@@ -15,6 +15,8 @@
 	read: () => Promise<readonly TrialRecord[]>;
 	/** Whether the record says this already. */
 	isRecorded: (trial: Trial, state: TrialState) => boolean;
+	/** Whether the record is of this move, and not of an earlier one of the service. */
+	isOfMove: (trial: Trial) => boolean;
 	/** Whether the state was recorded. */
 	write: (trial: Trial, state: TrialState) => Promise<boolean>;
 };
@@ -26,6 +28,11 @@
 	readonly logger: Logger;
 };
 
+/** The version that the service was moved to completely before a move, as far as a record tells. */
+export function getSettledVersion(record: TrialRecord, revision: number): string | undefined {
+	return record.revision < revision && record.state === 'complete' ? record.version : record.settledVersion;
+}
+
 export function createTrialRecords({board, clock, logger}: TrialRecordsOptions): TrialRecords {
 	let records: Map<string, StoredTrialRecord> | undefined;
 	return {
@@ -44,12 +51,19 @@
 			const record = records?.get(trial.service);
 			return record?.revision === trial.revision && record.state === state;
 		},
+		isOfMove: trial => records?.get(trial.service)?.revision === trial.revision,
 		async write(trial, state) {
 			const {service, version, revision} = trial;
+			const known = records?.get(service);
 			const record = {
-				service, version, revision, state, startedAt: clock.wall() - (clock.monotonic() - trial.startedAt),
+				service,
+				version,
+				revision,
+				state,
+				startedAt: clock.wall() - (clock.monotonic() - trial.startedAt),
+				settledVersion: known && getSettledVersion(known, revision),
 			};
-			const outcome = await board?.write(record, records?.get(service)?.rowVersion ?? 0);
+			const outcome = await board?.write(record, known?.rowVersion ?? 0);
 			logger.info('version_record_written', {
 				service, version, revision, state, outcome: outcome?.kind,
 			});
