Tell a gateway that connects how the moves to new versions have ended

Cause: a gateway that starts while the store is away has configuration, orders and targets from its peers, but not the record of a move. It took a move that was complete for one that had just begun, and sent all but the trial's share to the old version, which has no targets any more.

Now each gateway tells one that connects the end of the moves it knows, and the version of the last complete move goes with each stage. What comes before its order is kept until then.

Ruled out: answering its counts, which it only tells once a request has run; letting a gateway without the record use any version, which would send requests to one that was taken back.

Cost: a message of under 100 bytes for each ended move and new connection between gateways.

--- a/packages/node/src/version-trial-task.ts
+++ b/packages/node/src/version-trial-task.ts
@@ -52,12 +52,12 @@
 		records, clock, logger, halt,
 	});
 
-	const tellStage = ({service, version, revision, state, share}: Trial): void => {
-		bus.publish({
-			type: 'peer-broadcast', message: {
-				type: 'trial-stage', service, version, revision, state, share,
-			},
-		});
+	const createStage = ({service, version, revision, state, share}: Trial): TrialStageMessage => ({
+		type: 'trial-stage', service, version, revision, state, share, settledVersion: trials.getSettledVersion(service),
+	});
+
+	const tellStage = (trial: Trial): void => {
+		bus.publish({type: 'peer-broadcast', message: createStage(trial)});
 	};
 
 	const tellCounts = (trial: Trial): void => {
@@ -118,13 +118,25 @@
 		return trial?.revision === revision ? trial : undefined;
 	};
 
+	/** Stages of moves whose order hasn't come yet, as after a restart. */
+	const earlyStages = new Map<string, {readonly message: TrialStageMessage; readonly from: string}>();
+
 	const followStage = (message: TrialStageMessage, from: string): void => {
 		const trial = find(message);
 		if (!trial) {
+			const knownRevision = Math.max(trials.get(message.service)?.revision ?? -1, earlyStages.get(message.service)?.message.revision ?? -1);
+			if (message.revision > knownRevision) {
+				earlyStages.set(message.service, {message, from});
+			}
+
 			return;
 		}
 
 		trial.heardAt = clock.monotonic();
+		if (message.settledVersion !== undefined) {
+			trials.settle(trial.service, message.settledVersion);
+		}
+
 		if (message.state !== 'running') {
 			endVersionTrial(trial, message.state, `told by ${from}`, {clock, logger});
 		} else if (trial.state === 'running') {
@@ -143,6 +155,17 @@
 	const endings = [
 		bus.subscribe('traffic-orders-changed', ({orders}) => {
 			trials.setOrders(orders.versions.map(order => ({...order})), clock.monotonic());
+			const stages = [...earlyStages.values()];
+			earlyStages.clear();
+			for (const {message, from} of stages) {
+				followStage(message, from);
+			}
+		}),
+		bus.subscribe('peer-connected', ({id}) => {
+			// A gateway that starts while the store is away can't read how its moves have ended.
+			for (const trial of trials.getAll().filter(({state}) => state !== 'running')) {
+				bus.publish({type: 'peer-send', to: id, message: createStage(trial)});
+			}
 		}),
 		bus.subscribe('serving-gateways-changed', ({members}) => {
 			gateways = members.map(({id}) => id);
--- a/packages/node/src/version-trials.ts
+++ b/packages/node/src/version-trials.ts
@@ -41,6 +41,8 @@
 	getAll: () => readonly Trial[];
 	/** Learns that a service was moved to a version completely before the move that is known here. */
 	settle: (service: string, version: string) => void;
+	/** The version of the last complete move before the present one; undefined if none is known. */
+	getSettledVersion: (service: string) => string | undefined;
 	/** Where the next request of a route may go; `object` keeps an object with one version while shares rise. */
 	plan: (service: string, route: string, object: string | undefined) => VersionPlan;
 	/** Where a request may go that the new version didn't serve. */
@@ -126,6 +128,7 @@
 			return {isTrial: true, allows: version => version === trial.version};
 		},
 		settle,
+		getSettledVersion: service => settled.get(service),
 		planSettled,
 		record(service, route, version, kind) {
 			const trial = trials.get(service);
--- a/packages/node/tests/version-trial.test.ts
+++ b/packages/node/tests/version-trial.test.ts
@@ -192,10 +192,19 @@
 				}
 			}
 		});
+		bus.subscribe('peer-send', ({to, message}) => {
+			gateways.get(to)?.bus.publish({type: 'peer-received', from: id, message});
+		});
 		bus.publish({type: 'serving-gateways-changed', members: names.map(name => getMember(name))});
 		gateways.set(id, {
 			id, bus, trials, stop: async () => task.stop(),
 		});
+		for (const other of gateways.values()) {
+			if (other.id !== id) {
+				bus.publish({type: 'peer-connected', id: other.id});
+				other.bus.publish({type: 'peer-connected', id});
+			}
+		}
 	};
 
 	for (const id of names) {
@@ -207,14 +216,14 @@
 		/** In place of the one that had the name. */
 		start,
 		order(ordered: typeof order) {
-			for (const {trials} of gateways.values()) {
-				trials.setOrders([ordered], clock.monotonic());
+			for (const {bus} of gateways.values()) {
+				bus.publish({type: 'traffic-orders-changed', orders: {revision: ordered.revision, versions: [ordered], evacuatedZones: []}});
 			}
 		},
-		async pass(until: number, count: (gateway: Gateway, now: number) => void) {
+		async pass(until: number, count?: (gateway: Gateway, now: number) => void) {
 			while (clock.monotonic() < until) {
 				for (const gateway of gateways.values()) {
-					count(gateway, clock.monotonic());
+					count?.(gateway, clock.monotonic());
 				}
 
 				clock.advance(stepMilliseconds);
@@ -279,6 +288,27 @@
 		await fleet.stop();
 	});
 
+	const restarts: ReadonlyArray<{name: string; ordered: ReadonlyArray<typeof order>; allowed: string}> = [
+		{name: 'one complete move', ordered: [order], allowed: '2'},
+		{name: 'a complete move, during the next', ordered: [order, nextOrder], allowed: '2'},
+	];
+	it.each(restarts)('one that restarts while the store is down learns from the others where requests go: after $name', async ({ordered, allowed}) => {
+		const fleet = startGateways([{from: 14_000, until: 30_000, kind: 'down'}]);
+		for (const [index, next] of ordered.entries()) {
+			fleet.order(next);
+			await fleet.pass(12_500 + (index * 1500), countGood);
+		}
+
+		await fleet.pass(15_000, countGood);
+		await Promise.all([fleet.gateways.get(follower!)!.stop(), vi.advanceTimersByTimeAsync(tickMilliseconds)]);
+		fleet.start(follower!);
+		fleet.order(ordered.at(-1)!);
+		await fleet.pass(15_500);
+		const plan = fleet.gateways.get(follower!)!.trials.planSettled('pricing');
+		expect(['1', '2', '3'].filter(version => plan.allows(version))).toEqual([allowed]);
+		await fleet.stop();
+	});
+
 	const nextMoves: ReadonlyArray<{name: string; cut?: Cut; restarted?: string | undefined}> = [
 		{name: 'all learnt'},
 		{name: 'one missed', cut: {id: follower, from: 9000, until: 12_000}},
@@ -295,7 +325,7 @@
 		if (restarted !== undefined) {
 			await Promise.all([fleet.gateways.get(restarted)!.stop(), vi.advanceTimersByTimeAsync(tickMilliseconds)]);
 			fleet.start(restarted);
-			fleet.gateways.get(restarted)!.trials.setOrders([nextOrder], 13_000);
+			fleet.order(nextOrder);
 		}
 
 		await fleet.pass(15_000, countGood);
--- a/packages/protocol/src/version-trial-messages.ts
+++ b/packages/protocol/src/version-trial-messages.ts
@@ -8,12 +8,14 @@
 
 export const trialStates = ['running', 'complete', 'reverted'] as const;
 
-/** What the gateway that leads a move has decided. */
+/** How a move stands: from the gateway that leads it, and once it has ended from any that a gateway connects to. */
 export const trialStageMessageSchema = z.object({
 	type: z.literal('trial-stage'),
 	...orderSchema,
 	state: z.enum(trialStates),
 	share: z.number().min(0).max(1),
+	/** The version of the last complete move before this one; absent if there was none. */
+	settledVersion: z.string().optional(),
 });
 
 /** All that ended at a gateway's targets since the order, by route. */
