--- a/packages/cli/tests/links.test.ts
+++ b/packages/cli/tests/links.test.ts
@@ -44,11 +44,7 @@
 test('downloads over two nodes keep within the link in every window and come whole', async () => {
 	const bytes = 1_000_000;
 	const sampling = sampleUntilStopped();
-	const sizes = await Promise.all([0, 1, 2, 3, 4, 5].map(async index => {
-		const answer = await request(`${callers[index % 2]!.caller}/prices/ENGM?bytes=${bytes}`, {headers});
-		const body = await answer.body.bytes();
-		return body.length;
-	}));
+	const sizes = await Promise.all([0, 1, 2, 3, 4, 5].map(async index => download(callers[index % 2]!, bytes)));
 	const samples = await sampling.stop();
 	expect(sizes).toEqual(sizes.map(() => bytes));
 	expect(samples.at(-1)!.bytes - samples[0]!.bytes).toBe(bytes * sizes.length);
@@ -60,6 +56,20 @@
 	}
 });
 
+/** Fails with what the node says of the loss. */
+async function download(node: TestNode, bytes: number): Promise<number> {
+	const startedAt = performance.now();
+	try {
+		const answer = await request(`${node.caller}/prices/ENGM?bytes=${bytes}`, {headers});
+		const body = await answer.body.bytes();
+		return body.length;
+	} catch (error) {
+		const lines = node.output().split('\n').filter(line => line.includes('event=answer_lost'));
+		const seconds = ((performance.now() - startedAt) / 1000).toFixed(1);
+		throw new Error(`a download failed after ${seconds} s; ${node.name} says: ${lines.join('; ') || 'nothing'}`, {cause: error});
+	}
+}
+
 test('interactive requests are answered soon while bulk uploads use up the link, and the uploads end', async () => {
 	const upload = randomBytes(1_000_000);
 	const state = {running: 6};
