Read the records of moves outside the leader's part

Cause: every gateway takes over records, but the function for it stood with what only the first of them does, and took the moves as an argument for that. What was left of the leader's part is one function.

Ruled out: any change of what happens; no state moved, the tests keep their assertions.

--- /dev/null
+++ b/packages/node/src/adopt-trial-record.ts
@@ -0,0 +1,31 @@
+/** Takes over what is recorded of a service's moves where this gateway knows less. */
+import type {Clock, Logger} from '@catkindale/common';
+import {endVersionTrial} from './end-version-trial.js';
+import type {TrialRecord} from './version-board.js';
+import {getSettledVersion} from './version-trial-records.js';
+import type {VersionTrials} from './version-trials.js';
+
+export function adoptTrialRecord(trials: Pick<VersionTrials, 'get' | 'settle'>, record: TrialRecord, {clock, logger}: {readonly clock: Clock; readonly logger: Logger}): void {
+	const trial = trials.get(record.service);
+	if (!trial) {
+		return;
+	}
+
+	const settledVersion = getSettledVersion(record, trial.revision);
+	if (settledVersion !== undefined) {
+		trials.settle(trial.service, settledVersion);
+	}
+
+	if (record.revision !== trial.revision) {
+		return;
+	}
+
+	const elapsed = clock.wall() - record.startedAt;
+	if (elapsed > clock.monotonic() - trial.startedAt && elapsed < trial.durationMilliseconds) {
+		trial.startedAt = clock.monotonic() - elapsed;
+	}
+
+	if (record.state !== 'running') {
+		endVersionTrial(trial, record.state, 'recorded', {clock, logger});
+	}
+}
--- a/packages/node/src/version-trial-leader.ts
+++ b/packages/node/src/version-trial-leader.ts
@@ -6,18 +6,10 @@
 import type {Clock, Logger} from '@catkindale/common';
 import {getTrialStage} from '@catkindale/policy';
 import {endVersionTrial} from './end-version-trial.js';
-import type {TrialRecord} from './version-board.js';
-import {type TrialRecords, getSettledVersion} from './version-trial-records.js';
-import {type Trial, type VersionTrials, getTrialEvidence} from './version-trials.js';
+import type {TrialRecords} from './version-trial-records.js';
+import {type Trial, getTrialEvidence} from './version-trials.js';
 
-export type TrialLeader = {
-	/** Takes over what is recorded of the moves that are under way. */
-	readRecords: (trials: Pick<VersionTrials, 'get' | 'settle'>) => Promise<void>;
-	/** Takes the move as far as its time and the evidence allow. */
-	advance: (trial: Trial) => Promise<void>;
-};
-
-export type TrialLeaderOptions = {
+export type TrialLeaderParts = {
 	readonly records: TrialRecords;
 	readonly clock: Clock;
 	readonly logger: Logger;
@@ -25,88 +17,56 @@
 	readonly halt: (trial: Trial, reason: string) => void;
 };
 
-export function createTrialLeader({
-	records, clock, logger, halt,
-}: TrialLeaderOptions): TrialLeader {
-	/** Takes over what is recorded of a move that this gateway knows less of. */
-	const adopt = (trials: Pick<VersionTrials, 'settle'>, trial: Trial, record: TrialRecord): void => {
-		const settledVersion = getSettledVersion(record, trial.revision);
-		if (settledVersion !== undefined) {
-			trials.settle(trial.service, settledVersion);
-		}
-
-		if (record.revision !== trial.revision) {
-			return;
+/** Takes the move as far as its time and the evidence allow. */
+export async function advanceTrial(trial: Trial, parts: TrialLeaderParts): Promise<void> {
+	switch (trial.state) {
+		case 'running': {
+			await advanceRunning(trial, parts);
+			break;
 		}
 
-		const elapsed = clock.wall() - record.startedAt;
-		if (elapsed > clock.monotonic() - trial.startedAt && elapsed < trial.durationMilliseconds) {
-			trial.startedAt = clock.monotonic() - elapsed;
+		case 'reverted': {
+			await (parts.records.isRecorded(trial, 'reverted') || parts.records.write(trial, 'reverted'));
+			break;
 		}
 
-		if (record.state !== 'running') {
-			endVersionTrial(trial, record.state, 'recorded', {clock, logger});
+		case 'complete': {
+			break;
 		}
-	};
-
-	const advanceRunning = async (trial: Trial): Promise<void> => {
-		const elapsedPart = (clock.monotonic() - trial.startedAt) / trial.durationMilliseconds;
-		const trialRequests = getTrialEvidence(trial).reduce((sum, {trial: counts}) => sum + counts.requests, 0);
-		const stage = getTrialStage(elapsedPart, trialRequests);
-		switch (stage.kind) {
-			case 'move': {
-				if (stage.share !== trial.share) {
-					logger.info('version_share', {
-						service: trial.service, version: trial.version, share: stage.share, from: trial.share, elapsed: elapsedPart.toFixed(2), requests: trialRequests,
-					});
-					trial.share = stage.share;
-				}
-
-				await (records.isRecorded(trial, 'running') || records.write(trial, 'running'));
-				break;
-			}
-
-			case 'complete': {
-				trial.share = 1;
-				if (await records.write(trial, 'complete')) {
-					endVersionTrial(trial, 'complete', 'in time', {clock, logger});
-				}
+	}
+}
 
-				break;
+async function advanceRunning(trial: Trial, {
+	records, clock, logger, halt,
+}: TrialLeaderParts): Promise<void> {
+	const elapsedPart = (clock.monotonic() - trial.startedAt) / trial.durationMilliseconds;
+	const trialRequests = getTrialEvidence(trial).reduce((sum, {trial: counts}) => sum + counts.requests, 0);
+	const stage = getTrialStage(elapsedPart, trialRequests);
+	switch (stage.kind) {
+		case 'move': {
+			if (stage.share !== trial.share) {
+				logger.info('version_share', {
+					service: trial.service, version: trial.version, share: stage.share, from: trial.share, elapsed: elapsedPart.toFixed(2), requests: trialRequests,
+				});
+				trial.share = stage.share;
 			}
 
-			case 'abandon': {
-				halt(trial, 'not complete before the deadline');
-				break;
-			}
+			await (records.isRecorded(trial, 'running') || records.write(trial, 'running'));
+			break;
 		}
-	};
 
-	return {
-		async readRecords(trials) {
-			for (const record of await records.read()) {
-				const trial = trials.get(record.service);
-				if (trial) {
-					adopt(trials, trial, record);
-				}
+		case 'complete': {
+			trial.share = 1;
+			if (await records.write(trial, 'complete')) {
+				endVersionTrial(trial, 'complete', 'in time', {clock, logger});
 			}
-		},
-		async advance(trial) {
-			switch (trial.state) {
-				case 'running': {
-					await advanceRunning(trial);
-					break;
-				}
 
-				case 'reverted': {
-					await (records.isRecorded(trial, 'reverted') || records.write(trial, 'reverted'));
-					break;
-				}
+			break;
+		}
 
-				case 'complete': {
-					break;
-				}
-			}
-		},
-	};
+		case 'abandon': {
+			halt(trial, 'not complete before the deadline');
+			break;
+		}
+	}
 }
--- a/packages/node/src/version-trial-task.ts
+++ b/packages/node/src/version-trial-task.ts
@@ -9,10 +9,11 @@
 import type {Task} from '@catkindale/kernel';
 import {judgeTrial} from '@catkindale/policy';
 import type {TrialCountsMessage, TrialStageMessage} from '@catkindale/protocol';
+import {adoptTrialRecord} from './adopt-trial-record.js';
 import {endVersionTrial} from './end-version-trial.js';
 import type {NodeContext} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import {createTrialLeader} from './version-trial-leader.js';
+import {advanceTrial} from './version-trial-leader.js';
 import {createTrialRecords} from './version-trial-records.js';
 import {type Trial, getTrialEvidence} from './version-trials.js';
 
@@ -48,10 +49,6 @@
 
 	const isLeader = (trial: Trial): boolean => rankMembers(trial.service, gateways.map(id => ({id})))[0]?.id === ownId;
 
-	const leader = createTrialLeader({
-		records, clock, logger, halt,
-	});
-
 	const createStage = ({service, version, revision, state, share}: Trial): TrialStageMessage => ({
 		type: 'trial-stage', service, version, revision, state, share, settledVersion: trials.getSettledVersion(service),
 	});
@@ -101,12 +98,16 @@
 		const open = getOpen();
 		if (open.some(trial => needsRecord(trial, now))) {
 			readAt = now;
-			await leader.readRecords(trials);
+			for (const record of await records.read()) {
+				adoptTrialRecord(trials, record, {clock, logger});
+			}
 		}
 
 		// Without the record a restarted leader can't tell what was decided.
 		for (const trial of open.filter(openTrial => isLeader(openTrial) && records.isKnown())) {
-			await leader.advance(trial);
+			await advanceTrial(trial, {
+				records, clock, logger, halt,
+			});
 			if (trial.state !== 'running') {
 				tellStage(trial);
 			}
--- a/packages/node/tests/version-trial.test.ts
+++ b/packages/node/tests/version-trial.test.ts
@@ -6,10 +6,11 @@
 import {type MessageBus, createMessageBus} from '@catkindale/kernel';
 import type {Member} from '@catkindale/policy';
 import type {TrialState} from '@catkindale/protocol';
+import {adoptTrialRecord} from '../src/adopt-trial-record.js';
 import {endVersionTrial} from '../src/end-version-trial.js';
 import type {NodeMessage} from '../src/node-messages.js';
 import type {StoredTrialRecord, VersionBoard} from '../src/version-board.js';
-import {createTrialLeader} from '../src/version-trial-leader.js';
+import {advanceTrial} from '../src/version-trial-leader.js';
 import {createTrialRecords} from '../src/version-trial-records.js';
 import {startVersionTrials} from '../src/version-trial-task.js';
 import {type Trial, type VersionTrials, createVersionTrials} from '../src/version-trials.js';
@@ -130,20 +131,21 @@
 			endVersionTrial(halted, 'reverted', 'halted', {clock, logger});
 		};
 
-		const leader = createTrialLeader({
-			records, clock, logger, halt,
-		});
 		for (let now = 0; now < 2 * durationMilliseconds; now += tickMilliseconds) {
 			if (now === haltedAt) {
 				halt(trial);
 			}
 
 			if (!records.isKnown()) {
-				await leader.readRecords(trials);
+				for (const record of await records.read()) {
+					adoptTrialRecord(trials, record, {clock, logger});
+				}
 			}
 
 			if (records.isKnown()) {
-				await leader.advance(trial);
+				await advanceTrial(trial, {
+					records, clock, logger, halt,
+				});
 			}
 
 			clock.advance(tickMilliseconds);
