Let transfers that wait for a link's part keep nothing of it meanwhile

A transfer that lacked a few bytes of its next read kept what it had reserved while it waited for the rest. With several of them on one node the kept parts could use up the burst, so that none could go on until a deadline passed. It now gives back what it holds and waits for the whole.

Found with it: a part that is freed while the HTTP client reads another connection resumed a paused one in the midst of that read, which undici asserts against. Resuming waits for the end of the turn now.

--- a/packages/node/src/link-meter.ts
+++ b/packages/node/src/link-meter.ts
@@ -114,9 +114,8 @@
 	for await (const chunk of chunks) {
 		for (let start = 0; start < chunk.length; start += largestPartBytes) {
 			const part = chunk.subarray(start, start + largestPartBytes);
-			const missing = part.length - transfer.getReserved();
-			const isReserved = missing <= 0 || await new Promise<boolean>(resolve => {
-				transfer.reserve(missing, resolve);
+			const isReserved = transfer.getReserved() >= part.length || await new Promise<boolean>(resolve => {
+				reserveAnew(transfer, part.length, resolve);
 			});
 			if (!isReserved) {
 				return;
@@ -135,6 +134,15 @@
 	return hasLength ? list : [...list, 'content-length', String(length)];
 }
 
+/**
+ * Gives back what is reserved before the whole is waited for: transfers that
+ * each kept a part could use up the burst, with none of them able to go on.
+ */
+function reserveAnew(transfer: LinkTransfer, bytes: number, onEnd: (isReserved: boolean) => void): void {
+	transfer.release(transfer.getReserved());
+	transfer.reserve(bytes, onEnd);
+}
+
 type MeteredParts = {
 	readonly request: LinkTransfer;
 	readonly answer: LinkTransfer;
@@ -159,10 +167,10 @@
 
 	/** Reserves what the next read may bring; until then nothing is read on. */
 	const reserveNext = (controller: SharedController): void => {
-		const missing = Math.min(linkReadBytes, remaining) - answer.getReserved();
-		if (missing > 0) {
+		const needed = Math.min(linkReadBytes, remaining);
+		if (answer.getReserved() < needed) {
 			controller.hold();
-			answer.reserve(missing, isReserved => {
+			reserveAnew(answer, needed, isReserved => {
 				if (isReserved) {
 					controller.letGo();
 				}
@@ -234,10 +242,13 @@
 function createSharedController(controller: Dispatcher.DispatchController): SharedController {
 	let isPaused = false;
 	let isHeld = false;
+	// The client can't go on with a connection in the middle of reading another, whose part may be what freed this one's.
 	const goOn = (): void => {
-		if (!isPaused && !isHeld) {
-			controller.resume();
-		}
+		queueMicrotask(() => {
+			if (!isPaused && !isHeld) {
+				controller.resume();
+			}
+		});
 	};
 
 	return {
--- a/packages/node/tests/link-meter.test.ts
+++ b/packages/node/tests/link-meter.test.ts
@@ -24,6 +24,7 @@
 const leaseMilliseconds = 60_000;
 const toleranceMilliseconds = 100;
 const laterMilliseconds = 800;
+const stopMilliseconds = 20;
 const holder: Holder = {
 	id: 'oslo-1', incarnation: 'oslo-1/1', region: 'oslo', zone: 'oslo-a',
 };
@@ -58,6 +59,18 @@
 	links.end();
 });
 
+test('downloads that wait for the link together come whole on a node that stands still at times', async () => {
+	const links = createLinks([getLink('bergen', 'oslo', 12_000_000)]);
+	// After a stop there is room for several reads at once; the first of them is read at once.
+	const stops = setInterval(() => {
+		standStill(stopMilliseconds);
+	}, 2 * stopMilliseconds);
+	const answers = await Promise.all(Array.from({length: 4}, async () => send(links, {path: '/download'})));
+	clearInterval(stops);
+	expect(answers.map(answer => answer.equals(download))).toEqual([true, true, true, true]);
+	links.end();
+});
+
 const upload = randomBytes(2_000_000);
 
 test.each([
@@ -153,6 +166,13 @@
 	links.end();
 });
 
+function standStill(milliseconds: number): void {
+	const endsAt = performance.now() + milliseconds;
+	while (performance.now() < endsAt) {
+		// Nothing else runs.
+	}
+}
+
 async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const hash = createHash('sha256');
 	for await (const chunk of request) {
