Load neither HTTP/2 nor rules of languages at a node's start, and compile no schemas

Ruled out: the number of messages between peers; reading them was slow since their schemas were cold.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -24,6 +24,8 @@
 		export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 		export {default as buildConnector} from 'undici/lib/core/connect.js';
 	`,
+	/** Targets speak HTTP/1.1 alone; loading HTTP/2 takes as long as all the rest of the client. */
+	'./client-h2.js': 'export default undefined;',
 	'prom-client': `
 		export {default as Registry} from 'prom-client/lib/registry.js';
 		export {default as Counter} from 'prom-client/lib/counter.js';
@@ -37,7 +39,7 @@
 	name: 'used-parts',
 	setup({onResolve, onLoad}) {
 		// eslint-disable-next-line require-unicode-regexp
-		onResolve({filter: /^(?:undici|prom-client)$/}, ({path: library}) => ({path: library, namespace: 'used-parts'}));
+		onResolve({filter: /^(?:undici|prom-client|\.\/client-h2\.js)$/}, ({path: library}) => ({path: library, namespace: 'used-parts'}));
 		// eslint-disable-next-line require-unicode-regexp
 		onLoad({filter: /.*/, namespace: 'used-parts'}, ({path: library}) => ({contents: usedParts[library], resolveDir: process.cwd()}));
 	},
@@ -48,6 +50,7 @@
 copyFileSync('deploy/launch.cjs', path.join(folder, 'catkindale.cjs'));
 await build({
 	entryPoints: ['platform/src/main.ts'],
+	inject: ['deploy/parse-without-compiling.mjs'],
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -69,7 +69,9 @@
 				serving.push(getOwnMember(context));
 			}
 
-			const key = serving.map(({id, incarnation}) => `${id} ${incarnation}`).toSorted((left, right) => left.localeCompare(right)).join(',');
+			// By code units: a comparison by language loads its rules first, while callers wait for a gateway that starts.
+
+			const key = serving.map(({id, incarnation}) => `${id} ${incarnation}`).toSorted().join(',');
 			if (key !== servingKey) {
 				servingKey = key;
 				logger.info('serving_gateways', {gateways: serving.map(({id}) => id).join(',')});
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -37,8 +37,8 @@
 		},
 	},
 	{
-		// The workspace root brings what all tests share.
-		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
+		// The workspace root brings what all tests share, and the workspaces what the bundle holds.
+		files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts', 'deploy/*.mjs'],
 		rules: {
 			'import-x/no-extraneous-dependencies': 'off',
 			'n/no-extraneous-import': 'off',
