--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -1,7 +1,7 @@
 /** Decides whether a request may run at a gateway: its route, its key, its customer's quota. */
 import type {IncomingMessage} from 'node:http';
 import {
-	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority,
+	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, isShedLate,
 } from '@catkindale/policy';
 import type {GatewayParts} from './gateway-parts.js';
 import type {Problem} from './problem.js';
@@ -13,8 +13,6 @@
 		readonly route: TrafficRoute;
 		readonly service: TrafficService;
 		readonly customer: TrafficCustomer | undefined;
-		/** 0 is the most urgent. */
-		readonly priority: number;
 		/** The time in which the request must end. */
 		readonly limitMilliseconds: number;
 	}
@@ -26,16 +24,7 @@
 /** Look-ups name other gateways by then. */
 const lateRetryMilliseconds = 700;
 
-/** Of a request that waits too long for the processor. */
-export const lateProblem: Problem = {
-	status: 503,
-	outcome: 'not-run',
-	reason: 'gateway-late',
-	detail: 'this VM has more requests than its processor can serve',
-	retryAfterMilliseconds: lateRetryMilliseconds,
-};
-
-export function checkGatewayRequest({context: {profile}, quotas, intake}: GatewayParts, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
+export function checkGatewayRequest({context: {profile, loopLoad}, quotas}: GatewayParts, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
 	const host = (request.headers.host ?? '').replace(portSuffix, '').toLowerCase();
 	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 	const route = router.findRoute(host, path);
@@ -80,17 +69,22 @@
 	}
 
 	// Whoever is beyond its quota has been refused before, so that no customer crowds out the others here.
-	const priority = getPriority(route, customer);
-	if (intake.isTooLate({priority, limitMilliseconds})) {
+	if (isShedLate(loopLoad.getLateMilliseconds(), getPriority(route, customer))) {
 		if (customer) {
 			quotas.giveBack(customer);
 		}
 
-		return refuse(lateProblem, route, customer);
+		return refuse({
+			status: 503,
+			outcome: 'not-run',
+			reason: 'gateway-late',
+			detail: 'this VM has more requests than its processor can serve',
+			retryAfterMilliseconds: lateRetryMilliseconds,
+		}, route, customer);
 	}
 
 	return {
-		kind: 'admitted', route, service, customer, priority, limitMilliseconds,
+		kind: 'admitted', route, service, customer, limitMilliseconds,
 	};
 }
 
--- a/packages/node/src/gateway-parts.ts
+++ b/packages/node/src/gateway-parts.ts
@@ -4,7 +4,6 @@
 import type {GatewayQuotas} from './gateway-quotas.js';
 import type {GatewayTargets} from './gateway-targets.js';
 import type {NodeContext} from './node-context.js';
-import type {RequestIntake} from './request-intake.js';
 
 export type GatewayParts = {
 	readonly context: NodeContext;
@@ -12,5 +11,4 @@
 	readonly chooser: GatewayChooser;
 	readonly quotas: GatewayQuotas;
 	readonly budgets: GatewayBudgets;
-	readonly intake: RequestIntake;
 };
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -13,7 +13,7 @@
 import {gatewayRole} from './constants.js';
 import {type ExchangeResult, tellResult} from './exchange-result.js';
 import {createGatewayBudgets} from './gateway-budgets.js';
-import {checkGatewayRequest, lateProblem} from './gateway-check.js';
+import {checkGatewayRequest} from './gateway-check.js';
 import {createGatewayChooser} from './gateway-chooser.js';
 import {
 	type ExchangeEnd, type GatewayExchange, runGatewayExchange,
@@ -24,13 +24,16 @@
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
 import {getBodyProblem, sendProblem} from './problem.js';
-import {type IntakeEnd, createRequestIntake} from './request-intake.js';
 import {type TrafficRouter, createTrafficRouter} from './traffic-router.js';
 
 const startOrder = 40;
 const latencyBucketsSeconds = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 2, 5];
 /** Below the time in which an object is usually asked for again. */
 const placementsPauseMilliseconds = 200;
+/** A request that has waited so long to be read may have been given up by its caller. */
+const lateMilliseconds = 100;
+/** The first immediate runs in the turn that read the request, the second after the next has read its connection again. */
+const turnsToReadEnds = 2;
 /** Bodies up to this size are kept, so that a request that a target refused can go to another. */
 const bufferedBodyBytes = 524_288;
 
@@ -68,7 +71,6 @@
 				clock, ownId, namedGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance,
 			}),
 			budgets: createGatewayBudgets(clock, {ratio: repeatRatio, reserve: repeatReserve, windowMilliseconds: repeatWindowMilliseconds}),
-			intake: createRequestIntake(clock, context.loopLoad),
 			router: undefined,
 			latency: new Histogram({
 				name: 'catkindale_gateway_request_seconds',
@@ -180,8 +182,11 @@
 		callerGone: caller.signal,
 	};
 	try {
-		const intakeEnd = await state.intake.enter(check, caller.signal);
-		const end = intakeEnd === 'begins' ? await run(state, exchange, router) : getUnbegunEnd(intakeEnd);
+		if (context.loopLoad.getLateMilliseconds() > lateMilliseconds) {
+			await letLoopTurn();
+		}
+
+		const end = await run(state, exchange, router);
 		if (customer && getOutcome(end.records) === 'not-run') {
 			state.quotas.giveBack(customer);
 		}
@@ -194,8 +199,13 @@
 	}
 }
 
-function getUnbegunEnd(end: Exclude<IntakeEnd, 'begins'>): ExchangeEnd {
-	return {result: {kind: 'problem', problem: end === 'too-late' ? lateProblem : getBodyProblem('caller-gone', 'not-run')}, records: []};
+/** Reads what has arrived, the ends of callers among it. */
+async function letLoopTurn(): Promise<void> {
+	for (let turn = 0; turn < turnsToReadEnds; turn++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
 }
 
 async function run(state: GatewayState, exchange: GatewayExchange, router: TrafficRouter): Promise<ExchangeEnd> {
--- a/packages/node/src/loop-load.ts
+++ b/packages/node/src/loop-load.ts
@@ -8,9 +8,7 @@
 	takeUse: () => number;
 	/** About how long what is read now has waited to be read. */
 	getLateMilliseconds: () => number;
-	/** How long a connection that is accepted now may have waited for that. */
-	getAcceptMilliseconds: () => number;
-	/** Watches the queue of connections that wait to be accepted by the server. */
+	/** Counts what waits to be accepted by the server as late too. */
 	watchAccepts: (server: Server) => void;
 	stop: () => void;
 };
@@ -44,8 +42,8 @@
 			// What came while the loop stood still is read over the next turns; a longer turn now makes it later.
 			latest.milliseconds,
 			performance.now() - checkedAt - checkMilliseconds,
+			...acceptQueues.map(queue => queue.getStandingMilliseconds()),
 		),
-		getAcceptMilliseconds: () => Math.max(0, ...acceptQueues.map(queue => queue.getStandingMilliseconds())),
 		watchAccepts(server) {
 			acceptQueues.push(watchAcceptQueue(server));
 		},
