Tell peers the rows of shifts, so that a directory cut off from the table keeps up

A directory that alone can't reach the table stands still while the others move, and callers that ask now it, now another one, go to and fro by what it lags behind. Whoever writes a row (each 5 s while a shift moves) now tells its peers; the later row counts.

Ruled out: letting such a directory leave the look-ups, since it can't tell an outage that all see from a cut of its own; a slower pace for all.

Cost: one message of about 200 bytes a node, shift and 5 s.

--- a/packages/cli/src/verification-shifts.ts
+++ b/packages/cli/src/verification-shifts.ts
@@ -2,8 +2,8 @@
  * Randomised run of a shift between regions: directories with skewed clocks
  * that learn of rows late, an outage of the table, changed wishes, and callers
  * that keep their look-ups, and one directory that can't reach the table while
- * others can, with callers that ask it alone. No window sees more than the cap
- * move.
+ * others can, and hears of the rows from them, with callers that ask it alone,
+ * or any directory. No window sees more than the cap move.
  */
 import {assertInvariant, createRandom, millisecondsPerSecond} from '@catkindale/common';
 import {
@@ -21,7 +21,12 @@
 /** Callers at the very edge whom two directories place differently. */
 const tolerance = 3 / callerCount;
 
+/** Of the rows that the nodes tell each other. */
+const lostShare = 0.1;
+
 type Directory = {readonly offset: number; readonly lag: number; row: ShiftRow | undefined; shown: ShownShare | undefined};
+/** A row on its way to the directory that is cut off from the table. */
+type ToldRow = {readonly row: ShiftRow; readonly arrivesAt: number};
 type Caller = {readonly place: number; isMoved: boolean; asksAt: number};
 
 /** The directory that is cut off. */
@@ -30,18 +35,28 @@
 /** Which callers ask the directory that is cut off: there is none, callers that ask no other, or any now and then. */
 type CutDirectoryCallers = 'none' | 'faithful' | 'any';
 
+type ShiftRun = {
+	readonly cutDirectoryCallers: CutDirectoryCallers;
+	/** Whether whoever writes a row tells the other nodes. */
+	readonly isTold?: boolean;
+};
+
 registerVerification({
 	name: 'shifts',
 	describe: 'a shift between regions under table outages, changed wishes, skewed clocks and cached look-ups',
 	run(seed) {
-		runShift(seed, 'none');
-		runShift(seed, 'faithful');
+		runShift(seed, {cutDirectoryCallers: 'none'});
+		runShift(seed, {cutDirectoryCallers: 'faithful'});
+		runShift(seed, {cutDirectoryCallers: 'any'});
 	},
 });
 
 /** Throws if a window sees more than the cap move. */
-export function runShift(seed: number, cutDirectoryCallers: CutDirectoryCallers): void {
+export function runShift(seed: number, {cutDirectoryCallers, isTold = true}: ShiftRun): void {
 	const random = createRandom(seed);
+	/** Of its own, so that a seed's faults are the same whether rows are told or not. */
+	const messages = createRandom(seed);
+	let toldRows: ToldRow[] = [];
 	const windowSeconds = random.integer(10, 120);
 	let shift: Shift | undefined = {
 		name: 'west', service: 'pricing', from: 'oslo', to: 'bergen', share: random.integer(2, 10) / 10, cap: random.integer(1, 4) / 10, windowSeconds,
@@ -77,9 +92,15 @@
 
 		for (const [index, directory] of directories.entries()) {
 			const isCut = index === cutDirectory && now >= cutFrom && now < cutUntil;
+			const known = row;
 			row = isTableDown || isCut ? row : readRow(directory, row, now);
+			if (isTold && row !== known && messages.fraction() >= lostShare) {
+				toldRows.push({row, arrivesAt: now + messages.integer(0, longestReadLag)});
+			}
 		}
 
+		toldRows = deliverRows(directories[cutDirectory]!, toldRows, now);
+
 		for (const caller of callers) {
 			const isFaithful = cutDirectoryCallers === 'faithful' && (caller.place * callerCount) % 2 < 2 * faithfulPart;
 			const other = random.integer(cutDirectoryCallers === 'faithful' ? cutDirectory + 1 : 0, nodeCount - 1);
@@ -105,6 +126,17 @@
 	return directory.row;
 }
 
+/** Gives the directory what has arrived, of which the latest row counts; the rest is still on its way. */
+function deliverRows(directory: Directory, toldRows: readonly ToldRow[], now: number): ToldRow[] {
+	for (const {row, arrivesAt} of toldRows) {
+		if (arrivesAt <= now && (!directory.row || row.movedAt > directory.row.movedAt)) {
+			directory.row = row;
+		}
+	}
+
+	return toldRows.filter(({arrivesAt}) => arrivesAt > now);
+}
+
 function askDirectory(caller: Caller, directory: Directory, now: number): void {
 	if (now < caller.asksAt || !directory.row) {
 		return;
--- a/packages/node/src/shift-plugin.ts
+++ b/packages/node/src/shift-plugin.ts
@@ -1,7 +1,9 @@
 /**
  * Keeps the rows of the shifts between regions: when each began to move and
  * from which share. Any node may write them by compare-and-set; the share of a
- * moment follows from the row alone, so that all directories agree.
+ * moment follows from the row alone, so that all directories agree. Whoever
+ * writes a row tells its peers, so that a directory that is cut off from the
+ * table moves with the others.
  */
 import {Gauge} from 'prom-client';
 import * as z from 'zod';
@@ -18,38 +20,58 @@
 
 type ReadShift = {readonly shift: ShiftRow; readonly rowVersion: number};
 
+export type ShiftContext = Pick<NodeContext, 'bus' | 'clock' | 'logger' | 'metrics'> & {
+	readonly settings: {readonly timing: Pick<NodeContext['settings']['timing'], 'tablePollMilliseconds'>};
+	readonly platform: Pick<NodeContext['platform'], 'table'>;
+};
+
 type ShiftTask = {
-	readonly context: NodeContext;
+	readonly context: ShiftContext;
 	readonly share: Gauge<'shift'>;
 	wanted: ReadonlyMap<string, Shift>;
 	configurationVersion: number;
 	/** Whether a shift is declared or has a row, whose state each directory must know. */
 	hasShifts: boolean;
+	/** The latest rows, read or told. */
+	rows: Map<string, ReadShift>;
 };
 
 nodePlugins.register({
 	name: 'shifts',
 	roles: ['control', 'directory'],
 	order: startOrder,
-	async start(context) {
-		const task: ShiftTask = {
-			context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, hasShifts: true,
-		};
-		const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
-		const end = context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
+	start: async context => startShifts(context),
+});
+
+/** Keeps the rows until it is stopped. */
+export function startShifts(context: ShiftContext): {stop: () => Promise<void>} {
+	const task: ShiftTask = {
+		context, share: createShareGauge(context), wanted: new Map(), configurationVersion: 0, hasShifts: true, rows: new Map(),
+	};
+	const work = startPeriodicWork(async () => pollShifts(task), context.settings.timing.tablePollMilliseconds);
+	const endings = [
+		context.bus.subscribe('configuration-changed', ({configuration, version}: VersionedConfiguration) => {
 			task.wanted = new Map(configuration.shifts.map(shift => [shift.name, shift]));
 			task.configurationVersion = version;
 			task.hasShifts = true;
 			work.runSoon();
-		});
-		return {
-			async stop() {
+		}),
+		context.bus.subscribe('peer-received', ({from, message}) => {
+			if (message.type === 'shift-row') {
+				hearRow(task, from, {shift: message.row, rowVersion: message.rowVersion});
+			}
+		}),
+	];
+	return {
+		async stop() {
+			for (const end of endings) {
 				end();
-				await work.stop();
-			},
-		};
-	},
-});
+			}
+
+			await work.stop();
+		},
+	};
+}
 
 async function pollShifts(task: ShiftTask): Promise<void> {
 	const {context} = task;
@@ -69,16 +91,32 @@
 	}
 
 	task.hasShifts = rows.size > 0 || task.wanted.size > 0;
+	task.rows = rows;
+	publishShifts(task);
+}
+
+function publishShifts({context, share, rows}: ShiftTask): void {
 	const shifts = [...rows.values()].map(({shift}) => shift);
 	for (const row of shifts) {
-		task.share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
+		share.set({shift: row.name}, getShiftedShare(row, context.clock.wall()));
 	}
 
 	context.bus.publish({type: 'shifts-changed', shifts});
 }
 
+function hearRow(task: ShiftTask, from: string, heard: ReadShift): void {
+	const {name} = heard.shift;
+	if (heard.rowVersion <= (task.rows.get(name)?.rowVersion ?? 0)) {
+		return;
+	}
+
+	task.rows.set(name, heard);
+	task.context.logger.info('shift_heard', {shift: name, source: from, row_version: heard.rowVersion});
+	publishShifts(task);
+}
+
 /** The rows by the names of their shifts; a row that something else wrote is left out, and nothing is written over it. */
-function getReadableRows(context: NodeContext, rows: readonly Row[]): Map<string, ReadShift> {
+function getReadableRows(context: ShiftContext, rows: readonly Row[]): Map<string, ReadShift> {
 	const readable = new Map<string, ReadShift>();
 	for (const {key, version, value} of rows) {
 		const parsed = shiftRowSchema.safeParse(value);
@@ -104,6 +142,10 @@
 
 	const outcome = await context.platform.table.transact(createIdentifier(), [{key: `${rowKeys.shiftPrefix}${name}`, expectedVersion: row?.rowVersion ?? 0, value}]);
 	context.logger.info('shift_write', {shift: name, share: value.wantedShare, outcome: outcome.kind});
+	const rowVersion = outcome.kind === 'done' ? outcome.value[0]?.version : undefined;
+	if (rowVersion !== undefined) {
+		context.bus.publish({type: 'peer-broadcast', message: {type: 'shift-row', row: value, rowVersion}});
+	}
 }
 
 function getWantedRow(known: ShiftRow | undefined, shift: Shift | undefined, configurationVersion: number, now: number): ShiftRow | undefined {
@@ -114,7 +156,7 @@
 	return configurationVersion > known.configurationVersion ? changeShift(known, shift, configurationVersion, now) : undefined;
 }
 
-function createShareGauge(context: NodeContext): Gauge<'shift'> {
+function createShareGauge(context: ShiftContext): Gauge<'shift'> {
 	return new Gauge({
 		name: 'catkindale_shift_share', help: 'Share of a region\'s callers that look-ups send to the other region', labelNames: ['shift'], registers: [context.metrics],
 	});
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -11,6 +11,7 @@
 import {heartbeatMessageSchema, helloMessageSchema, proofMessageSchema} from './link-messages.js';
 import {rolloutReportMessageSchema} from './rollout-messages.js';
 import {quotaMessageSchemas} from './quota-messages.js';
+import {shiftRowMessageSchema} from './shift-messages.js';
 import {ticketMessageSchemas} from './ticket-messages.js';
 import {trialMessageSchemas} from './version-trial-messages.js';
 
@@ -20,6 +21,7 @@
 	heartbeatMessageSchema,
 	configurationMessageSchema,
 	rolloutReportMessageSchema,
+	shiftRowMessageSchema,
 	restrictionsMessageSchema,
 	knownMembersMessageSchema,
 	targetLeavingMessageSchema,
