Let another gateway lead a move while the leader can't reach the store

The leader was cut off from the store at 16.5 s, in the midst of the last steps; its word 'complete' failed at 17.9 s, and it asked for the record four times a second until the deadline, while ten others reached the store.

A gateway whose call fails, or has no answer after 0.5 s, now tells the others that it leads nothing ('trial-yield'), and the next in rank goes on; where none reaches the store, the first goes on trying as before. Two may lead for a moment: records are written under a condition, and a completion is final.

Ruled out: too late a plan (the word was due 2.8 s before the deadline); the evidence (312 requests, no failure).

--- a/packages/node/src/version-trial-records.ts
+++ b/packages/node/src/version-trial-records.ts
@@ -11,6 +11,8 @@
 export type TrialRecords = {
 	/** Whether the records are known: they were read, and every write since is settled. */
 	isKnown: () => boolean;
+	/** Whether the store gives no answer to the latest call, or none that tells anything. */
+	isOutOfReach: () => boolean;
 	/** Reads all records; none when they can't be read now. */
 	read: () => Promise<readonly TrialRecord[]>;
 	/** Whether the record says this already. */
@@ -33,12 +35,26 @@
 	return record.revision < revision && record.state === 'complete' ? record.version : record.settledVersion;
 }
 
+/** A store that answers takes some milliseconds, a slow one a few hundred; what is later comes too late for the last step of a move. */
+const answerMilliseconds = 500;
+
 export function createTrialRecords({board, clock, logger}: TrialRecordsOptions): TrialRecords {
 	let records: Map<string, StoredTrialRecord> | undefined;
+	let hasFailed = false;
+	let askedAt: number | undefined;
+	const call = async <Outcome extends {readonly kind: string}>(asked: Promise<Outcome> | undefined): Promise<Outcome | undefined> => {
+		askedAt = clock.monotonic();
+		const outcome = await asked;
+		askedAt = undefined;
+		hasFailed = outcome?.kind === 'not-done' || outcome?.kind === 'unknown';
+		return outcome;
+	};
+
 	return {
 		isKnown: () => records !== undefined,
+		isOutOfReach: () => hasFailed || (askedAt !== undefined && clock.monotonic() - askedAt > answerMilliseconds),
 		async read() {
-			const outcome = await board?.read();
+			const outcome = await call(board?.read());
 			if (outcome?.kind !== 'done') {
 				logger.warn('version_record_unread', {reason: outcome && 'reason' in outcome ? outcome.reason : outcome?.kind});
 				return [];
@@ -63,7 +79,7 @@
 				startedAt: clock.wall() - (clock.monotonic() - trial.startedAt),
 				settledVersion: known && getSettledVersion(known, revision),
 			};
-			const outcome = await board?.write(record, known?.rowVersion ?? 0);
+			const outcome = await call(board?.write(record, known?.rowVersion ?? 0));
 			logger.info('version_record_written', {
 				service, version, revision, state, outcome: outcome?.kind,
 			});
--- a/packages/node/src/version-trial-task.ts
+++ b/packages/node/src/version-trial-task.ts
@@ -3,7 +3,7 @@
  * to the new version and tells the others what became of them; any of them
  * halts a bad version for all at once. The gateway that ranks first for the
  * service sets the shares and records the move; another takes over when that
- * one no longer serves.
+ * one no longer serves or can't reach the store.
  */
 import {rankMembers} from '@catkindale/common';
 import type {Task} from '@catkindale/kernel';
@@ -21,6 +21,8 @@
 const tickMilliseconds = 250;
 /** Four messages of the leader: after that a gateway reads the record itself, and no more often. */
 const leaderSilenceMilliseconds = 1000;
+/** A gateway that yields says so in each tick; it may lead again when it has been silent for some. */
+const yieldMilliseconds = 1000;
 
 /** @param ownId the name of this gateway among those that serve */
 export function startVersionTrials(ownId: string, {
@@ -28,6 +30,7 @@
 }: Pick<NodeContext, 'bus' | 'clock' | 'logger' | 'trials' | 'versionBoard'>): Task {
 	let gateways: readonly string[] = [ownId];
 	let readAt = Number.NEGATIVE_INFINITY;
+	let isYielding = false;
 	const records = createTrialRecords({board: versionBoard, clock, logger});
 
 	const halt = (trial: Trial, reason: string): void => {
@@ -47,7 +50,17 @@
 		}
 	};
 
-	const isLeader = (trial: Trial): boolean => rankMembers(trial.service, gateways.map(id => ({id})))[0]?.id === ownId;
+	/** Until when other gateways have yielded. */
+	const yieldedUntil = new Map<string, number>();
+
+	/** Two may lead for a moment, since their records are written under a condition. */
+	const isLeader = (trial: Trial): boolean => {
+		const now = clock.monotonic();
+		const able = gateways.filter(id => id === ownId ? !records.isOutOfReach() : now >= (yieldedUntil.get(id) ?? 0));
+		// If none reaches the store, the first goes on, to try again and to take the move back in time.
+		const candidates = able.length > 0 ? able : gateways;
+		return rankMembers(trial.service, candidates.map(id => ({id})))[0]?.id === ownId;
+	};
 
 	const createStage = ({service, version, revision, state, share}: Trial): TrialStageMessage => ({
 		type: 'trial-stage', service, version, revision, state, share, settledVersion: trials.getSettledVersion(service),
@@ -76,15 +89,28 @@
 			return !records.isKnown();
 		}
 
-		const isNewsLate = !records.isOfMove(trial) || now >= trial.heardAt + leaderSilenceMilliseconds;
+		const isNewsLate = records.isOutOfReach() || !records.isOfMove(trial) || now >= trial.heardAt + leaderSilenceMilliseconds;
 		return isNewsLate && now >= readAt + leaderSilenceMilliseconds;
 	};
 
 	const getOpen = (): Trial[] => trials.getAll().filter(trial => isOpen(trial));
 
+	const noteReach = (): void => {
+		if (isYielding !== records.isOutOfReach()) {
+			isYielding = !isYielding;
+			logger.info('version_lead', {state: isYielding ? 'yielded' : 'possible', reason: `the store ${isYielding ? 'gives no answer' : 'answers'}`});
+		}
+	};
+
 	/** Never waits for the store, so that a bad version is found while the store gives no answer. */
 	const tell = async (): Promise<void> => {
-		for (const trial of getOpen()) {
+		const open = getOpen();
+		noteReach();
+		if (open.length > 0 && isYielding) {
+			bus.publish({type: 'peer-broadcast', message: {type: 'trial-yield'}});
+		}
+
+		for (const trial of open) {
 			tellCounts(trial);
 			judge(trial);
 			if (isLeader(trial)) {
@@ -180,6 +206,10 @@
 				learnCounts(message, from);
 			}
 
+			if (message.type === 'trial-yield') {
+				yieldedUntil.set(from, clock.monotonic() + yieldMilliseconds);
+			}
+
 			const halted = message.type === 'trial-halt' ? find(message) : undefined;
 			if (halted && message.type === 'trial-halt') {
 				endVersionTrial(halted, 'reverted', `told by ${from}: ${message.reason}`, {clock, logger});
--- a/packages/node/tests/version-trial.test.ts
+++ b/packages/node/tests/version-trial.test.ts
@@ -17,14 +17,21 @@
 
 const tickMilliseconds = 250;
 const durationMilliseconds = 12_000;
+/** After which a call without an answer is given up. */
+const callMilliseconds = 1500;
 const logger = createSilentLogger();
 
 /** What becomes of the calls of the store in a span of time. */
-type StoreFault = {readonly from: number; readonly until: number; readonly kind: 'down' | 'answers lost' | 'silent'};
+type StoreFault = {
+	readonly from: number;
+	readonly until: number;
+	readonly kind: 'down' | 'answers lost' | 'silent' | 'times out';
+	/** The gateways whose calls alone are concerned; all if absent. */
+	readonly of?: ReadonlyArray<string | undefined>;
+};
 
-/** A store whose row is what the operator acts on. */
-function createBoard(faults: readonly StoreFault[], now: () => number): VersionBoard & {row: () => StoredTrialRecord | undefined} {
-	let row: StoredTrialRecord | undefined;
+/** A store whose row, which gateways may share, is what the operator acts on. */
+function createBoard(faults: readonly StoreFault[], now: () => number, shared: {row?: StoredTrialRecord} = {}): VersionBoard & {row: () => StoredTrialRecord | undefined} {
 	const find = (): StoreFault | undefined => faults.find(({from, until}) => now() >= from && now() < until);
 	const waitWhileSilent = async (): Promise<void> => {
 		const fault = find();
@@ -36,10 +43,10 @@
 	};
 
 	return {
-		row: () => row,
+		row: () => shared.row,
 		async read() {
 			await waitWhileSilent();
-			return find()?.kind === 'down' ? {kind: 'not-done', reason: 'down'} : {kind: 'done', value: row ? [row] : []};
+			return ['down', 'times out'].includes(find()?.kind ?? '') ? {kind: 'not-done', reason: 'down'} : {kind: 'done', value: shared.row ? [shared.row] : []};
 		},
 		async write(record, expectedRowVersion) {
 			await waitWhileSilent();
@@ -48,12 +55,19 @@
 				return {kind: 'not-done', reason: 'down'};
 			}
 
-			if (expectedRowVersion !== (row?.rowVersion ?? 0)) {
+			if (fault?.kind === 'times out') {
+				await new Promise(resolve => {
+					setTimeout(resolve, callMilliseconds);
+				});
+				return {kind: 'unknown', reason: 'no answer'};
+			}
+
+			if (expectedRowVersion !== (shared.row?.rowVersion ?? 0)) {
 				return {kind: 'conflict'};
 			}
 
-			row = {...record, rowVersion: expectedRowVersion + 1};
-			return fault ? {kind: 'unknown', reason: 'answer lost'} : {kind: 'done', value: row.rowVersion};
+			shared.row = {...record, rowVersion: expectedRowVersion + 1};
+			return fault ? {kind: 'unknown', reason: 'answer lost'} : {kind: 'done', value: shared.row.rowVersion};
 		},
 	};
 }
@@ -163,7 +177,7 @@
 
 const names = ['a', 'b', 'c'];
 /** The one that ranks first for the service leads. */
-const [leading, follower] = rankMembers('pricing', names.map(id => ({id}))).map(({id}) => id);
+const [leading, follower, last] = rankMembers('pricing', names.map(id => ({id}))).map(({id}) => id);
 const stepMilliseconds = tickMilliseconds / 5;
 const order = {
 	service: 'pricing', version: '2', revision: 1, durationMilliseconds,
@@ -178,14 +192,14 @@
 /** Gateways that hear each other but for the cut, as time passes. */
 function startGateways(faults: readonly StoreFault[], cut?: Cut) {
 	const clock = createManualClock();
-	const board = createBoard(faults, clock.monotonic);
+	const shared: {row?: StoredTrialRecord} = {};
 	const gateways = new Map<string, Gateway>();
 	const isCut = (id: string): boolean => id === cut?.id && clock.monotonic() >= cut.from && clock.monotonic() < cut.until;
 	const start = (id: string): void => {
 		const bus = createMessageBus<NodeMessage>();
 		const trials = createVersionTrials();
 		const task = startVersionTrials(id, {
-			bus, clock, logger, trials, versionBoard: board,
+			bus, clock, logger, trials, versionBoard: createBoard(faults.filter(({of}) => !of || of.includes(id)), clock.monotonic, shared),
 		});
 		bus.subscribe('peer-broadcast', ({message}) => {
 			for (const other of gateways.values()) {
@@ -266,6 +280,31 @@
 			cut: {id: follower, from: 9000, until: 20_000},
 			within: 16_500,
 		},
+		{
+			name: 'another completes the move in time when the leader alone can\'t reach the store', faults: [{
+				from: 5000, until: 30_000, kind: 'down', of: [leading],
+			}], within: 11_500,
+		},
+		{
+			name: 'another does when the store gives no answer to the leader alone', faults: [{
+				from: 5000, until: 30_000, kind: 'times out', of: [leading],
+			}], within: 11_900,
+		},
+		{
+			name: 'another does when the leader never reached the store', faults: [{
+				from: 0, until: 30_000, kind: 'down', of: [leading],
+			}], within: 11_500,
+		},
+		{
+			name: 'the last one does when no other reaches the store', faults: [{
+				from: 5000, until: 30_000, kind: 'down', of: [leading, follower],
+			}], within: 11_500,
+		},
+		{
+			name: 'the leader completes it when the others can\'t reach the store', faults: [{
+				from: 0, until: 30_000, kind: 'down', of: [follower, last],
+			}], within: 11_500,
+		},
 	];
 	it.each(cases)('$name', async ({faults, cut, within}) => {
 		const fleet = startGateways(faults, cut);
--- a/packages/protocol/src/version-trial-messages.ts
+++ b/packages/protocol/src/version-trial-messages.ts
@@ -32,7 +32,12 @@
 	reason: z.string(),
 });
 
-export const trialMessageSchemas = [trialStageMessageSchema, trialCountsMessageSchema, trialHaltMessageSchema] as const;
+/** The sender can't reach the records of moves, so that another gateway must lead those that it would. */
+export const trialYieldMessageSchema = z.object({
+	type: z.literal('trial-yield'),
+});
+
+export const trialMessageSchemas = [trialStageMessageSchema, trialCountsMessageSchema, trialHaltMessageSchema, trialYieldMessageSchema] as const;
 
 export type TrialState = typeof trialStates[number];
 export type TrialStageMessage = z.infer<typeof trialStageMessageSchema>;
