Forget gateways that are gone, and remove their rows

Cause: a gateway never forgot another one, nor did its row go. VMs are replaced by others of new names; once as many have gone as serve, each gateway hears from less than half of those it knows, takes itself for cut off, and gives out less than an equal part of every customer's rate: with 11 that serve and 11 gone, 1/44 instead of 1/11. Gateways also dial the dead for good.

One that has been out of touch for 6 h (regions lose each other for an hour at times) no longer counts and isn't dialled; peers that still tell of it don't bring it back, its next start or word does. The first of the gateways that serve removes its row, under the condition that nobody has written it since; a gateway whose own row is missing writes it again.

Ruled out: removal at a planned stop, since most stops are restarts under the same name; a shorter time, within which a cut-off region still serves.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -3,8 +3,9 @@
  * in the table or hears of them from peers, tells its state in heartbeats,
  * and publishes which gateways look-ups may name.
  */
-import {createIdentifier} from '@catkindale/common';
-import {type Member, memberSchema} from '@catkindale/policy';
+import {createIdentifier, rankMembers} from '@catkindale/common';
+import {type Member, createKnownGateways, memberSchema} from '@catkindale/policy';
+import type {Row} from '@catkindale/ports';
 import type {GatewayReport, KnowledgeRevisions} from '@catkindale/protocol';
 import {gatewayRole, rowKeys} from './constants.js';
 import {type NodeContext, getOwnMember, nodePlugins} from './node-context.js';
@@ -15,6 +16,10 @@
 const readPauseMilliseconds = 10_000;
 const retryPauseMilliseconds = 500;
 const useDigits = 2;
+/** Below what one transaction holds. */
+const mostRemovedRows = 50;
+/** Ranks the gateways for the removal of rows. */
+const removalName = 'rows of gateways that are gone';
 
 type PeerState = {report: GatewayReport | undefined; heardAt: number; isConnected: boolean};
 
@@ -26,11 +31,12 @@
 		const {bus, clock, logger, settings} = context;
 		const {peerSilenceMilliseconds, shareHoldMilliseconds} = settings.gateway;
 		const ownId = settings.node.name;
-		const members = new Map<string, Member>();
+		const known = createKnownGateways(ownId);
 		const peers = new Map<string, PeerState>();
 		let revisions: KnowledgeRevisions = {configuration: 0, orders: 0, targets: 0};
 		let demands: Readonly<Record<string, number>> = {};
 		let isDraining = false;
+		let serving: Member[] = [];
 		let servingKey = '';
 		let isRowWritten = false;
 		let use = 0;
@@ -41,19 +47,26 @@
 			return known;
 		};
 
+		const publishMembers = (): void => {
+			bus.publish({type: 'members-heard', members: [getOwnMember(context), ...known.getAll()]});
+		};
+
 		const addMembers = (found: readonly Member[]): void => {
-			let isChanged = false;
-			for (const member of found) {
-				const known = members.get(member.id);
-				if (member.id !== ownId && (known?.incarnation !== member.incarnation || known.peerAddress !== member.peerAddress)) {
-					members.set(member.id, member);
-					isChanged = true;
-				}
+			if (known.add(found, clock.monotonic())) {
+				// A gateway that starts later is known to the others only once it has dialled them.
+				publishMembers();
 			}
+		};
 
-			if (isChanged) {
-				// A gateway that starts later is known to the others only once it has dialled them.
-				bus.publish({type: 'members-heard', members: [getOwnMember(context), ...members.values()]});
+		const forgetGone = (): void => {
+			const gone = known.forgetGone(clock.monotonic());
+			for (const {id, incarnation} of gone) {
+				peers.delete(id);
+				logger.info('gateway_forgotten', {gateway: id, incarnation});
+			}
+
+			if (gone.length > 0) {
+				publishMembers();
 			}
 		};
 
@@ -61,7 +74,7 @@
 
 		const publishServing = (): void => {
 			const now = clock.monotonic();
-			const serving = [...members.values()].filter(({id}) => {
+			serving = known.getAll().filter(({id}) => {
 				const peer = peers.get(id);
 				return peer?.isConnected === true && peer.report?.isServing === true && now - peer.heardAt <= peerSilenceMilliseconds;
 			});
@@ -88,7 +101,7 @@
 				}
 			}
 
-			bus.publish({type: 'customer-demands-changed', demands: all, knownGateways: members.size + 1});
+			bus.publish({type: 'customer-demands-changed', demands: all, knownGateways: known.getAll().length + 1});
 		};
 
 		const publishUses = (): void => {
@@ -125,9 +138,13 @@
 			}
 
 			const found: Member[] = [];
+			const stale: Row[] = [];
+			forgetGone();
 			for (const row of outcome.value) {
 				const parsed = memberSchema.safeParse(row.value);
-				if (parsed.success) {
+				if (parsed.success && known.isForgotten(parsed.data)) {
+					stale.push(row);
+				} else if (parsed.success) {
 					found.push(parsed.data);
 				} else {
 					logger.warn('row_unreadable', {row: row.key, reason: parsed.error.issues[0]?.message});
@@ -136,9 +153,23 @@
 
 			addMembers(found);
 			const own = outcome.value.find(({key}) => key === getRowKey(context));
-			if (!isRowWritten) {
+			if (!isRowWritten || !own) {
 				await writeRow(own?.version ?? 0);
 			}
+
+			await removeRows(stale);
+		};
+
+		/** One gateway does it; a row that was written again meanwhile stays. */
+		const removeRows = async (stale: readonly Row[]): Promise<void> => {
+			const [first] = rankMembers(removalName, serving);
+			if (stale.length === 0 || first?.id !== ownId) {
+				return;
+			}
+
+			const removed = stale.slice(0, mostRemovedRows);
+			const outcome = await context.platform.table.transact(createIdentifier(), removed.map(({key, version}) => ({key, expectedVersion: version, value: undefined})));
+			logger.info('gateway_rows_removed', {rows: removed.map(({key}) => key).join(','), outcome: outcome.kind});
 		};
 
 		const writeRow = async (expectedVersion: number): Promise<void> => {
@@ -181,7 +212,8 @@
 			}),
 			bus.subscribe('peer-connected', ({id}) => {
 				getState(id).isConnected = true;
-				bus.publish({type: 'peer-send', to: id, message: {type: 'known-members', members: [getOwnMember(context), ...members.values()]}});
+				known.touch(id, clock.monotonic());
+				bus.publish({type: 'peer-send', to: id, message: {type: 'known-members', members: [getOwnMember(context), ...known.getAll()]}});
 				tell();
 			}),
 			bus.subscribe('peer-disconnected', ({id}) => {
@@ -197,6 +229,7 @@
 					const wasServing = state.report?.isServing;
 					state.report = message;
 					state.heardAt = clock.monotonic();
+					known.touch(from, state.heardAt);
 					if (wasServing !== message.isServing) {
 						publishServing();
 					}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -55,6 +55,7 @@
 export * from './customer-share.js';
 export * from './destination-counter.js';
 export * from './finish-choice.js';
+export * from './known-gateways.js';
 export * from './late-shedding.js';
 export * from './object-admission.js';
 export * from './object-memory.js';
