Share out a customer's rate by the demands that all gateways know

Each gateway worked out its share from its own demand of this moment and the demands that the others had told up to 0.6 s before, so that all took more than their part while it grew: the shares that the refusals tell add up to 1.45 in the first half second, 1.22 in the next, then 1.10 and 1.04.

A gateway now counts its own demand as the others know it, that is, as it told it one heartbeat earlier. While a demand grows the shares add up to less than one; when it is steady nothing changes.

Ruled out: the burst (tokens don't grow with the share); late requests of dead gateways (none ended); a lowered rate (none).

--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -63,6 +63,9 @@
 	let knownGateways = 0;
 	/** They hold until the next demands. */
 	const shares = new Map<string, number>();
+	/** The latest measurement and the one before it, which the others have heard of. */
+	let measured: Readonly<Record<string, number>> = {};
+	let heardByOthers: Readonly<Record<string, number>> = {};
 	let measuredAt = clock.monotonic();
 
 	const getEntry = (name: string): CustomerEntry => {
@@ -76,12 +79,15 @@
 
 	/** A gateway that hears from less than half of the others uses less than an equal part. */
 	const calculateShare = (customer: string): number => {
-		const known = Math.max(knownGateways, namedGateways);
-		if (demands.size * 2 <= known) {
-			return 1 / (2 * Math.max(known, namedGateways * fleetPerNamedGateway));
+		const gateways = Math.max(knownGateways, namedGateways);
+		if (demands.size * 2 <= gateways) {
+			return 1 / (2 * Math.max(gateways, namedGateways * fleetPerNamedGateway));
 		}
 
-		return getCustomerShare({ownId, demands: new Map([...demands].map(([id, byCustomer]) => [id, byCustomer[customer] ?? 0]))});
+		// While a demand grows everywhere, each would else see its own growth before that of the others, and all take too much.
+		const known = new Map([...demands].map(([id, byCustomer]) => [id, byCustomer[customer] ?? 0]));
+		known.set(ownId, heardByOthers[customer] ?? 0);
+		return getCustomerShare({ownId, demands: known});
 	};
 
 	const getShare = (customer: string): number => {
@@ -150,16 +156,18 @@
 			const now = clock.monotonic();
 			const seconds = Math.max(1, now - measuredAt) / millisecondsPerSecond;
 			measuredAt = now;
-			const measured: Record<string, number> = {};
+			const latest: Record<string, number> = {};
 			for (const [name, entry] of entries) {
 				entry.demand += demandWeight * ((entry.arrivals / seconds) - entry.demand);
 				entry.arrivals = 0;
 				if (entry.demand >= leastDemand) {
-					measured[name] = Number(entry.demand.toFixed(2));
+					latest[name] = Number(entry.demand.toFixed(2));
 				}
 			}
 
-			return measured;
+			heardByOthers = measured;
+			measured = latest;
+			return latest;
 		},
 		setDemands(next, known) {
 			demands = next;
