Print what a test's node logged last when it ends by itself

With it one name in fleet-plugin, which hid another of the same name.

Ruled out: any change of what nodes or checks do.

--- a/packages/cli/tests/helpers.ts
+++ b/packages/cli/tests/helpers.ts
@@ -25,6 +25,7 @@
 	readonly exit: () => Promise<number | undefined>;
 };
 
+const lastOutputCharacters = 4000;
 const running = new Set<TestProcess>();
 
 export function startProcess(parameters: readonly string[]): TestProcess {
@@ -39,6 +40,11 @@
 
 	const exited = new Promise<number | undefined>(resolve => {
 		child.once('exit', code => {
+			if (code && parameters[0] === 'node') {
+				// What follows from this in the test seldom tells why.
+				console.error(`a node ended by itself with code ${code}: ${output.slice(-lastOutputCharacters)}`);
+			}
+
 			resolve(code ?? undefined);
 		});
 	});
--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -42,9 +42,9 @@
 		let use = 0;
 
 		const getState = (id: string): PeerState => {
-			const known = peers.get(id) ?? {report: undefined, heardAt: clock.monotonic(), isConnected: false};
-			peers.set(id, known);
-			return known;
+			const state = peers.get(id) ?? {report: undefined, heardAt: clock.monotonic(), isConnected: false};
+			peers.set(id, state);
+			return state;
 		};
 
 		const publishMembers = (): void => {
