Check a store that may be silent before waiting for its changes

Cause: a feed that was sent again after a failure waited as long as any other, 11 s with its margin. Sent into a silent store it is never answered, which looks the same as a feed in which nothing changes. All gateways sent theirs at the same moments, so that none was ahead and could help the others.

Evidence: dependency_lost at 11.8 s, 1 s after the answer was due; the retry at 12.04 ended at 23.04, and the change was in force at 23.56.

The waits of a fleet are staggered, so that one of its feeds ends at each quarter of stable_window_s; the gateway whose feed isn't answered tells the others when the store is back, and those that wait since before it renew their feeds. A gateway that hears of no others waits for a quarter of stable_window_s.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -112,10 +112,10 @@
 			bus.publish({type: 'gateway-utilizations-changed', utilizations});
 		};
 
-		const broadcastReport = (): void => {
+		const broadcastReport = (extra: Pick<GatewayReport, 'sourceMissingMilliseconds'> = {}): void => {
 			bus.publish({
 				type: 'peer-broadcast', message: {
-					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands,
+					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, ...extra,
 				},
 			});
 		};
@@ -234,6 +234,11 @@
 					}
 				}
 			}),
+			bus.subscribe('traffic-source-regained', ({missingMilliseconds, from}) => {
+				if (from === undefined) {
+					broadcastReport({sourceMissingMilliseconds: missingMilliseconds});
+				}
+			}),
 			bus.subscribe('drain-started', () => {
 				isDraining = true;
 				broadcastReport();
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -74,6 +74,8 @@
 		| {readonly type: 'traffic-targets-read'; readonly targets: RegisteredTargets}
 	/** A peer has a newer revision than this node's traffic source has published. */
 		| {readonly type: 'traffic-source-behind'}
+	/** The source of this node or of a peer (`from`) answers again. The answer of its last failed call was due the given time before; calls that wait since then or longer may never be answered. */
+		| {readonly type: 'traffic-source-regained'; readonly missingMilliseconds: number; readonly from?: string}
 	/** A newer traffic configuration is effective on this node. */
 		| {readonly type: 'traffic-configuration-changed'; readonly configuration: TrafficConfiguration}
 		| {readonly type: 'traffic-orders-changed'; readonly orders: TrafficOrders}
--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -139,6 +139,9 @@
 			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'gateway-report') {
 					compareRevisions(from, message.revisions);
+					if (message.sourceMissingMilliseconds !== undefined) {
+						bus.publish({type: 'traffic-source-regained', missingMilliseconds: message.sourceMissingMilliseconds, from});
+					}
 				}
 
 				if (message.type === 'knowledge-wish') {
--- /dev/null
+++ b/packages/policy/src/feed-wait.ts
@@ -0,0 +1,25 @@
+/**
+ * Staggers the calls in which nodes wait for changes of the same source, so
+ * that one of these calls ends at every check interval. The node whose call
+ * isn't answered then finds out for the fleet that the source was silent,
+ * while the calls of all nodes together cost no more than long waits do.
+ */
+
+export type FeedWaitInput = {
+	readonly ownId: string;
+	/** The nodes that tell each other when the source was silent. */
+	readonly nodeIds: readonly string[];
+	/** Time between the ends of two calls of the fleet. */
+	readonly checkIntervalMilliseconds: number;
+	/** Longest wait of one call, which the source's history must cover. */
+	readonly maximumMilliseconds: number;
+	/** Whether the calls of all nodes may begin together, as after a change that all of them have received. */
+	readonly isAligned: boolean;
+};
+
+/** Returns how long the node's next call waits for a change, in whole milliseconds. */
+export function getFeedWait({ownId, nodeIds, checkIntervalMilliseconds, maximumMilliseconds, isAligned}: FeedWaitInput): number {
+	const ids = [...new Set([...nodeIds, ownId])].toSorted();
+	const wait = Math.min(maximumMilliseconds, ids.length * checkIntervalMilliseconds);
+	return Math.round(isAligned ? wait * (ids.indexOf(ownId) + 1) / ids.length : wait);
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -28,6 +28,7 @@
 export * from './customer-flows.js';
 export * from './customer-weights.js';
 export * from './fair-queue.js';
+export * from './feed-wait.js';
 export * from './priority-queue.js';
 export * from './region-spill.js';
 export * from './configuration-record.js';
--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -67,7 +67,7 @@
 };
 
 async function send(pool: Pool, options: SendOptions): Promise<CallOutcome> {
-	const timeout = AbortSignal.timeout(options.timeoutMilliseconds);
+	const timeout = AbortSignal.timeout(Math.ceil(options.timeoutMilliseconds));
 	try {
 		const response = await pool.request({
 			method: options.method,
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -21,6 +21,8 @@
 	revisions: revisionsSchema,
 	/** Requests per second received by the sender, by customer; customers without requests are omitted. */
 	demands: z.record(z.string(), z.number().min(0)),
+	/** Set in the first report after the sender's source answers again: how long ago the answer of its last failed call was due. */
+	sourceMissingMilliseconds: z.number().min(0).optional(),
 });
 
 /** Requests these parts from a peer that reported higher revisions. */
