Hold all gateways together to the limit that a target names

Cause: gateways knew only rates of cold targets, from the registrations; what a target says in its responses was its load alone.

Change: the adapter decodes the limit, in one place with the load. A gateway that hears a new, changed or ended limit tells the others in its next report. Each uses its own part of the limit, by its demand as told in reports and with less for other regions; together the parts are the limit. As each gateway may be one request ahead of its part, a low limit is divided among few. One that hears of at most half of the gateways uses less than an equal part, since the others may use the whole. Cold targets and limits share one bucket (target-rate). What doesn't fit goes to other targets; if no target may take it, it is refused at once with the time of the next token.

One entry in a report to peers for each change of a limit.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -6,7 +6,7 @@
 import {createIdentifier, rankMembers} from '@catkindale/common';
 import {type Member, createKnownGateways, memberSchema} from '@catkindale/policy';
 import type {Row} from '@catkindale/ports';
-import type {GatewayReport, KnowledgeRevisions} from '@catkindale/protocol';
+import type {GatewayReport, KnowledgeRevisions, TargetLimit} from '@catkindale/protocol';
 import {gatewayRole, rowKeys} from './constants.js';
 import {type NodeContext, getOwnMember, nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
@@ -40,6 +40,7 @@
 		let servingKey = '';
 		let isRowWritten = false;
 		let utilization = 0;
+		let limits: readonly TargetLimit[] = [];
 
 		const getPeerState = (id: string): PeerState => {
 			const state = peers.get(id) ?? {report: undefined, receivedAt: clock.monotonic(), isConnected: false};
@@ -112,7 +113,7 @@
 			bus.publish({type: 'gateway-utilizations-changed', utilizations});
 		};
 
-		const broadcastReport = (extra: Pick<GatewayReport, 'sourceMissingMilliseconds'> = {}): void => {
+		const broadcastReport = (extra: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'> = {}): void => {
 			bus.publish({
 				type: 'peer-broadcast', message: {
 					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, ...extra,
@@ -123,7 +124,8 @@
 		const sendHeartbeat = async (): Promise<void> => {
 			bus.publish({type: 'heartbeat-sending'});
 			utilization = Number(context.eventLoopMonitor.takeUtilization().toFixed(utilizationDigits));
-			broadcastReport();
+			broadcastReport(limits.length > 0 ? {targetLimits: [...limits]} : {});
+			limits = [];
 			publishUtilizations();
 			publishServing();
 			publishDemands();
@@ -209,6 +211,9 @@
 			bus.subscribe('own-demands-measured', message => {
 				demands = message.demands;
 			}),
+			bus.subscribe('target-limits-changed', message => {
+				limits = message.limits;
+			}),
 			bus.subscribe('peer-connected', ({id}) => {
 				getPeerState(id).isConnected = true;
 				knownMembers.recordContact(id, clock.monotonic());
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -15,7 +15,7 @@
 import type {RequestDispatcher} from './link-meter.js';
 import {getResponseHeaders} from './request-headers.js';
 import {
-	type HeaderReader, type ReportedLoad, type TargetDialect, defaultDialect,
+	type HeaderReader, type TargetDialect, type TargetStatement, defaultDialect,
 } from './target-dialect.js';
 
 export type ForwardOptions = {
@@ -38,8 +38,8 @@
 	readonly dialect?: TargetDialect;
 	/** Whether the connection was reset, so that a response without a length is incomplete. */
 	readonly isConnectionReset?: () => boolean;
-	/** Called with the load that the target reports in its response. */
-	readonly onReportedLoad?: (load: ReportedLoad) => void;
+	/** Called with what the target says of itself in its response. */
+	readonly onStatement?: (statement: TargetStatement) => void;
 };
 
 /** `link` means that the quota of a link between regions had no capacity in time. */
@@ -296,7 +296,7 @@
 		| {readonly kind: 'refusal'; readonly echoesRequestId: boolean; readonly isOtherTarget: boolean}
 		| {readonly kind: 'unusable'; readonly reason: string};
 
-/** Classifies the head of a response; calls `onLeaving` and `onReportedLoad` if it reports them. */
+/** Classifies the head of a response; calls `onLeaving` and `onStatement` with what the target says of itself. */
 function classifyHead(options: ForwardOptions, dialect: TargetDialect, status: number, readHeader: HeaderReader): HeadClass {
 	const echoedRequestId = readHeader(dialect.requestIdHeader);
 	const echoesRequestId = echoedRequestId !== undefined;
@@ -314,11 +314,7 @@
 		options.onLeaving?.();
 	}
 
-	const load = dialect.getLoad(readHeader);
-	if (load) {
-		options.onReportedLoad?.(load);
-	}
-
+	options.onStatement?.(dialect.getStatement(readHeader));
 	if (isRefusal) {
 		return {kind: 'refusal', echoesRequestId, isOtherTarget};
 	}
--- a/packages/node/src/gateway-dependencies.ts
+++ b/packages/node/src/gateway-dependencies.ts
@@ -1,6 +1,7 @@
 /** The collaborators of a gateway that each of its requests uses. */
 import type {GatewayRetryBudgets} from './gateway-retry-budgets.js';
 import type {GatewayTargetChooser} from './gateway-target-chooser.js';
+import type {GatewayTargetRates} from './gateway-target-rates.js';
 import type {GatewayQuotas} from './gateway-quotas.js';
 import type {GatewayTargets} from './gateway-targets.js';
 import type {NodeContext} from './node-context.js';
@@ -9,6 +10,7 @@
 	readonly context: NodeContext;
 	readonly targets: GatewayTargets;
 	readonly chooser: GatewayTargetChooser;
+	readonly rates: GatewayTargetRates;
 	readonly quotas: GatewayQuotas;
 	readonly retryBudgets: GatewayRetryBudgets;
 };
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -15,11 +15,13 @@
 import type {ExchangeResult} from './exchange-result.js';
 import {type ForwardOutcome, type AttemptFailureCause, forwardRequest} from './forward.js';
 import type {GatewayAttemptResult, ChoiceRefusal, ChosenTarget} from './gateway-target-chooser.js';
+import type {GatewayTarget} from './gateway-targets.js';
 import type {GatewayDependencies} from './gateway-dependencies.js';
 import {getGatewayHeaders} from './gateway-headers.js';
 import {getAttemptFailureProblem} from './attempt-failure-problem.js';
 import {type Problem, getBodyProblem} from './problem.js';
-import type {ReportedLoad} from './target-dialect.js';
+import {ownResponseSource} from './gateway-target-rates.js';
+import type {ReportedLoad, TargetStatement} from './target-dialect.js';
 import type {AttemptQuality} from './version-trials.js';
 
 export type GatewayExchange = {
@@ -110,8 +112,9 @@
 		onLeaving() {
 			dependencies.targets.markLeaving(target);
 		},
-		onReportedLoad(reportedLoad) {
-			load = reportedLoad;
+		onStatement(statement) {
+			({load} = statement);
+			recordLimit(dependencies, target, statement);
 		},
 		claimResponse: () => exchange.response.headersSent || exchange.response.destroyed ? undefined : exchange.response,
 	});
@@ -130,6 +133,24 @@
 	return outcome;
 }
 
+function recordLimit({rates}: GatewayDependencies, target: GatewayTarget, {limit}: TargetStatement): void {
+	switch (limit.kind) {
+		case 'limited': {
+			rates.recordLimit(target, limit.requestsPerSecond, ownResponseSource);
+			break;
+		}
+
+		case 'unlimited': {
+			rates.recordLimit(target, undefined, ownResponseSource);
+			break;
+		}
+
+		case 'unknown': {
+			break;
+		}
+	}
+}
+
 type AttemptObservation = {readonly milliseconds: number; readonly load: ReportedLoad | undefined};
 
 function recordAttempt(dependencies: GatewayDependencies, {chosen, outcome}: AttemptRecord, route: TrafficRoute, observation: AttemptObservation): void {
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -16,6 +16,7 @@
 import {createGatewayRetryBudgets} from './gateway-retry-budgets.js';
 import {checkGatewayRequest} from './gateway-check.js';
 import {createGatewayTargetChooser} from './gateway-target-chooser.js';
+import {createGatewayTargetRates} from './gateway-target-rates.js';
 import {
 	type GatewayExchangeEnd, type GatewayExchange, runGatewayExchange,
 } from './gateway-exchange.js';
@@ -49,7 +50,9 @@
 	roles: [gatewayRole],
 	order: startOrder,
 	async start(context) {
-		const {bus, clock, settings} = context;
+		const {
+			bus, clock, logger, settings,
+		} = context;
 		const ownId = settings.node.name;
 		const {region} = settings.node;
 		const targets = createGatewayTargets({
@@ -60,14 +63,16 @@
 				chooser.removeTarget(id);
 			},
 		});
+		const rates = createGatewayTargetRates({logger, ownId, region});
 		const chooser = createGatewayTargetChooser({
-			clock, targets, ownId, region,
+			clock, targets, rates, region,
 		});
 		const {repeatRatio, repeatReserve, repeatWindowMilliseconds} = settings.gateway;
 		const state: GatewayState = {
 			context,
 			targets,
 			chooser,
+			rates,
 			quotas: createGatewayQuotas({
 				clock, ownId, configuredGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance,
 			}),
@@ -113,19 +118,28 @@
 			}),
 			bus.subscribe('serving-gateways-changed', ({members}) => {
 				regionGateways = members.filter(member => member.region === region && member.id !== ownId);
-				chooser.setGateways(members.map(({id}) => id));
+				rates.setGateways(members);
 				state.retryBudgets.setGatewayCount(members.length);
 			}),
 			bus.subscribe('heartbeat-sending', () => {
 				bus.publish({type: 'own-demands-measured', demands: state.quotas.measureDemands()});
+				bus.publish({type: 'target-limits-changed', limits: rates.takeChangedLimits()});
 			}),
-			bus.subscribe('peer-received', ({message}) => {
+			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'object-placements') {
 					chooser.receivePlacements(message.placements, message.keptShares);
+				} else if (message.type === 'gateway-report') {
+					for (const {target, limitPerSecond} of message.targetLimits ?? []) {
+						const known = targets.getAll().find(({registration}) => registration.id === target);
+						if (known) {
+							rates.recordLimit(known, limitPerSecond, from);
+						}
+					}
 				}
 			}),
 			bus.subscribe('customer-demands-changed', ({demands, knownGateways}) => {
 				state.quotas.setDemands(demands, knownGateways);
+				rates.setDemands({demands, knownGateways});
 			}),
 		];
 		return {
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -6,13 +6,14 @@
 import {
 	type FinishCandidate, type FinishChoice, type WarmObjects, type ServiceTimeKind, type ServiceTimes, type TrafficRoute, type TrafficService,
 	chooseByFinishTime, classifyServiceTime, createWarmObjects, createServiceTimes, getExpectedRunning, getRemotePenalty, getObjectPosition,
-	getRotatedPosition, getWarmupNodeRate, isUnresponsive, mergeCacheableShare, recordSuccess, recordRequestEnded, recordFailure, recordRequestSent,
-	recordShed, recordResponse, recordUnresponsive, recordReportedLoad, recordUnreachable, takeWarmupToken,
+	getRotatedPosition, isUnresponsive, mergeCacheableShare, recordSuccess, recordRequestEnded, recordFailure, recordRequestSent,
+	recordShed, recordResponse, recordUnresponsive, recordReportedLoad, recordUnreachable,
 	updateAdmittedShare, updateCacheableShareByHit, updateCacheableShareByLoad, updateServiceTimes,
 } from '@catkindale/policy';
 import type {ObjectPlacement} from '@catkindale/protocol';
 import {minimumServerErrorStatus} from './attempt-outcome.js';
 import type {ReportedLoad} from './target-dialect.js';
+import type {GatewayTargetRates} from './gateway-target-rates.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
 
 export type ChoiceRequest = {
@@ -62,7 +63,6 @@
 	choose: (request: ChoiceRequest) => ChosenTarget | ChoiceRefusal;
 	/** Updates the state of the target after an attempt; returns the class of its service time, if it can be derived. */
 	recordResult: (chosen: ChosenTarget, attemptResult: GatewayAttemptResult) => ServiceTimeKind | undefined;
-	setGateways: (ids: readonly string[]) => void;
 	setEvacuatedZones: (zones: readonly string[]) => void;
 	removeTarget: (id: string) => void;
 	/** Objects that targets have handled for this gateway since the last call. */
@@ -80,7 +80,7 @@
 export type GatewayTargetChooserOptions = {
 	readonly clock: Clock;
 	readonly targets: GatewayTargets;
-	readonly ownId: string;
+	readonly rates: GatewayTargetRates;
 	readonly region: string;
 };
 
@@ -96,14 +96,12 @@
 const shareFractionDigits = 3;
 const maximumRankings = 5000;
 
-export function createGatewayTargetChooser({clock, targets, ownId, region}: GatewayTargetChooserOptions): GatewayTargetChooser {
+export function createGatewayTargetChooser({clock, targets, rates, region}: GatewayTargetChooserOptions): GatewayTargetChooser {
 	const warmObjects: WarmObjects = createWarmObjects();
 	const serviceTimesByKey = new Map<string, ServiceTimes>();
 	const rankings = new Map<string, ObjectRanking>();
-	const warmupShares = new Map<string, number>();
 	let placements: ObjectPlacement[] = [];
 	let rankedGeneration = -1;
-	let gateways: readonly string[] = [ownId];
 	let evacuatedZones: ReadonlySet<string> = new Set();
 
 	const getRanking = (objectKey: string, servingTargets: readonly GatewayTarget[]): ObjectRanking => {
@@ -129,16 +127,6 @@
 		return ranking;
 	};
 
-	/** This gateway's share of a cold target's request rate. It is cached, since ranking the gateways for each request would cost too much. */
-	const getCachedWarmupShare = ({registration: {id}}: GatewayTarget): number => {
-		const share = warmupShares.get(id) ?? getWarmupNodeRate(ownId, gateways, id, 1);
-		warmupShares.set(id, share);
-		return share;
-	};
-
-	const getWarmupRate = (target: GatewayTarget, service: TrafficService): number =>
-		service.warmupRequestsPerSecond === undefined ? Number.POSITIVE_INFINITY : service.warmupRequestsPerSecond * getCachedWarmupShare(target);
-
 	const isUsable = (target: GatewayTarget, request: ChoiceRequest, now: number): boolean => {
 		const {registration, condition} = target;
 		if (request.regions?.has(registration.region) === false || request.tried.has(registration.id) || evacuatedZones.has(registration.zone) || !request.allowsVersion(registration.version)) {
@@ -150,7 +138,7 @@
 			return false;
 		}
 
-		return target.coldUntil <= now || takeWarmupToken(target.warmupBucket, getWarmupRate(target, request.service), now) !== undefined;
+		return rates.allowsRequest(target, request.service, now);
 	};
 
 	const getCandidate = (target: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => {
@@ -242,15 +230,13 @@
 				localRegion: region,
 			});
 			if (choice.kind !== 'chosen') {
-				const waitMilliseconds = getRefusalWait(choice, request.remainingMilliseconds);
+				const rateDelays = usableTargets.length > 0 ? [] : servingTargets.map(target => rates.getDelay(target, service, now));
+				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), rateDelays.length > 0 ? Math.min(...rateDelays) : 0);
 				return {kind: 'refused', reason: choice.kind, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, waitMilliseconds))};
 			}
 
 			const target = candidates.find(({registration}) => registration.id === choice.id)!;
-			if (target.coldUntil > now) {
-				target.warmupBucket = takeWarmupToken(target.warmupBucket, getWarmupRate(target, service), now) ?? target.warmupBucket;
-			}
-
+			rates.takeToken(target, service, now);
 			const expectedRunning = getExpectedRunning(target.condition, now);
 			const roundTripMilliseconds = targets.getRoundTripMilliseconds(target.registration.region);
 			const uncachedMilliseconds = roundTripMilliseconds + (serviceTimes.uncachedMilliseconds * target.condition.slowness);
@@ -321,10 +307,6 @@
 
 			return undefined;
 		},
-		setGateways(ids) {
-			gateways = ids.includes(ownId) ? ids : [...ids, ownId];
-			warmupShares.clear();
-		},
 		setEvacuatedZones(zones) {
 			evacuatedZones = new Set(zones);
 		},
@@ -352,7 +334,7 @@
 		},
 		removeTarget(id) {
 			warmObjects.removeTarget(id);
-			warmupShares.delete(id);
+			rates.removeTarget(id);
 		},
 	};
 }
--- /dev/null
+++ b/packages/node/src/gateway-target-rates.ts
@@ -0,0 +1,140 @@
+/**
+ * Holds the requests of this gateway to its part of the rates of targets: that
+ * of cold targets, and the limits that targets in need name in their responses.
+ * Gateways tell each other of limits that begin, change or end.
+ */
+import type {Logger} from '@catkindale/common';
+import {
+	type RateNode, type TrafficService, getLimitNodeRate, getRateTokenDelay, getWarmupNodeRate, takeRateToken,
+} from '@catkindale/policy';
+import type {TargetLimit} from '@catkindale/protocol';
+import type {GatewayTarget} from './gateway-targets.js';
+
+/** The requests per second of each gateway by customer, and the number of all gateways, also of those without contact. */
+export type GatewayDemands = {readonly demands: ReadonlyMap<string, Readonly<Record<string, number>>>; readonly knownGateways: number};
+
+export type GatewayTargetRates = {
+	readonly setGateways: (gateways: ReadonlyArray<{readonly id: string; readonly region: string}>) => void;
+	readonly setDemands: (demands: GatewayDemands) => void;
+	/** Whether this gateway may send a request to the target now. */
+	readonly allowsRequest: (target: GatewayTarget, service: TrafficService, now: number) => boolean;
+	readonly takeToken: (target: GatewayTarget, service: TrafficService, now: number) => void;
+	/** Milliseconds until this gateway may send a request to the target; infinite if others use its whole rate. */
+	readonly getDelay: (target: GatewayTarget, service: TrafficService, now: number) => number;
+	/** Records the limit of a response; undefined if the response names none. */
+	readonly recordLimit: (target: GatewayTarget, limitPerSecond: number | undefined, source: string) => void;
+	/** Limits from responses that have begun, changed or ended since the last call. */
+	readonly takeChangedLimits: () => readonly TargetLimit[];
+	readonly removeTarget: (id: string) => void;
+};
+
+export type GatewayTargetRatesOptions = {
+	readonly logger: Logger;
+	readonly ownId: string;
+	readonly region: string;
+};
+
+export const ownResponseSource = 'response';
+/** Smaller changes of a limit aren't worth a message. */
+const relevantChange = 0.1;
+
+export function createGatewayTargetRates({logger, ownId, region}: GatewayTargetRatesOptions): GatewayTargetRates {
+	let gatewayIds: readonly string[] = [ownId];
+	let regions: ReadonlyMap<string, string> = new Map([[ownId, region]]);
+	let nodes: readonly RateNode[] = [{id: ownId, region, demand: 0}];
+	let knownGateways = 1;
+	const changedLimits = new Map<string, number | undefined>();
+	/** This gateway's part of each rate, cached since ranking the gateways for each request would cost too much. */
+	const warmupShares = new Map<string, number>();
+	const limitRates = new Map<string, number>();
+
+	const getWarmupRate = ({registration: {id}}: GatewayTarget, {warmupRequestsPerSecond}: TrafficService): number => {
+		if (warmupRequestsPerSecond === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const share = warmupShares.get(id) ?? getWarmupNodeRate(ownId, gatewayIds, id, 1);
+		warmupShares.set(id, share);
+		return warmupRequestsPerSecond * share;
+	};
+
+	const getLimitRate = ({registration: target, limitPerSecond}: GatewayTarget): number => {
+		if (limitPerSecond === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const rate = limitRates.get(target.id) ?? getLimitNodeRate({
+			ownId, nodes, knownNodes: knownGateways, target, limitPerSecond,
+		});
+		limitRates.set(target.id, rate);
+		return rate;
+	};
+
+	const getRate = (target: GatewayTarget, service: TrafficService, now: number): number => Math.min(
+		target.coldUntil > now ? getWarmupRate(target, service) : Number.POSITIVE_INFINITY,
+		getLimitRate(target),
+	);
+
+	return {
+		setGateways(gateways) {
+			gatewayIds = [...new Set([...gateways.map(({id}) => id), ownId])];
+			regions = new Map([...gateways.map(gateway => [gateway.id, gateway.region] as const), [ownId, region]]);
+			warmupShares.clear();
+			limitRates.clear();
+		},
+		setDemands(next) {
+			nodes = [...next.demands].map(([id, byCustomer]) => ({id, region: regions.get(id), demand: sum(Object.values(byCustomer))}));
+			knownGateways = next.knownGateways;
+			limitRates.clear();
+		},
+		allowsRequest(target, service, now) {
+			const rate = getRate(target, service, now);
+			return rate === Number.POSITIVE_INFINITY || takeRateToken(target.rateBucket, rate, now) !== undefined;
+		},
+		takeToken(target, service, now) {
+			const rate = getRate(target, service, now);
+			if (rate !== Number.POSITIVE_INFINITY) {
+				target.rateBucket = takeRateToken(target.rateBucket, rate, now) ?? target.rateBucket;
+			}
+		},
+		getDelay: (target, service, now) => getRateTokenDelay(target.rateBucket, getRate(target, service, now), now),
+		recordLimit(target, limitPerSecond, source) {
+			const previous = target.limitPerSecond;
+			if (previous === limitPerSecond) {
+				return;
+			}
+
+			const {id} = target.registration;
+			target.limitPerSecond = limitPerSecond;
+			limitRates.delete(id);
+			if (!isRelevantChange(previous, limitPerSecond)) {
+				return;
+			}
+
+			logger.info('target_limit_changed', {
+				target: id, source, limit: limitPerSecond, previous,
+			});
+			if (source === ownResponseSource) {
+				changedLimits.set(id, limitPerSecond);
+			}
+		},
+		takeChangedLimits() {
+			const taken = [...changedLimits].map(([target, limitPerSecond]) => ({target, limitPerSecond}));
+			changedLimits.clear();
+			return taken;
+		},
+		removeTarget(id) {
+			warmupShares.delete(id);
+			limitRates.delete(id);
+			changedLimits.delete(id);
+		},
+	};
+}
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
+
+function isRelevantChange(previous: number | undefined, next: number | undefined): boolean {
+	return previous === undefined || next === undefined || Math.abs(next - previous) > relevantChange * previous;
+}
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock} from '@catkindale/common';
 import {
-	type ObjectAdmission, type TargetCondition, type TrafficTarget, type WarmupBucket, createTargetCondition, createWarmupBucket, fullAdmission,
+	type ObjectAdmission, type TargetCondition, type TrafficTarget, type RateBucket, createTargetCondition, createRateBucket, fullAdmission,
 } from '@catkindale/policy';
 import {type TargetConnections, createTargetConnections} from './target-connections.js';
 
@@ -16,7 +16,9 @@
 	readonly connections: TargetConnections;
 	/** Monotonic time in milliseconds. */
 	coldUntil: number;
-	warmupBucket: WarmupBucket;
+	rateBucket: RateBucket;
+	/** Requests per second that the target takes from all gateways together; undefined while it names no limit. */
+	limitPerSecond: number | undefined;
 };
 
 export type GatewayTargets = {
@@ -65,7 +67,13 @@
 			},
 		});
 		return {
-			registration, condition: createTargetCondition(now), admission: fullAdmission, connections, coldUntil: now + registration.coldForMilliseconds, warmupBucket: createWarmupBucket(now),
+			registration,
+			condition: createTargetCondition(now),
+			admission: fullAdmission,
+			connections,
+			coldUntil: now + registration.coldForMilliseconds,
+			rateBucket: createRateBucket(now),
+			limitPerSecond: undefined,
 		};
 	};
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -25,7 +25,9 @@
 	type CallerProfile, type LookupResponse, type LookupRequest, getBearerKey, defaultCallerProfile,
 } from './caller-profile.js';
 export type {TrafficSource} from './node-context.js';
-export type {HeaderReader, ReportedLoad, TargetDialect} from './target-dialect.js';
+export type {
+	HeaderReader, ReportedLimit, ReportedLoad, TargetDialect, TargetStatement,
+} from './target-dialect.js';
 export type {
 	TrialStoreOutcome, StoredTrialRecord, TrialRecord, TrialRecordStore,
 } from './trial-record-store.js';
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -4,7 +4,7 @@
 } from '@catkindale/policy';
 import type {ListedMachine} from '@catkindale/ports';
 import type {
-	KnowledgeRevisions, PeerMessage, RegisteredTargets, TrafficOrders,
+	KnowledgeRevisions, PeerMessage, RegisteredTargets, TargetLimit, TrafficOrders,
 } from '@catkindale/protocol';
 import type {FreshnessValidity} from './freshness-validity.js';
 import type {AttemptResult} from './target-selector.js';
@@ -90,5 +90,7 @@
 		| {readonly type: 'customer-demands-changed'; readonly demands: ReadonlyMap<string, Readonly<Record<string, number>>>; readonly knownGateways: number}
 	/** Requests per second by customer that this node receives. */
 		| {readonly type: 'own-demands-measured'; readonly demands: Readonly<Record<string, number>>}
+	/** Limits that targets have named to this node, changed or ended. */
+		| {readonly type: 'target-limits-changed'; readonly limits: readonly TargetLimit[]}
 	/** The node accepts no new work from now on. */
 		| {readonly type: 'drain-started'};
--- a/packages/node/src/target-dialect.ts
+++ b/packages/node/src/target-dialect.ts
@@ -10,6 +10,20 @@
 
 export type ReportedLoad = {readonly running: number; readonly waiting: number; readonly slots: number};
 
+/** What a target says of itself in a response. */
+export type TargetStatement = {
+	/** Undefined if the response doesn't contain it. */
+	readonly load: ReportedLoad | undefined;
+	readonly limit: ReportedLimit;
+};
+
+/** The requests per second that a target takes from all nodes together. */
+export type ReportedLimit
+	= | {readonly kind: 'limited'; readonly requestsPerSecond: number}
+		| {readonly kind: 'unlimited'}
+		/** The response says nothing about it, or nothing that can be read. */
+		| {readonly kind: 'unknown'};
+
 export type TargetDialect = {
 	/** The header that matches a response to its request. */
 	readonly requestIdHeader: string;
@@ -24,7 +38,7 @@
 	readonly isFromTarget: (status: number, read: HeaderReader) => boolean;
 	/** Whether a response may be delimited by the close of its connection. */
 	readonly allowsResponseWithoutLength: boolean;
-	readonly getLoad: (read: HeaderReader) => ReportedLoad | undefined;
+	readonly getStatement: (read: HeaderReader) => TargetStatement;
 	/** Headers that a node adds to each response that it forwards. */
 	readonly getAddedHeaders: (requestId: string, outcome: string) => readonly string[];
 };
@@ -37,6 +51,6 @@
 	isLeaving: read => read(headerNames.draining) === 'true',
 	isFromTarget: () => true,
 	allowsResponseWithoutLength: false,
-	getLoad: () => undefined,
+	getStatement: () => ({load: undefined, limit: {kind: 'unknown'}}),
 	getAddedHeaders: (requestId, outcome) => [headerNames.outcome, outcome, headerNames.requestId, requestId],
 };
--- a/packages/policy/tests/gateway-policy.test.ts
+++ b/packages/policy/tests/gateway-policy.test.ts
@@ -2,11 +2,11 @@
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '@catkindale/common';
 import {
-	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, type WarmupBucket, addVersionCounts, chooseGateways, classifyServiceTime,
-	createAttemptBudget, createDestinationRoundRobin, createWarmObjects, createServiceTimes, createTargetCondition, createTokenBucket, createWarmupBucket,
+	type ObjectAdmission, type TrafficCustomer, type TrafficRoute, type TrialEvidence, type RateBucket, addVersionCounts, chooseGateways, classifyServiceTime,
+	createAttemptBudget, createDestinationRoundRobin, createWarmObjects, createServiceTimes, createTargetCondition, createTokenBucket, createRateBucket,
 	addRequestCredit, fillTokenBucket, fullAdmission, getAllowedRegions, getCustomerRateFraction, getExpectedRunning, getObjectPosition, getTokenDelay,
 	getTrialStage, getRotatedPosition, getWarmupNodeRate, shouldShedOnLag, isUnresponsive, evaluateTrial, mergeCacheableShare, emptyVersionCounts, recordSuccess,
-	recordRequestEnded, recordFailure, recordRequestSent, recordResponse, recordUnresponsive, recordReportedLoad, takeToken, takeWarmupToken, updateAdmittedShare,
+	recordRequestEnded, recordFailure, recordRequestSent, recordResponse, recordUnresponsive, recordReportedLoad, takeToken, takeRateToken, updateAdmittedShare,
 	updateCacheableShareByHit, updateCacheableShareByLoad, updateServiceTimes,
 } from '@catkindale/policy';
 
@@ -216,9 +216,9 @@
 		const sent: number[] = [];
 		for (const node of nodes) {
 			const nodeRate = getWarmupNodeRate(node, nodes, 'target', rate);
-			let bucket = createWarmupBucket(0);
+			let bucket = createRateBucket(0);
 			for (let now = 0; now < 3000; now += 5) {
-				const taken = takeWarmupToken(bucket, nodeRate, now);
+				const taken = takeRateToken(bucket, nodeRate, now);
 				bucket = taken ?? bucket;
 				if (taken) {
 					sent.push(now);
@@ -232,9 +232,9 @@
 	});
 
 	it('a service without a rate has no limit, even within one millisecond', () => {
-		let bucket: WarmupBucket | undefined = createWarmupBucket(0);
+		let bucket: RateBucket | undefined = createRateBucket(0);
 		for (let request = 0; request < 3; request++) {
-			bucket &&= takeWarmupToken(bucket, Number.POSITIVE_INFINITY, 0);
+			bucket &&= takeRateToken(bucket, Number.POSITIVE_INFINITY, 0);
 		}
 
 		expect(bucket).toBeDefined();
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -23,6 +23,8 @@
 	demands: z.record(z.string(), z.number().min(0)),
 	/** Set in the first report after the sender's source answers again: how long ago the answer of its last failed call was due. */
 	sourceMissingMilliseconds: z.number().min(0).optional(),
+	/** Limits that targets have named to the sender since its previous report; without a rate, the limit has ended. */
+	targetLimits: z.array(z.object({target: z.string(), limitPerSecond: z.number().min(0).optional()})).optional(),
 });
 
 /** Requests these parts from a peer that reported higher revisions. */
@@ -65,6 +67,7 @@
 export type KnowledgePart = typeof knowledgeParts[number];
 export type KnowledgeRevisions = z.infer<typeof revisionsSchema>;
 export type GatewayReport = z.infer<typeof gatewayReportMessageSchema>;
+export type TargetLimit = NonNullable<GatewayReport['targetLimits']>[number];
 export type TrafficOrders = z.infer<typeof trafficOrdersSchema>;
 export type RegisteredTargets = z.infer<typeof registeredTargetsSchema>;
 export type ObjectPlacement = z.infer<typeof objectPlacementsMessageSchema>['placements'][number];
