Keep away from a target that says in its responses that it is leaving

What targets saw: requests long after a gateway had passed on a response with Server-Leaving (DRAIN), until the store's registration said draining too.

Cause: the adapter took leaving from registrations alone. Besides, what a gateway noted of a leaving target was written over by the next read of its registration, and was lost with a registration that lapses and comes back.

What a target says of itself (leaving, its limit) is kept apart from its registration until the target starts anew; it outlives a registration that is gone for a while (the last 1,000 targets). That another target has the address is no such statement and holds until the registration is read again, as before.

--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -110,6 +110,7 @@
 		dialect: context.profile.dialect,
 		isConnectionReset: connection.isReset,
 		onLeaving() {
+			context.logger.info('target_leaving', {target: target.registration.id, request: exchange.requestId});
 			dependencies.targets.markLeaving(target);
 		},
 		onStatement(statement) {
@@ -155,7 +156,7 @@
 
 function recordAttempt(dependencies: GatewayDependencies, {chosen, outcome}: AttemptRecord, route: TrafficRoute, observation: AttemptObservation): void {
 	if (outcome.kind === 'shed' && outcome.isOtherTarget) {
-		dependencies.targets.markLeaving(chosen.target);
+		dependencies.targets.markMisdirected(chosen.target);
 	}
 
 	if (outcome.kind === 'lost' && outcome.cause !== 'caller-gone') {
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -17,6 +17,12 @@
 	/** Monotonic time in milliseconds. */
 	coldUntil: number;
 	rateBucket: RateBucket;
+	readonly said: TargetStatements;
+};
+
+/** What the target has said of itself in its responses. This holds until the target starts anew, whatever its registration says. */
+export type TargetStatements = {
+	isLeaving: boolean;
 	/** Requests per second that the target takes from all gateways together; undefined while it names no limit. */
 	limitPerSecond: number | undefined;
 };
@@ -30,8 +36,10 @@
 	getGeneration: () => number;
 	/** The network round trip to a region. */
 	getRoundTripMilliseconds: (region: string) => number;
-	/** Stops using the target at once, because it announced that it is leaving or another target has its address. */
+	/** Stops using the target at once, because it said that it is leaving. */
 	markLeaving: (target: GatewayTarget) => void;
+	/** Stops using the target until its registration is read again, because another target has its address. */
+	markMisdirected: (target: GatewayTarget) => void;
 	close: () => Promise<void>;
 };
 
@@ -49,9 +57,12 @@
 const connectTimeoutMilliseconds = 700;
 /** Below the idle time after which targets close connections without announcing it. */
 const idleConnectionTimeoutMilliseconds = 8000;
+const maximumRemovedTargets = 1000;
 
 export function createGatewayTargets({clock, region: localRegion, connectionsPerTarget, onRemoved}: GatewayTargetsOptions): GatewayTargets {
 	const targetsById = new Map<string, GatewayTarget>();
+	/** The targets that were removed last, in the order of their removal. */
+	const removedTargets = new Map<string, Pick<GatewayTarget, 'registration' | 'said'>>();
 	const roundTrips = new Map<string, number>();
 	let servingByService = new Map<string, GatewayTarget[]>();
 	let generation = 0;
@@ -73,11 +84,24 @@
 			connections,
 			coldUntil: now + registration.coldForMilliseconds,
 			rateBucket: createRateBucket(now),
-			limitPerSecond: undefined,
+			said: getStatements(registration),
 		};
 	};
 
+	/** Returns what the same instance said before its registration disappeared, which may happen while the store is down. */
+	const getStatements = (registration: TrafficTarget): TargetStatements => {
+		const removed = removedTargets.get(registration.id);
+		removedTargets.delete(registration.id);
+		return removed && isSameInstance(removed.registration, registration) ? removed.said : {isLeaving: false, limitPerSecond: undefined};
+	};
+
 	const removeTarget = (target: GatewayTarget): void => {
+		removedTargets.set(target.registration.id, {registration: target.registration, said: target.said});
+		const [oldest] = removedTargets.keys();
+		if (removedTargets.size > maximumRemovedTargets && oldest !== undefined) {
+			removedTargets.delete(oldest);
+		}
+
 		target.connections.retireAll();
 		onRemoved(target.registration);
 	};
@@ -95,7 +119,7 @@
 		generation += 1;
 		servingByService = new Map();
 		for (const target of targetsById.values()) {
-			if (!target.registration.isLeaving) {
+			if (!target.registration.isLeaving && !target.said.isLeaving) {
 				servingByService.set(target.registration.service, [...servingByService.get(target.registration.service) ?? [], target]);
 			}
 		}
@@ -132,6 +156,12 @@
 		getGeneration: () => generation,
 		getRoundTripMilliseconds: region => roundTrips.get(region) ?? (region === localRegion ? localRoundTripMilliseconds : remoteRoundTripMilliseconds),
 		markLeaving(target) {
+			if (!target.said.isLeaving) {
+				target.said.isLeaving = true;
+				indexServingTargets();
+			}
+		},
+		markMisdirected(target) {
 			if (!target.registration.isLeaving) {
 				target.registration = {...target.registration, isLeaving: true};
 				indexServingTargets();
