Send nothing to a target for the time that its 503 names

What targets saw: a target that answered 503 with Retry-After went on getting requests from the same gateway during that time (BUDGET).

Cause: a refusal paused a target for 60 ms, whatever time it named; Retry-After of a target was passed on and not read.

A caller who is refused because all targets are paused is told the earliest time of these. Statements in refusals without the identifier of a request are read too, since those refusals are accepted.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -303,6 +303,7 @@
 	const isOtherTarget = dialect.isFromOtherTarget(status, readHeader);
 	const isRefusal = !options.isPeer && (isOtherTarget || dialect.isRefusal(status, readHeader));
 	if (!echoesRequestId && isRefusal && dialect.acceptsRefusalWithoutRequestId) {
+		options.onStatement?.(dialect.getStatement(status, readHeader));
 		return {kind: 'refusal', echoesRequestId, isOtherTarget};
 	}
 
@@ -314,7 +315,7 @@
 		options.onLeaving?.();
 	}
 
-	options.onStatement?.(dialect.getStatement(readHeader));
+	options.onStatement?.(dialect.getStatement(status, readHeader));
 	if (isRefusal) {
 		return {kind: 'refusal', echoesRequestId, isOtherTarget};
 	}
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -116,6 +116,7 @@
 		onStatement(statement) {
 			({load} = statement);
 			recordLimit(dependencies, target, statement);
+			recordPause(dependencies, target, statement);
 		},
 		claimResponse: () => exchange.response.headersSent || exchange.response.destroyed ? undefined : exchange.response,
 	});
@@ -152,6 +153,13 @@
 	}
 }
 
+function recordPause({context}: GatewayDependencies, {registration, said}: GatewayTarget, {pauseMilliseconds}: TargetStatement): void {
+	if (pauseMilliseconds !== undefined) {
+		said.pausedUntil = Math.max(said.pausedUntil, context.clock.monotonic() + pauseMilliseconds);
+		context.logger.info('target_paused', {target: registration.id, milliseconds: Math.round(pauseMilliseconds)});
+	}
+}
+
 type AttemptObservation = {readonly milliseconds: number; readonly load: ReportedLoad | undefined};
 
 function recordAttempt(dependencies: GatewayDependencies, {chosen, outcome}: AttemptRecord, route: TrafficRoute, observation: AttemptObservation): void {
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -128,13 +128,13 @@
 	};
 
 	const isUsable = (target: GatewayTarget, request: ChoiceRequest, now: number): boolean => {
-		const {registration, condition} = target;
+		const {registration, condition, said} = target;
 		if (request.regions?.has(registration.region) === false || request.tried.has(registration.id) || evacuatedZones.has(registration.zone) || !request.allowsVersion(registration.version)) {
 			return false;
 		}
 
 		// After repeated failures, a target gets one request at a time.
-		if (condition.consecutiveFailures > 1 && condition.ownRunning > 0) {
+		if (said.pausedUntil > now || (condition.consecutiveFailures > 1 && condition.ownRunning > 0)) {
 			return false;
 		}
 
@@ -230,8 +230,8 @@
 				localRegion: region,
 			});
 			if (choice.kind !== 'chosen') {
-				const rateDelays = usableTargets.length > 0 ? [] : servingTargets.map(target => rates.getDelay(target, service, now));
-				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), rateDelays.length > 0 ? Math.min(...rateDelays) : 0);
+				const delays = usableTargets.length > 0 ? [] : servingTargets.map(target => Math.max(target.said.pausedUntil - now, rates.getDelay(target, service, now)));
+				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), delays.length > 0 ? Math.min(...delays) : 0);
 				return {kind: 'refused', reason: choice.kind, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, waitMilliseconds))};
 			}
 
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -25,6 +25,8 @@
 	isLeaving: boolean;
 	/** Requests per second that the target takes from all gateways together; undefined while it names no limit. */
 	limitPerSecond: number | undefined;
+	/** Monotonic time in milliseconds until which the target takes no request from this gateway. */
+	pausedUntil: number;
 };
 
 export type GatewayTargets = {
@@ -92,7 +94,7 @@
 	const getStatements = (registration: TrafficTarget): TargetStatements => {
 		const removed = removedTargets.get(registration.id);
 		removedTargets.delete(registration.id);
-		return removed && isSameInstance(removed.registration, registration) ? removed.said : {isLeaving: false, limitPerSecond: undefined};
+		return removed && isSameInstance(removed.registration, registration) ? removed.said : {isLeaving: false, limitPerSecond: undefined, pausedUntil: Number.NEGATIVE_INFINITY};
 	};
 
 	const removeTarget = (target: GatewayTarget): void => {
--- a/packages/node/src/target-dialect.ts
+++ b/packages/node/src/target-dialect.ts
@@ -15,6 +15,8 @@
 	/** Undefined if the response doesn't contain it. */
 	readonly load: ReportedLoad | undefined;
 	readonly limit: ReportedLimit;
+	/** Time for which the target takes no request from this node; undefined if the response names none. */
+	readonly pauseMilliseconds: number | undefined;
 };
 
 /** The requests per second that a target takes from all nodes together. */
@@ -38,7 +40,7 @@
 	readonly isFromTarget: (status: number, read: HeaderReader) => boolean;
 	/** Whether a response may be delimited by the close of its connection. */
 	readonly allowsResponseWithoutLength: boolean;
-	readonly getStatement: (read: HeaderReader) => TargetStatement;
+	readonly getStatement: (status: number, read: HeaderReader) => TargetStatement;
 	/** Headers that a node adds to each response that it forwards. */
 	readonly getAddedHeaders: (requestId: string, outcome: string) => readonly string[];
 };
@@ -51,6 +53,6 @@
 	isLeaving: read => read(headerNames.draining) === 'true',
 	isFromTarget: () => true,
 	allowsResponseWithoutLength: false,
-	getStatement: () => ({load: undefined, limit: {kind: 'unknown'}}),
+	getStatement: () => ({load: undefined, limit: {kind: 'unknown'}, pauseMilliseconds: undefined}),
 	getAddedHeaders: (requestId, outcome) => [headerNames.outcome, outcome, headerNames.requestId, requestId],
 };
