Take a refusal without an identifier only as the first of its connection

What callers may see: 'not run, try again' (503) for a request that a target has run or is running (REFUSED), or a second run elsewhere (TWICE), when a faulty target writes an earlier refusal once more on a kept connection.

Cause: the adapter's dialect takes a refusal without the identifier of a request as that of the request that waits on the connection. One with the identifier of another request was already taken for no answer.

Change: without an identifier a refusal counts only if no earlier request was sent on its connection. On any other the request may have run: an idempotent one is tried again, another gets 502.

Evidence: target-statements.test, a target that repeats its first refusal on each connection while it runs the request: without an identifier it failed before (503 for a request that had run), with one it passed before and after.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -38,6 +38,8 @@
 	readonly dialect?: TargetDialect;
 	/** Whether the connection was reset, so that a response without a length is incomplete. */
 	readonly isConnectionReset?: () => boolean;
+	/** Whether no earlier request was sent on the connection; false by default. */
+	readonly isConnectionFresh?: () => boolean;
 	/** Called with what the target says of itself in its response. */
 	readonly onStatement?: (statement: TargetStatement) => void;
 };
@@ -171,8 +173,8 @@
 	};
 
 	/** Accepts a refusal only if it certainly belongs to this request. */
-	const receiveRefusal = (echoesRequestId: boolean, isOtherTarget: boolean): void => {
-		if (echoesRequestId || dialect.acceptsRefusalWithoutRequestId) {
+	const receiveRefusal = (isCertain: boolean, isOtherTarget: boolean): void => {
+		if (isCertain) {
 			responseState = {kind: 'discarded'};
 			discardTimer = setTimeout(abortDiscarded, discardTimeoutMilliseconds);
 			settle(isOtherTarget ? {kind: 'shed', isOtherTarget} : {kind: 'shed'});
@@ -185,7 +187,7 @@
 		const readHeader: HeaderReader = name => getRawHeader(rawHeaders, name);
 		const headClass = classifyHead(options, dialect, status, readHeader);
 		if (headClass.kind === 'refusal') {
-			receiveRefusal(headClass.echoesRequestId, headClass.isOtherTarget);
+			receiveRefusal(headClass.isCertain, headClass.isOtherTarget);
 			return;
 		}
 
@@ -292,8 +294,8 @@
 
 type HeadClass
 	= | {readonly kind: 'response'; readonly echoesRequestId: boolean}
-		/** The target states that it didn't run the request. */
-		| {readonly kind: 'refusal'; readonly echoesRequestId: boolean; readonly isOtherTarget: boolean}
+		/** The target states that it didn't run a request; `isCertain` if it can be no other than this one. */
+		| {readonly kind: 'refusal'; readonly isCertain: boolean; readonly isOtherTarget: boolean}
 		| {readonly kind: 'unusable'; readonly reason: string};
 
 /** Classifies the head of a response; calls `onLeaving` and `onStatement` with what the target says of itself. */
@@ -302,9 +304,9 @@
 	const echoesRequestId = echoedRequestId !== undefined;
 	const isOtherTarget = dialect.isFromOtherTarget(status, readHeader);
 	const isRefusal = !options.isPeer && (isOtherTarget || dialect.isRefusal(status, readHeader));
-	if (!echoesRequestId && isRefusal && dialect.acceptsRefusalWithoutRequestId) {
+	if (!echoesRequestId && isRefusal && dialect.acceptsRefusalWithoutRequestId && options.isConnectionFresh?.()) {
 		options.onStatement?.(dialect.getStatement(status, readHeader));
-		return {kind: 'refusal', echoesRequestId, isOtherTarget};
+		return {kind: 'refusal', isCertain: true, isOtherTarget};
 	}
 
 	if (echoesRequestId ? echoedRequestId !== options.requestId : options.requiresRequestIdEcho) {
@@ -317,19 +319,22 @@
 
 	options.onStatement?.(dialect.getStatement(status, readHeader));
 	if (isRefusal) {
-		return {kind: 'refusal', echoesRequestId, isOtherTarget};
+		return {kind: 'refusal', isCertain: echoesRequestId, isOtherTarget};
 	}
 
 	if (!dialect.isFromTarget(status, readHeader)) {
 		return {kind: 'unusable', reason: 'the response doesn\'t come from the target itself'};
 	}
 
-	const hasKnownEnd = readHeader('content-length') !== undefined || readHeader('transfer-encoding') !== undefined;
-	return hasKnownEnd || isBodylessResponse(options.method, status) || dialect.allowsResponseWithoutLength
+	return dialect.allowsResponseWithoutLength || hasKnownEnd(options.method, status, readHeader)
 		? {kind: 'response', echoesRequestId}
 		: {kind: 'unusable', reason: 'the response has neither a length nor a transfer encoding'};
 }
 
+function hasKnownEnd(method: string, status: number, readHeader: HeaderReader): boolean {
+	return readHeader('content-length') !== undefined || readHeader('transfer-encoding') !== undefined || isBodylessResponse(method, status);
+}
+
 function getFailureCause(error: unknown): AttemptFailureCause {
 	if (error instanceof AttemptAbortError) {
 		return error.abortCause;
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -109,6 +109,7 @@
 		requiresRequestIdEcho: true,
 		dialect: context.profile.dialect,
 		isConnectionReset: connection.isReset,
+		isConnectionFresh: connection.isFresh,
 		onLeaving() {
 			context.logger.info('target_leaving', {target: target.registration.id, request: exchange.requestId});
 			dependencies.targets.markLeaving(target);
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -8,6 +8,8 @@
 export type TargetConnection = Pick<Dispatcher, 'dispatch'> & {
 	/** Whether the connection was reset by the target or in the network. */
 	isReset: () => boolean;
+	/** Whether no earlier request was sent on the connection, so that nothing of an earlier response can arrive on it. */
+	isFresh: () => boolean;
 	/** Makes the connection available again; call it once, after the attempt has ended. */
 	release: () => void;
 };
@@ -29,7 +31,7 @@
 	readonly onConnected?: (milliseconds: number) => void;
 };
 
-type PooledClient = {readonly client: Client; wasReset: boolean; isRetired: boolean};
+type PooledClient = {readonly client: Client; wasReset: boolean; isRetired: boolean; hasBeenUsed: boolean};
 
 /** A target may close an idle connection this long before the time that it announces. */
 const keepAliveMarginMilliseconds = 2000;
@@ -61,6 +63,7 @@
 					}
 
 					pooled.wasReset = false;
+					pooled.hasBeenUsed = false;
 					limits.onConnected?.(performance.now() - startedAt);
 					socket.on('error', () => {
 						pooled.wasReset = true;
@@ -73,7 +76,9 @@
 				});
 			},
 		});
-		const pooled: PooledClient = {client, wasReset: false, isRetired: false};
+		const pooled: PooledClient = {
+			client, wasReset: false, isRetired: false, hasBeenUsed: false,
+		};
 		return pooled;
 	};
 
@@ -88,11 +93,14 @@
 			return {
 				dispatch: (options, handler) => pooled.client.dispatch(options, handler),
 				isReset: () => pooled.wasReset,
+				isFresh: () => !pooled.hasBeenUsed,
 				release() {
 					if (!usedClients.delete(pooled)) {
 						return;
 					}
 
+					pooled.hasBeenUsed = true;
+
 					if (pooled.isRetired) {
 						destroy(pooled);
 					} else {
--- a/packages/node/src/target-dialect.ts
+++ b/packages/node/src/target-dialect.ts
@@ -33,7 +33,7 @@
 	readonly isRefusal: (status: number, read: HeaderReader) => boolean;
 	/** Whether the response comes from another target, which has the address now. */
 	readonly isFromOtherTarget: (status: number, read: HeaderReader) => boolean;
-	/** Whether a refusal is valid without the identifier of its request. */
+	/** Whether a refusal is valid without the identifier of its request, if it is the first response on its connection. */
 	readonly acceptsRefusalWithoutRequestId: boolean;
 	readonly isLeaving: (read: HeaderReader) => boolean;
 	/** Whether the head can come from the target itself. */
