Give a connection no other request while the rest of a refusal arrives

What callers may see: a request waits up to a second behind the body of an earlier refusal, and may end there, while the target writes without end.

Cause: a refusal settles its attempt at its head, and its connection went back to the idle ones while the body was still being read. The next request that took it waited for the end of that body, or for its abort after a second.

Change: a connection is released once nothing of the response is left to be read, and closed if the rest of a refusal took too long.

Evidence: endless-answers.test, eight ways to write without end (no head, a status line, a header, interim answers, two bodies, a refusal's body, bytes behind an answer). The refusal's body failed before: six requests shared three connections. The other seven passed before and after: heads without end are cut off by the parser's limit, bodies by the caller's deadline, and a body that is cut never looks complete. While it arrives, a gateway holds back what its caller doesn't read.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -61,6 +61,8 @@
 
 export type Attempt = {
 	readonly outcome: Promise<ForwardOutcome>;
+	/** Resolves when nothing of the response is left to be read, which for a refusal is after its outcome. The result is false if the rest of the refusal took too long, so that the connection is broken. */
+	readonly connectionFree: Promise<boolean>;
 	/** Whether any of the request may have reached the target. */
 	isSent: () => boolean;
 	/** Cancels the request at the target and closes its connection. */
@@ -93,6 +95,10 @@
 	const outcome = new Promise<ForwardOutcome>(resolvePromise => {
 		resolve = resolvePromise;
 	});
+	let freeConnection: (isReusable: boolean) => void;
+	const connectionFree = new Promise<boolean>(resolvePromise => {
+		freeConnection = resolvePromise;
+	});
 	let controller: Dispatcher.DispatchController | undefined;
 	let abortReason: AttemptAbortError | undefined;
 	let isSettled = false;
@@ -100,6 +106,7 @@
 
 	let discardTimer: NodeJS.Timeout | undefined;
 	const abortDiscarded = (): void => {
+		freeConnection(false);
 		controller?.abort(new AttemptAbortError('target', 'the rest of the refusal took too long'));
 	};
 
@@ -111,6 +118,9 @@
 		isSettled = true;
 		clearTimeout(timer);
 		resolve(result);
+		if (responseState.kind !== 'discarded') {
+			freeConnection(true);
+		}
 	};
 
 	const abort = (cause: AttemptFailureCause, message = `the attempt was aborted: ${cause}`): void => {
@@ -244,6 +254,7 @@
 
 	const receiveEnd = (): void => {
 		clearTimeout(discardTimer);
+		freeConnection(true);
 		// The HTTP client reports a reset as the end of a response that is delimited by the close of its connection.
 		if (options.isConnectionReset?.()) {
 			failWith(new AttemptAbortError('target', 'the connection was reset during the response'));
@@ -286,10 +297,14 @@
 		},
 		onResponseEnd: receiveEnd,
 		onResponseError(_controller, error) {
+			clearTimeout(discardTimer);
+			freeConnection(true);
 			failWith(error);
 		},
 	});
-	return {outcome, abort, isSent: () => controller !== undefined};
+	return {
+		outcome, connectionFree, abort, isSent: () => controller !== undefined,
+	};
 }
 
 type HeadClass
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -13,7 +13,9 @@
 } from './attempt-outcome.js';
 import type {CallerBody} from './caller-body.js';
 import type {ExchangeResult} from './exchange-result.js';
-import {type ForwardOutcome, type AttemptFailureCause, forwardRequest} from './forward.js';
+import {
+	type Attempt, type ForwardOutcome, type AttemptFailureCause, forwardRequest,
+} from './forward.js';
 import type {GatewayAttemptResult, ChoiceRefusal, ChosenTarget} from './gateway-target-chooser.js';
 import type {GatewayTarget} from './gateway-targets.js';
 import type {GatewayDependencies} from './gateway-dependencies.js';
@@ -21,6 +23,7 @@
 import {getAttemptFailureProblem} from './attempt-failure-problem.js';
 import {type Problem, getBodyProblem} from './problem.js';
 import {ownResponseSource} from './gateway-target-rates.js';
+import type {TargetConnection} from './target-connections.js';
 import type {ReportedLoad, TargetStatement} from './target-dialect.js';
 import type {AttemptQuality} from './version-trials.js';
 
@@ -131,11 +134,15 @@
 	exchange.callerSignal.addEventListener('abort', abortAttempt);
 	const outcome = await attempt.outcome;
 	exchange.callerSignal.removeEventListener('abort', abortAttempt);
-	connection.release();
+	void releaseWhenFree(connection, attempt);
 	recordAttempt(dependencies, {chosen, outcome}, exchange.route, {milliseconds: context.clock.monotonic() - startedAt, load});
 	return outcome;
 }
 
+async function releaseWhenFree(connection: TargetConnection, attempt: Attempt): Promise<void> {
+	connection.release({isReusable: await attempt.connectionFree});
+}
+
 function recordLimit({rates}: GatewayDependencies, target: GatewayTarget, {limit}: TargetStatement): void {
 	switch (limit.kind) {
 		case 'limited': {
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -10,8 +10,8 @@
 	isReset: () => boolean;
 	/** Whether no earlier request was sent on the connection, so that nothing of an earlier response can arrive on it. */
 	isFresh: () => boolean;
-	/** Makes the connection available again; call it once, after the attempt has ended. */
-	release: () => void;
+	/** Makes the connection available again if it is reusable, or closes it; call it once, after the attempt has ended. */
+	release: (options: {readonly isReusable: boolean}) => void;
 };
 
 export type TargetConnections = {
@@ -94,14 +94,14 @@
 				dispatch: (options, handler) => pooled.client.dispatch(options, handler),
 				isReset: () => pooled.wasReset,
 				isFresh: () => !pooled.hasBeenUsed,
-				release() {
+				release({isReusable}) {
 					if (!usedClients.delete(pooled)) {
 						return;
 					}
 
 					pooled.hasBeenUsed = true;
 
-					if (pooled.isRetired) {
+					if (pooled.isRetired || !isReusable) {
 						destroy(pooled);
 					} else {
 						idleClients.push(pooled);
