Name what a target reports of itself, and split a condition

No change of behaviour: 'reported' for what is kept of a target's responses, one condition each for a paused and a failing target, a function for the earliest time at which a target may be used again.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -40,7 +40,8 @@
 		let servingKey = '';
 		let isRowWritten = false;
 		let utilization = 0;
-		let limits: readonly TargetLimit[] = [];
+		/** Limits of targets that the next heartbeat reports. */
+		let changedLimits: readonly TargetLimit[] = [];
 
 		const getPeerState = (id: string): PeerState => {
 			const state = peers.get(id) ?? {report: undefined, receivedAt: clock.monotonic(), isConnected: false};
@@ -113,10 +114,10 @@
 			bus.publish({type: 'gateway-utilizations-changed', utilizations});
 		};
 
-		const broadcastReport = (extra: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'> = {}): void => {
+		const broadcastReport = (additions: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'> = {}): void => {
 			bus.publish({
 				type: 'peer-broadcast', message: {
-					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, ...extra,
+					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, ...additions,
 				},
 			});
 		};
@@ -124,8 +125,8 @@
 		const sendHeartbeat = async (): Promise<void> => {
 			bus.publish({type: 'heartbeat-sending'});
 			utilization = Number(context.eventLoopMonitor.takeUtilization().toFixed(utilizationDigits));
-			broadcastReport(limits.length > 0 ? {targetLimits: [...limits]} : {});
-			limits = [];
+			broadcastReport(changedLimits.length > 0 ? {targetLimits: [...changedLimits]} : {});
+			changedLimits = [];
 			publishUtilizations();
 			publishServing();
 			publishDemands();
@@ -212,7 +213,7 @@
 				demands = message.demands;
 			}),
 			bus.subscribe('target-limits-changed', message => {
-				limits = message.limits;
+				changedLimits = message.limits;
 			}),
 			bus.subscribe('peer-connected', ({id}) => {
 				getPeerState(id).isConnected = true;
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -161,9 +161,9 @@
 	}
 }
 
-function recordPause({context}: GatewayDependencies, {registration, said}: GatewayTarget, {pauseMilliseconds}: TargetStatement): void {
+function recordPause({context}: GatewayDependencies, {registration, reported}: GatewayTarget, {pauseMilliseconds}: TargetStatement): void {
 	if (pauseMilliseconds !== undefined) {
-		said.pausedUntil = Math.max(said.pausedUntil, context.clock.monotonic() + pauseMilliseconds);
+		reported.pausedUntil = Math.max(reported.pausedUntil, context.clock.monotonic() + pauseMilliseconds);
 		context.logger.info('target_paused', {target: registration.id, milliseconds: Math.round(pauseMilliseconds)});
 	}
 }
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -128,19 +128,29 @@
 	};
 
 	const isUsable = (target: GatewayTarget, request: ChoiceRequest, now: number): boolean => {
-		const {registration, condition, said} = target;
+		const {registration, condition, reported} = target;
 		if (request.regions?.has(registration.region) === false || request.tried.has(registration.id) || evacuatedZones.has(registration.zone) || !request.allowsVersion(registration.version)) {
 			return false;
 		}
 
+		if (reported.pausedUntil > now) {
+			return false;
+		}
+
 		// After repeated failures, a target gets one request at a time.
-		if (said.pausedUntil > now || (condition.consecutiveFailures > 1 && condition.ownRunning > 0)) {
+		if (condition.consecutiveFailures > 1 && condition.ownRunning > 0) {
 			return false;
 		}
 
 		return rates.allowsRequest(target, request.service, now);
 	};
 
+	/** Returns the milliseconds until one of the targets may get a request again, as far as its rate and its own word decide; 0 without targets. */
+	const getMinimumWait = (servingTargets: readonly GatewayTarget[], service: TrafficService, now: number): number => {
+		const waits = servingTargets.map(target => Math.max(target.reported.pausedUntil - now, rates.getDelay(target, service, now)));
+		return waits.length === 0 ? 0 : Math.min(...waits);
+	};
+
 	const getCandidate = (target: GatewayTarget, objectKey: string | undefined, ranking: ObjectRanking | undefined, now: number): FinishCandidate => {
 		const place = ranking?.get(target.registration.id);
 		const fitsInCache = (place?.position ?? 0) < target.admission.cacheableShare;
@@ -230,8 +240,8 @@
 				localRegion: region,
 			});
 			if (choice.kind !== 'chosen') {
-				const delays = usableTargets.length > 0 ? [] : servingTargets.map(target => Math.max(target.said.pausedUntil - now, rates.getDelay(target, service, now)));
-				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), delays.length > 0 ? Math.min(...delays) : 0);
+				const minimumWait = usableTargets.length > 0 ? 0 : getMinimumWait(servingTargets, service, now);
+				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), minimumWait);
 				return {kind: 'refused', reason: choice.kind, retryAfterMilliseconds: Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, waitMilliseconds))};
 			}
 
--- a/packages/node/src/gateway-target-rates.ts
+++ b/packages/node/src/gateway-target-rates.ts
@@ -58,7 +58,7 @@
 		return warmupRequestsPerSecond * share;
 	};
 
-	const getLimitRate = ({registration: target, said: {limitPerSecond}}: GatewayTarget): number => {
+	const getLimitRate = ({registration: target, reported: {limitPerSecond}}: GatewayTarget): number => {
 		if (limitPerSecond === undefined) {
 			return Number.POSITIVE_INFINITY;
 		}
@@ -99,13 +99,13 @@
 		},
 		getDelay: (target, service, now) => getRateTokenDelay(target.rateBucket, getRate(target, service, now), now),
 		recordLimit(target, limitPerSecond, source) {
-			const previous = target.said.limitPerSecond;
+			const previous = target.reported.limitPerSecond;
 			if (previous === limitPerSecond) {
 				return;
 			}
 
 			const {id} = target.registration;
-			target.said.limitPerSecond = limitPerSecond;
+			target.reported.limitPerSecond = limitPerSecond;
 			limitRates.delete(id);
 			if (!isRelevantChange(previous, limitPerSecond)) {
 				return;
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -17,11 +17,11 @@
 	/** Monotonic time in milliseconds. */
 	coldUntil: number;
 	rateBucket: RateBucket;
-	readonly said: TargetStatements;
+	readonly reported: ReportedState;
 };
 
-/** What the target has said of itself in its responses. This holds until the target starts anew, whatever its registration says. */
-export type TargetStatements = {
+/** What the target has reported of itself in its responses. This holds until the target starts anew, whatever its registration says. */
+export type ReportedState = {
 	isLeaving: boolean;
 	/** Requests per second that the target takes from all gateways together; undefined while it names no limit. */
 	limitPerSecond: number | undefined;
@@ -38,7 +38,7 @@
 	getGeneration: () => number;
 	/** The network round trip to a region. */
 	getRoundTripMilliseconds: (region: string) => number;
-	/** Stops using the target at once, because it said that it is leaving. */
+	/** Stops using the target at once, because it reported that it is leaving. */
 	markLeaving: (target: GatewayTarget) => void;
 	/** Stops using the target until its registration is read again, because another target has its address. */
 	markMisdirected: (target: GatewayTarget) => void;
@@ -64,7 +64,7 @@
 export function createGatewayTargets({clock, region: localRegion, connectionsPerTarget, onRemoved}: GatewayTargetsOptions): GatewayTargets {
 	const targetsById = new Map<string, GatewayTarget>();
 	/** The targets that were removed last, in the order of their removal. */
-	const removedTargets = new Map<string, Pick<GatewayTarget, 'registration' | 'said'>>();
+	const removedTargets = new Map<string, Pick<GatewayTarget, 'registration' | 'reported'>>();
 	const roundTrips = new Map<string, number>();
 	let servingByService = new Map<string, GatewayTarget[]>();
 	let generation = 0;
@@ -86,19 +86,19 @@
 			connections,
 			coldUntil: now + registration.coldForMilliseconds,
 			rateBucket: createRateBucket(now),
-			said: getStatements(registration),
+			reported: getReportedState(registration),
 		};
 	};
 
-	/** Returns what the same instance said before its registration disappeared, which may happen while the store is down. */
-	const getStatements = (registration: TrafficTarget): TargetStatements => {
+	/** Returns what the same instance reported before its registration disappeared, which may happen while the store is down. */
+	const getReportedState = (registration: TrafficTarget): ReportedState => {
 		const removed = removedTargets.get(registration.id);
 		removedTargets.delete(registration.id);
-		return removed && isSameInstance(removed.registration, registration) ? removed.said : {isLeaving: false, limitPerSecond: undefined, pausedUntil: Number.NEGATIVE_INFINITY};
+		return removed && isSameInstance(removed.registration, registration) ? removed.reported : {isLeaving: false, limitPerSecond: undefined, pausedUntil: Number.NEGATIVE_INFINITY};
 	};
 
 	const removeTarget = (target: GatewayTarget): void => {
-		removedTargets.set(target.registration.id, {registration: target.registration, said: target.said});
+		removedTargets.set(target.registration.id, {registration: target.registration, reported: target.reported});
 		const [oldest] = removedTargets.keys();
 		if (removedTargets.size > maximumRemovedTargets && oldest !== undefined) {
 			removedTargets.delete(oldest);
@@ -121,7 +121,7 @@
 		generation += 1;
 		servingByService = new Map();
 		for (const target of targetsById.values()) {
-			if (!target.registration.isLeaving && !target.said.isLeaving) {
+			if (!target.registration.isLeaving && !target.reported.isLeaving) {
 				servingByService.set(target.registration.service, [...servingByService.get(target.registration.service) ?? [], target]);
 			}
 		}
@@ -158,8 +158,8 @@
 		getGeneration: () => generation,
 		getRoundTripMilliseconds: region => roundTrips.get(region) ?? (region === localRegion ? localRoundTripMilliseconds : remoteRoundTripMilliseconds),
 		markLeaving(target) {
-			if (!target.said.isLeaving) {
-				target.said.isLeaving = true;
+			if (!target.reported.isLeaving) {
+				target.reported.isLeaving = true;
 				indexServingTargets();
 			}
 		},
