Let a call to the platform end at its timeout after garbage collection

The store had been silent before; no gateway logged that it had lost the store.

Cause: a call with a signal of its own combined it with AbortSignal.timeout by AbortSignal.any. In optimized code nothing else refers to the timeout signal, and Node.js 20 collects it as garbage together with its timer. A feed sent into a silent store, or on a connection that went silent, then never ends.

Why it works: the timer is held until the call ends, and aborts a controller of the call. The only other AbortSignal.any, of hedged requests, combines no timeout.

--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -67,13 +67,26 @@
 };
 
 async function send(pool: Pool, options: SendOptions): Promise<CallOutcome> {
-	const timeout = AbortSignal.timeout(Math.ceil(options.timeoutMilliseconds));
+	// Not `AbortSignal.any` with `AbortSignal.timeout`: Node.js 20 may collect the timeout as garbage, and the call then never ends.
+	const controller = new AbortController();
+	const abort = (): void => {
+		controller.abort(options.signal?.reason);
+	};
+
+	const timer = setTimeout(() => {
+		controller.abort(new DOMException('The operation was aborted due to timeout', 'TimeoutError'));
+	}, options.timeoutMilliseconds);
+	if (options.signal?.aborted) {
+		abort();
+	}
+
+	options.signal?.addEventListener('abort', abort);
 	try {
 		const response = await pool.request({
 			method: options.method,
 			path: options.path,
 			body: options.body,
-			signal: options.signal ? AbortSignal.any([timeout, options.signal]) : timeout,
+			signal: controller.signal,
 			...(options.headers && {headers: options.headers}),
 		});
 		const body = await response.body.bytes();
@@ -81,6 +94,9 @@
 	} catch (error) {
 		const code = getErrorCode(error) ?? '';
 		return {kind: connectErrorCodes.has(code) ? 'not-sent' : 'lost', reason: `${code} ${getErrorMessage(error)}`.trim()};
+	} finally {
+		clearTimeout(timer);
+		options.signal?.removeEventListener('abort', abort);
 	}
 }
 
