--- a/packages/node/src/gateway-target-rates.ts
+++ b/packages/node/src/gateway-target-rates.ts
@@ -5,7 +5,7 @@
  */
 import type {Logger} from '@catkindale/common';
 import {
-	type RateNode, type TrafficService, getLimitNodeRate, getRateTokenDelay, getWarmupNodeRate, takeRateToken,
+	type RateNode, type RateTarget, type TrafficService, getLimitNodeRate, getRateTokenDelay, getWarmupNodeRate, rankLimitNodes, takeRateToken,
 } from '@catkindale/policy';
 import type {TargetLimit} from '@catkindale/protocol';
 import type {GatewayTarget} from './gateway-targets.js';
@@ -41,12 +41,14 @@
 export function createGatewayTargetRates({logger, ownId, region}: GatewayTargetRatesOptions): GatewayTargetRates {
 	let gatewayIds: readonly string[] = [ownId];
 	let regions: ReadonlyMap<string, string> = new Map([[ownId, region]]);
-	let nodes: readonly RateNode[] = [{id: ownId, region, demand: 0}];
+	let nodes: ReadonlyMap<string, RateNode> = new Map([[ownId, {id: ownId, region, demand: 0}]]);
 	let knownGateways = 1;
 	const changedLimits = new Map<string, number | undefined>();
 	/** This gateway's part of each rate, cached since ranking the gateways for each request would cost too much. */
 	const warmupShares = new Map<string, number>();
 	const limitRates = new Map<string, number>();
+	/** The ranked gateways of each target with a limit. They change more rarely than the demands. */
+	const limitRankings = new Map<string, readonly string[]>();
 
 	const getWarmupRate = ({registration: {id}}: GatewayTarget, {warmupRequestsPerSecond}: TrafficService): number => {
 		if (warmupRequestsPerSecond === undefined) {
@@ -58,13 +60,19 @@
 		return warmupRequestsPerSecond * share;
 	};
 
+	const getRankedNodes = (target: RateTarget): RateNode[] => {
+		const ranking = limitRankings.get(target.id) ?? rankLimitNodes(target, [...nodes.values()]).map(({id}) => id);
+		limitRankings.set(target.id, ranking);
+		return ranking.flatMap(id => nodes.get(id) ?? []);
+	};
+
 	const getLimitRate = ({registration: target, reported: {limitPerSecond}}: GatewayTarget): number => {
 		if (limitPerSecond === undefined) {
 			return Number.POSITIVE_INFINITY;
 		}
 
 		const rate = limitRates.get(target.id) ?? getLimitNodeRate({
-			ownId, nodes, knownNodes: knownGateways, target, limitPerSecond,
+			ownId, nodes: getRankedNodes(target), knownNodes: knownGateways, target, limitPerSecond,
 		});
 		limitRates.set(target.id, rate);
 		return rate;
@@ -81,9 +89,15 @@
 			regions = new Map([...gateways.map(gateway => [gateway.id, gateway.region] as const), [ownId, region]]);
 			warmupShares.clear();
 			limitRates.clear();
+			limitRankings.clear();
 		},
 		setDemands(next) {
-			nodes = [...next.demands].map(([id, byCustomer]) => ({id, region: regions.get(id), demand: sum(Object.values(byCustomer))}));
+			const isSameFleet = next.demands.size === nodes.size && [...next.demands.keys()].every(id => nodes.has(id) && nodes.get(id)?.region === regions.get(id));
+			if (!isSameFleet) {
+				limitRankings.clear();
+			}
+
+			nodes = new Map([...next.demands].map(([id, byCustomer]) => [id, {id, region: regions.get(id), demand: sum(Object.values(byCustomer))}]));
 			knownGateways = next.knownGateways;
 			limitRates.clear();
 		},
@@ -126,6 +140,7 @@
 		removeTarget(id) {
 			warmupShares.delete(id);
 			limitRates.delete(id);
+			limitRankings.delete(id);
 			changedLimits.delete(id);
 		},
 	};
--- a/packages/policy/src/target-rate.ts
+++ b/packages/policy/src/target-rate.ts
@@ -22,13 +22,15 @@
 	readonly demand: number;
 };
 
+export type RateTarget = {readonly id: string; readonly region: string};
+
 export type LimitShareInput = {
 	readonly ownId: string;
-	/** This node and all others whose demand is known. */
+	/** This node and all others whose demand is known, in the order of {@link rankLimitNodes}. */
 	readonly nodes: readonly RateNode[];
 	/** Number of all nodes, including those whose demand isn't known. */
 	readonly knownNodes: number;
-	readonly target: {readonly id: string; readonly region: string};
+	readonly target: RateTarget;
 	readonly limitPerSecond: number;
 };
 
@@ -53,6 +55,12 @@
 	return nodes.some(({id}) => id === ownId) ? ratePerSecond / nodes.length : 0;
 }
 
+/** Returns the nodes in the order in which they get parts of the target's limit: those of its region first. It depends on no demand. */
+export function rankLimitNodes<Node extends Pick<RateNode, 'id' | 'region'>>(target: RateTarget, nodes: readonly Node[]): Node[] {
+	const ranked = rankMembers(target.id, nodes);
+	return [...ranked.filter(({region}) => region === target.region), ...ranked.filter(({region}) => region !== target.region)];
+}
+
 /**
  * Returns the part of a target's limit that the node may use, in requests per
  * second. A node that knows the demands of at most half of the nodes may be cut
@@ -65,9 +73,8 @@
 	}
 
 	const maximumSenders = Math.max(minimumLimitNodes, Math.floor(limitNodesPerRequest * limit));
-	const ranked = rankMembers(target.id, nodes);
 	const isLocal = ({region}: RateNode): boolean => region === target.region;
-	const senders = [...ranked.filter(node => isLocal(node)), ...ranked.filter(node => !isLocal(node))].slice(0, maximumSenders);
+	const senders = nodes.slice(0, maximumSenders);
 	const meanDemand = senders.reduce((total, {demand}) => total + demand, 0) / senders.length;
 	const getWeight = (node: RateNode): number => {
 		const demandWeight = meanDemand > 0 ? node.demand / meanDemand : 1;
--- a/packages/policy/tests/target-rate.test.ts
+++ b/packages/policy/tests/target-rate.test.ts
@@ -1,7 +1,7 @@
 /** The parts of a target's limit that its nodes use by themselves, without a message for each request. */
 import {describe, expect, it} from 'vitest';
 import {
-	type RateNode, createRateBucket, getLimitNodeRate, getRateTokenDelay, minimumLimitPerSecond, takeRateToken,
+	type RateNode, createRateBucket, getLimitNodeRate, getRateTokenDelay, minimumLimitPerSecond, rankLimitNodes, takeRateToken,
 } from '@catkindale/policy';
 
 const target = {id: 'target', region: 'east'};
@@ -13,7 +13,7 @@
 
 function getRates(nodes: readonly RateNode[], limitPerSecond: number): number[] {
 	return nodes.map(({id: ownId}) => getLimitNodeRate({
-		ownId, nodes, knownNodes: nodes.length, target, limitPerSecond,
+		ownId, nodes: rankLimitNodes(target, nodes), knownNodes: nodes.length, target, limitPerSecond,
 	}));
 }
 
@@ -70,7 +70,7 @@
 	it.each(partitions)('leave room for the others where a node hears of $name of 11', ({heard, maximum}) => {
 		const nodes = createNodes(heard, () => 20);
 		const used = sum(nodes.map(({id: ownId}) => getLimitNodeRate({
-			ownId, nodes, knownNodes: 11, target, limitPerSecond: 20,
+			ownId, nodes: rankLimitNodes(target, nodes), knownNodes: 11, target, limitPerSecond: 20,
 		})));
 		expect(used).toBeLessThanOrEqual((maximum * 20) + 1e-6);
 	});
