Derive a feed's longest retry delay from the time to recover

A call sent just before the store is back times out after 1 s; with a delay of 1 s its repetition came up to 2 s late, which fits stable_window_s of 3 and 4 and not one of 2.

--- a/packages/policy/src/feed-wait.ts
+++ b/packages/policy/src/feed-wait.ts
@@ -17,6 +17,17 @@
 	readonly isAligned: boolean;
 };
 
+const initialRetryMilliseconds = 250;
+const maximumRetryMilliseconds = 1000;
+/** A call that was sent just before the source is back times out first; its repetition, and the next call, must still fit in the time to recover. */
+const maximumRetryFractionOfRecovery = 1 / 3;
+
+/** Returns the delay after the given number of failures in a row, in milliseconds. It doubles, so that nodes don't overload a source that is down. */
+export function getFeedRetryDelay(failures: number, recoveryMilliseconds: number): number {
+	const maximum = Math.min(maximumRetryMilliseconds, recoveryMilliseconds * maximumRetryFractionOfRecovery);
+	return Math.round(Math.min(maximum, initialRetryMilliseconds * (2 ** (failures - 1))));
+}
+
 /** Returns how long the node's next call waits for a change, in whole milliseconds. */
 export function getFeedWait({ownId, nodeIds, checkIntervalMilliseconds, maximumMilliseconds, isAligned}: FeedWaitInput): number {
 	const ids = [...new Set([...nodeIds, ownId])].toSorted();
--- a/packages/policy/tests/feed-wait.test.ts
+++ b/packages/policy/tests/feed-wait.test.ts
@@ -1,6 +1,6 @@
 /** Nodes that all wait equally long would all notice a silent source equally late. */
 import {describe, expect, it} from 'vitest';
-import {getFeedWait} from '@catkindale/policy';
+import {getFeedRetryDelay, getFeedWait} from '@catkindale/policy';
 
 const checkIntervalMilliseconds = 750;
 const maximumMilliseconds = 10_000;
@@ -41,3 +41,15 @@
 		expect(Math.max(...gaps)).toBeLessThanOrEqual(checkIntervalMilliseconds);
 	});
 });
+
+describe('the delay of a feed after failures', () => {
+	it.each([
+		{recovery: 3000, delays: [250, 500, 1000, 1000]},
+		{recovery: 2000, delays: [250, 500, 667, 667]},
+		{recovery: 4000, delays: [250, 500, 1000, 1000]},
+	])('with $recovery ms to recover', ({recovery, delays}) => {
+		expect(delays.map((_, index) => getFeedRetryDelay(index + 1, recovery))).toEqual(delays);
+		const callTimeoutMilliseconds = 1000;
+		expect(callTimeoutMilliseconds + Math.max(...delays)).toBeLessThan(recovery);
+	});
+});
