Let two gateways of a region follow the store, and exchange lists only when they differ

On each new link, a gateway sent a report to all and its whole list of members, N^3 reports and members in a fleet that starts. And a list sent when a link opened wasn't sent again: with the store away, gateways that joined through the same seed at different moments never heard of each other.

Change: the two gateways of a region that rank first (rendezvous hashing) follow the store; one whose calls fail stays, and the next one reads too. Readers send changes of targets and orders to their region at once; the others ask for what a report shows that they lack, and read themselves when no reader was heard for two heartbeats. Targets travel as changes since the requester's revision. Reports carry a digest of the known members; a list is requested only when digests differ after they have settled. Rows of gateways are read at intervals by two of the fleet. The pause between two reads grows while changes come in a row.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -1,25 +1,22 @@
 /**
- * Connects this gateway with the others: writes its row, discovers other
- * gateways in the table and through peers, reports its state in heartbeats and
- * publishes which gateways lookups may return.
+ * Connects this gateway with the others: reports its state to them in
+ * heartbeats, and publishes which gateways lookups may return, what customers
+ * demand at all of them, and which of them follow the store.
  */
-import {createIdentifier, rankMembers} from '@catkindale/common';
-import {type Member, createKnownGateways, memberSchema} from '@catkindale/policy';
-import type {Row} from '@catkindale/ports';
+import {type Member, chooseSourceReaders} from '@catkindale/policy';
 import type {GatewayReport, KnowledgeRevisions, TargetLimit} from '@catkindale/protocol';
-import {gatewayRole, rowKeys} from './constants.js';
-import {type NodeContext, getOwnMember, nodePlugins} from './node-context.js';
+import {gatewayRole} from './constants.js';
+import {createFleetMembers} from './fleet-members.js';
+import {startFleetRows} from './fleet-rows.js';
+import {getOwnMember, nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
 
 const startOrder = 12;
-/** Rows change only when a gateway starts or leaves, and peers report most changes sooner. */
-const readIntervalMilliseconds = 10_000;
-const retryIntervalMilliseconds = 500;
 const utilizationDigits = 2;
-/** Below the size limit of a transaction. */
-const maximumRemovedRows = 50;
-/** The key that ranks the gateways for the removal of rows. It must be the same on all gateways. */
-const removalRankKey = 'rows of gateways that are gone';
+/** Heartbeats of a reader that may be missing until another gateway reads in its place. */
+const missingReaderHeartbeats = 2;
+/** Added to the missing heartbeats of a reader for their way and a busy process. */
+const readerMarginMilliseconds = 100;
 
 type PeerState = {report: GatewayReport | undefined; receivedAt: number; isConnected: boolean};
 
@@ -29,16 +26,24 @@
 	order: startOrder,
 	async start(context) {
 		const {bus, clock, logger, settings} = context;
-		const {peerSilenceMilliseconds, shareHoldMilliseconds} = settings.gateway;
-		const ownId = settings.node.name;
-		const knownMembers = createKnownGateways(ownId);
+		const {heartbeatMilliseconds} = settings.timing;
+		const readerSilenceMilliseconds = (missingReaderHeartbeats * heartbeatMilliseconds) + readerMarginMilliseconds;
+		const {name: ownId} = settings.node;
 		const peers = new Map<string, PeerState>();
+		const members = createFleetMembers(context, ({id, incarnation}) => {
+			peers.delete(id);
+			logger.info('gateway_forgotten', {gateway: id, incarnation});
+		});
 		let revisions: KnowledgeRevisions = {configuration: 0, orders: 0, targets: 0};
 		let demands: Readonly<Record<string, number>> = {};
 		let isDraining = false;
+		let isSourceFailing = false;
+		let isReader = true;
 		let serving: Member[] = [];
+		let servingIds: readonly string[] = [];
 		let servingKey = '';
-		let isRowWritten = false;
+		let candidatesKey = '';
+		let readersKey = '';
 		let utilization = 0;
 		/** Limits of targets that the next heartbeat reports. */
 		let changedLimits: readonly TargetLimit[] = [];
@@ -49,37 +54,36 @@
 			return state;
 		};
 
-		const publishMembers = (): void => {
-			bus.publish({type: 'members-received', members: [getOwnMember(context), ...knownMembers.getAll()]});
-		};
+		const isServing = (): boolean => revisions.configuration > 0 && !isDraining;
 
-		const addMembers = (found: readonly Member[]): void => {
-			if (knownMembers.add(found, clock.monotonic())) {
-				// A gateway that starts later is known to the others only once it has connected to them, so the mesh needs the members at once.
-				publishMembers();
-			}
+		/** Whether the peer serves, as far as its reports within the given time show. */
+		const isServingPeer = (id: string, silenceMilliseconds: number): boolean => {
+			const peer = peers.get(id);
+			return peer?.isConnected === true && peer.report?.isServing === true && clock.monotonic() - peer.receivedAt <= silenceMilliseconds;
 		};
 
-		const removeExpiredGateways = (): void => {
-			const expired = knownMembers.removeExpired(clock.monotonic());
-			for (const {id, incarnation} of expired) {
-				peers.delete(id);
-				logger.info('gateway_forgotten', {gateway: id, incarnation});
+		const publishReaders = (): void => {
+			const candidates = serving.filter(({id}) => id === ownId || isServingPeer(id, readerSilenceMilliseconds))
+				.map(({id, region}) => ({id, region, isFailing: id === ownId ? isSourceFailing : peers.get(id)?.report?.isSourceFailing === true}));
+			const nextCandidatesKey = candidates.map(({id, isFailing}) => `${id} ${isFailing}`).toSorted().join(',');
+			if (nextCandidatesKey === candidatesKey) {
+				return;
 			}
 
-			if (expired.length > 0) {
-				publishMembers();
+			candidatesKey = nextCandidatesKey;
+			// A gateway that doesn't serve has no reader that it could rely on: it may be cut off or about to stop.
+			const readerIds = isServing() ? chooseSourceReaders(candidates) : [ownId];
+			const key = readerIds.join(',');
+			if (key !== readersKey) {
+				readersKey = key;
+				isReader = readerIds.includes(ownId);
+				logger.info('source_readers', {readers: key, isReader});
+				bus.publish({type: 'source-readers-changed', readerIds, isReader});
 			}
 		};
 
-		const isServing = (): boolean => revisions.configuration > 0 && !isDraining;
-
 		const publishServing = (): void => {
-			const now = clock.monotonic();
-			serving = knownMembers.getAll().filter(({id}) => {
-				const peer = peers.get(id);
-				return peer?.isConnected === true && peer.report?.isServing === true && now - peer.receivedAt <= peerSilenceMilliseconds;
-			});
+			serving = members.getAll().filter(({id}) => isServingPeer(id, settings.gateway.peerSilenceMilliseconds));
 			if (isServing()) {
 				serving.push(getOwnMember(context));
 			}
@@ -88,21 +92,27 @@
 			const key = serving.map(({id, incarnation}) => `${id} ${incarnation}`).toSorted().join(',');
 			if (key !== servingKey) {
 				servingKey = key;
-				logger.info('serving_gateways', {gateways: serving.map(({id}) => id).join(',')});
+				const ids = serving.map(({id}) => id);
+				logger.info('serving_gateways', {
+					count: ids.length, added: ids.filter(id => !servingIds.includes(id)).join(','), removed: servingIds.filter(id => !ids.includes(id)).join(','),
+				});
+				servingIds = ids;
 				bus.publish({type: 'serving-gateways-changed', members: serving});
 			}
+
+			publishReaders();
 		};
 
 		const publishDemands = (): void => {
 			const now = clock.monotonic();
 			const demandsByGateway = new Map<string, Readonly<Record<string, number>>>([[ownId, demands]]);
 			for (const [id, peer] of peers) {
-				if (peer.report && now - peer.receivedAt <= shareHoldMilliseconds) {
+				if (peer.report && now - peer.receivedAt <= settings.gateway.shareHoldMilliseconds) {
 					demandsByGateway.set(id, peer.report.demands);
 				}
 			}
 
-			bus.publish({type: 'customer-demands-changed', demands: demandsByGateway, knownGateways: knownMembers.getAll().length + 1});
+			bus.publish({type: 'customer-demands-changed', demands: demandsByGateway, knownGateways: members.getAll().length + 1});
 		};
 
 		const publishUtilizations = (): void => {
@@ -114,12 +124,12 @@
 			bus.publish({type: 'gateway-utilizations-changed', utilizations});
 		};
 
-		const broadcastReport = (additions: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'> = {}): void => {
-			bus.publish({
-				type: 'peer-broadcast', message: {
-					type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, ...additions,
-				},
-			});
+		const createReport = (additions: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'> = {}): GatewayReport => ({
+			type: 'gateway-report', isServing: isServing(), use: utilization, revisions, demands, membersDigest: members.getDigest(), ...(isSourceFailing && {isSourceFailing}), ...additions,
+		});
+
+		const broadcastReport = (additions?: Pick<GatewayReport, 'sourceMissingMilliseconds' | 'targetLimits'>): void => {
+			bus.publish({type: 'peer-broadcast', message: createReport(additions)});
 		};
 
 		const sendHeartbeat = async (): Promise<void> => {
@@ -127,76 +137,22 @@
 			utilization = Number(context.eventLoopMonitor.takeUtilization().toFixed(utilizationDigits));
 			broadcastReport(changedLimits.length > 0 ? {targetLimits: [...changedLimits]} : {});
 			changedLimits = [];
+			members.requestList();
 			publishUtilizations();
 			publishServing();
 			publishDemands();
 		};
 
-		const readRows = async (): Promise<void> => {
-			const outcome = await context.platform.table.list(rowKeys.gatewayPrefix);
-			if (outcome.kind !== 'done') {
-				logger.warn('table_read_failed', {row: rowKeys.gatewayPrefix, outcome: outcome.kind});
-				return;
-			}
-
-			const found: Member[] = [];
-			const stale: Row[] = [];
-			removeExpiredGateways();
-			for (const row of outcome.value) {
-				const parsed = memberSchema.safeParse(row.value);
-				if (parsed.success && knownMembers.wasRemoved(parsed.data)) {
-					stale.push(row);
-				} else if (parsed.success) {
-					found.push(parsed.data);
-				} else {
-					logger.warn('row_unreadable', {row: row.key, reason: parsed.error.issues[0]?.message});
-				}
-			}
-
-			addMembers(found);
-			const ownRow = outcome.value.find(({key}) => key === getRowKey(context));
-			if (!isRowWritten || !ownRow) {
-				await writeRow(ownRow?.version ?? 0);
-			}
-
-			await removeRows(stale);
-		};
-
-		/** Removes rows on the first-ranked gateway only. A row that was rewritten in the meantime stays. */
-		const removeRows = async (stale: readonly Row[]): Promise<void> => {
-			const [first] = rankMembers(removalRankKey, serving);
-			if (stale.length === 0 || first?.id !== ownId) {
-				return;
-			}
-
-			const removed = stale.slice(0, maximumRemovedRows);
-			const outcome = await context.platform.table.transact(createIdentifier(), removed.map(({key, version}) => ({key, expectedVersion: version, value: undefined})));
-			logger.info('gateway_rows_removed', {rows: removed.map(({key}) => key).join(','), outcome: outcome.kind});
-		};
-
-		const writeRow = async (expectedVersion: number): Promise<void> => {
-			const outcome = await context.platform.table.transact(createIdentifier(), [{key: getRowKey(context), expectedVersion, value: getOwnMember(context)}]);
-			isRowWritten = outcome.kind === 'done';
-			logger.info('gateway_row_written', {outcome: outcome.kind});
-		};
-
-		/** Reads the rows again after writing its own, so that of two starting gateways the later writer finds the earlier one. */
-		const joinFleet = async (): Promise<void> => {
-			await readRows();
-			if (isRowWritten) {
-				await readRows();
-			}
-		};
-
-		let rowMaintenance: Promise<void> | undefined;
-		let readAt = Number.NEGATIVE_INFINITY;
-		const maintainRows = async (): Promise<void> => {
-			const pause = isRowWritten ? readIntervalMilliseconds : retryIntervalMilliseconds;
-			if (rowMaintenance === undefined && clock.monotonic() - readAt >= pause) {
-				rowMaintenance = isRowWritten ? readRows() : joinFleet();
-				await rowMaintenance;
-				rowMaintenance = undefined;
-				readAt = clock.monotonic();
+		const receiveReport = (from: string, report: GatewayReport): void => {
+			const state = getPeerState(from);
+			const previous = state.report;
+			state.report = report;
+			state.receivedAt = clock.monotonic();
+			members.recordContact(from);
+			members.receiveDigest(from, report.membersDigest);
+			members.requestList();
+			if (previous?.isServing !== report.isServing || previous.isSourceFailing !== report.isSourceFailing) {
+				publishServing();
 			}
 		};
 
@@ -207,8 +163,16 @@
 				if (isServing() !== wasServing) {
 					broadcastReport();
 					publishServing();
+				} else if (isReader) {
+					// The gateways that don't follow the store hear of the change from this report.
+					broadcastReport();
 				}
 			}),
+			bus.subscribe('traffic-source-state-changed', message => {
+				isSourceFailing = message.isFailing;
+				broadcastReport();
+				publishReaders();
+			}),
 			bus.subscribe('own-demands-measured', message => {
 				demands = message.demands;
 			}),
@@ -217,27 +181,26 @@
 			}),
 			bus.subscribe('peer-connected', ({id}) => {
 				getPeerState(id).isConnected = true;
-				knownMembers.recordContact(id, clock.monotonic());
-				bus.publish({type: 'peer-send', to: id, message: {type: 'known-members', members: [getOwnMember(context), ...knownMembers.getAll()]}});
-				broadcastReport();
+				members.introduceTo(id);
+				bus.publish({type: 'peer-send', to: id, message: createReport()});
 			}),
 			bus.subscribe('peer-disconnected', ({id}) => {
 				getPeerState(id).isConnected = false;
+				members.removePeer(id);
 				publishServing();
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'known-members') {
-					addMembers(message.members);
+					members.receiveList(from, message.members);
 					publishServing();
-				} else if (message.type === 'gateway-report') {
-					const state = getPeerState(from);
-					const wasServing = state.report?.isServing;
-					state.report = message;
-					state.receivedAt = clock.monotonic();
-					knownMembers.recordContact(from, state.receivedAt);
-					if (wasServing !== message.isServing) {
-						publishServing();
-					}
+				}
+
+				if (message.type === 'members-request') {
+					members.sendList(from);
+				}
+
+				if (message.type === 'gateway-report') {
+					receiveReport(from, message);
 				}
 			}),
 			bus.subscribe('traffic-source-regained', ({missingMilliseconds, from}) => {
@@ -251,17 +214,15 @@
 				publishServing();
 			}),
 		];
-		const periodicWorks = [
-			startPeriodicWork(sendHeartbeat, settings.timing.heartbeatMilliseconds),
-			startPeriodicWork(maintainRows, retryIntervalMilliseconds),
-		];
+		const heartbeats = startPeriodicWork(sendHeartbeat, heartbeatMilliseconds);
+		const rows = startFleetRows(context, members, () => serving);
 		return {
 			async onAllStarted() {
 				// Serving doesn't wait for the table; the search for peers is repeated.
-				void maintainRows();
+				rows.runSoon();
 			},
 			async stop() {
-				await Promise.all(periodicWorks.map(async work => work.stop()));
+				await Promise.all([heartbeats.stop(), rows.stop()]);
 				for (const unsubscribe of subscriptions) {
 					unsubscribe();
 				}
@@ -269,7 +230,3 @@
 		};
 	},
 });
-
-function getRowKey(context: NodeContext): string {
-	return `${rowKeys.gatewayPrefix}${context.settings.node.name}`;
-}
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -76,6 +76,10 @@
 		| {readonly type: 'traffic-source-behind'}
 	/** The source of this node or of a peer (`from`) answers again. The answer of its last failed call was due the given time before; calls that wait since then or longer may never be answered. */
 		| {readonly type: 'traffic-source-regained'; readonly missingMilliseconds: number; readonly from?: string}
+	/** Whether the calls of this node's own source fail. */
+		| {readonly type: 'traffic-source-state-changed'; readonly isFailing: boolean}
+	/** The nodes that follow the source; the others receive its changes from them. */
+		| {readonly type: 'source-readers-changed'; readonly readerIds: readonly string[]; readonly isReader: boolean}
 	/** A newer traffic configuration is effective on this node. */
 		| {readonly type: 'traffic-configuration-changed'; readonly configuration: TrafficConfiguration}
 		| {readonly type: 'traffic-orders-changed'; readonly orders: TrafficOrders}
--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -1,15 +1,17 @@
 /**
  * Holds the traffic configuration, the operator's orders and the registered
  * targets of this gateway. Each of them has a revision that only increases.
- * Updates come from the node's own source or, if that is cut off, from a peer
- * that reports a higher revision.
+ * Updates come from the node's own source or from a peer that reports a higher
+ * revision: at once if this node leaves following the source to others,
+ * otherwise if its own source is slower.
  */
 import type {TrafficConfiguration} from '@catkindale/policy';
 import type {
-	KnowledgeMessage, KnowledgePart, KnowledgeRevisions, RegisteredTargets, TrafficOrders,
+	KnowledgeMessage, KnowledgePart, KnowledgeRevisions, RegisteredTargets, TargetChanges, TrafficOrders,
 } from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
 import {nodePlugins} from './node-context.js';
+import {createTargetHistory} from './target-history.js';
 
 const startOrder = 15;
 /** How long the node's own source may take to deliver a revision that a peer has already. */
@@ -27,8 +29,12 @@
 	roles: [gatewayRole],
 	order: startOrder,
 	async start(context) {
-		const {bus, clock, logger} = context;
+		const {bus, clock, logger, settings} = context;
 		const current: Knowledge = {};
+		const targetHistory = createTargetHistory();
+		let isSourceReader = true;
+		/** Peers of this node's region; a change is cheapest from there. */
+		let regionPeers: ReadonlySet<string> = new Set();
 		/** Monotonic time since which a peer has had a higher revision. */
 		let behindSince: number | undefined;
 		let requestedAt = Number.NEGATIVE_INFINITY;
@@ -57,9 +63,19 @@
 			publishRevisions();
 		};
 
-		const applyOrders = (orders: TrafficOrders, source: string): void => {
+		/** Spares the gateways of the region that don't follow the source a request for a change. */
+		const pushToRegion = (message: KnowledgeMessage): void => {
+			if (isSourceReader) {
+				for (const id of regionPeers) {
+					bus.publish({type: 'peer-send', to: id, message});
+				}
+			}
+		};
+
+		/** Returns whether the orders are newer than the current ones. */
+		const applyOrders = (orders: TrafficOrders, source: string): boolean => {
 			if (current.orders && orders.revision <= current.orders.revision) {
-				return;
+				return false;
 			}
 
 			current.orders = orders;
@@ -68,22 +84,29 @@
 			});
 			bus.publish({type: 'traffic-orders-changed', orders});
 			publishRevisions();
+			return true;
 		};
 
-		const applyTargets = (targets: RegisteredTargets, source: string): void => {
+		/** Returns whether the targets are newer than the current ones. */
+		const applyTargets = (targets: RegisteredTargets, source: string): boolean => {
 			if (current.targets && targets.revision <= current.targets.revision) {
-				return;
+				return false;
 			}
 
+			targetHistory.record(current.targets, targets);
 			current.targets = targets;
 			logger.info('targets_changed', {
 				revision: targets.revision, source, targets: targets.targets.length, leaving: targets.targets.filter(target => target.isLeaving).length,
 			});
 			bus.publish({type: 'traffic-targets-changed', targets});
 			publishRevisions();
+			return true;
 		};
 
-		/** Requests the newer revisions from a peer that is ahead, once this node's source has had time to deliver them. */
+		/** Returns how long to wait for another way to a revision that the peer has. */
+		const getLeadMilliseconds = (from: string): number => isSourceReader || !regionPeers.has(from) ? sourceLeadMilliseconds : 0;
+
+		/** Requests the newer revisions from a peer that is ahead, once the better ways to them have had their time. */
 		const compareRevisions = (from: string, peerRevisions: KnowledgeRevisions): void => {
 			const ownRevisions = getRevisions();
 			const parts = (Object.keys(ownRevisions) as KnowledgePart[]).filter(part => peerRevisions[part] > ownRevisions[part]);
@@ -94,25 +117,44 @@
 			}
 
 			behindSince ??= now;
-			if (now - behindSince >= sourceLeadMilliseconds && now - requestedAt >= requestIntervalMilliseconds) {
+			if (now - behindSince >= getLeadMilliseconds(from) && now - requestedAt >= requestIntervalMilliseconds) {
 				requestedAt = now;
 				logger.info('knowledge_behind', {peer: from, parts: parts.join(','), milliseconds: Math.round(now - behindSince)});
 				bus.publish({type: 'traffic-source-behind'});
-				bus.publish({type: 'peer-send', to: from, message: {type: 'knowledge-wish', parts}});
+				bus.publish({type: 'peer-send', to: from, message: {type: 'knowledge-wish', parts, ...(current.targets && {targetsRevision: current.targets.revision})}});
 			}
 		};
 
-		const sendKnowledge = (to: string, parts: readonly KnowledgePart[]): void => {
+		const sendKnowledge = (to: string, parts: readonly KnowledgePart[], targetsRevision: number | undefined): void => {
+			const targetChanges = current.targets && targetsRevision !== undefined ? targetHistory.getChanges(current.targets, targetsRevision) : undefined;
 			const message: KnowledgeMessage = {
 				type: 'knowledge',
 				...(parts.includes('configuration') && {configuration: current.configuration}),
 				...(parts.includes('orders') && {orders: current.orders}),
-				...(parts.includes('targets') && {targets: current.targets}),
+				...(parts.includes('targets') && (targetChanges ? {targetChanges} : {targets: current.targets})),
 			};
 			bus.publish({type: 'peer-send', to, message});
 		};
 
-		const applyPeerKnowledge = ({configuration, orders, targets}: KnowledgeMessage, from: string): void => {
+		/** Ignores changes after a revision that this node doesn't have; it requests all targets with the peer's next report. */
+		const applyTargetChanges = ({after, revision, changed, removed}: TargetChanges, from: string): void => {
+			if (!current.targets || after > current.targets.revision || revision <= current.targets.revision) {
+				return;
+			}
+
+			const targets = new Map(current.targets.targets.map(target => [target.id, target]));
+			for (const id of removed) {
+				targets.delete(id);
+			}
+
+			for (const target of changed) {
+				targets.set(target.id, target);
+			}
+
+			applyTargets({revision, targets: [...targets.values()]}, from);
+		};
+
+		const applyPeerKnowledge = ({configuration, orders, targets, targetChanges}: KnowledgeMessage, from: string): void => {
 			if (configuration) {
 				applyConfiguration(configuration, from);
 			}
@@ -124,6 +166,10 @@
 			if (targets) {
 				applyTargets(targets, from);
 			}
+
+			if (targetChanges) {
+				applyTargetChanges(targetChanges, from);
+			}
 		};
 
 		const unsubscribers = [
@@ -131,10 +177,22 @@
 				applyConfiguration(configuration, 'table');
 			}),
 			bus.subscribe('traffic-orders-read', ({orders}) => {
-				applyOrders(orders, 'table');
+				if (applyOrders(orders, 'table')) {
+					pushToRegion({type: 'knowledge', orders});
+				}
 			}),
 			bus.subscribe('traffic-targets-read', ({targets}) => {
-				applyTargets(targets, 'table');
+				const previous = current.targets?.revision;
+				const targetChanges = applyTargets(targets, 'table') && previous !== undefined ? targetHistory.getChanges(targets, previous) : undefined;
+				if (targetChanges) {
+					pushToRegion({type: 'knowledge', targetChanges});
+				}
+			}),
+			bus.subscribe('source-readers-changed', message => {
+				isSourceReader = message.isReader;
+			}),
+			bus.subscribe('serving-gateways-changed', ({members}) => {
+				regionPeers = new Set(members.filter(({region}) => region === settings.node.region).map(({id}) => id));
 			}),
 			bus.subscribe('peer-received', ({from, message}) => {
 				if (message.type === 'gateway-report') {
@@ -145,7 +203,7 @@
 				}
 
 				if (message.type === 'knowledge-wish') {
-					sendKnowledge(from, message.parts);
+					sendKnowledge(from, message.parts, message.targetsRevision);
 				}
 
 				if (message.type === 'knowledge') {
--- a/packages/policy/src/feed-wait.ts
+++ b/packages/policy/src/feed-wait.ts
@@ -22,6 +22,19 @@
 /** A call that was sent just before the source is back times out first; its repetition, and the next call, must still fit in the time to recover. */
 const maximumRetryFractionOfRecovery = 1 / 3;
 
+const initialBatchMilliseconds = 150;
+const maximumBatchMilliseconds = 600;
+const batchGrowthFactor = 1.5;
+
+/**
+ * Returns the pause after a change, so that changes in quick succession are read
+ * together. It grows with the number of changes in a row, as when many targets
+ * start, and stays well below the time in which a single change must take effect.
+ */
+export function getBatchPause(changesInRow: number): number {
+	return Math.round(Math.min(maximumBatchMilliseconds, initialBatchMilliseconds * (batchGrowthFactor ** Math.max(0, changesInRow - 1))));
+}
+
 /** Returns the delay after the given number of failures in a row, in milliseconds. It doubles, so that nodes don't overload a source that is down. */
 export function getFeedRetryDelay(failures: number, recoveryMilliseconds: number): number {
 	const maximum = Math.min(maximumRetryMilliseconds, recoveryMilliseconds * maximumRetryFractionOfRecovery);
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -21,16 +21,25 @@
 	revisions: revisionsSchema,
 	/** Requests per second received by the sender, by customer; customers without requests are omitted. */
 	demands: z.record(z.string(), z.number().min(0)),
+	/** Digest of the members that the sender knows. Missing from nodes of older builds, which don't answer requests for the list. */
+	membersDigest: z.string().optional(),
+	/** Whether the sender's calls to the store fail. */
+	isSourceFailing: z.boolean().optional(),
 	/** Set in the first report after the sender's source answers again: how long ago the answer of its last failed call was due. */
 	sourceMissingMilliseconds: z.number().min(0).optional(),
 	/** Limits that targets have named to the sender since its previous report; without a rate, the limit has ended. */
 	targetLimits: z.array(z.object({target: z.string(), limitPerSecond: z.number().min(0).optional()})).optional(),
 });
 
+/** Requests the list of members from a peer that reported another digest. */
+export const membersRequestMessageSchema = z.object({type: z.literal('members-request')});
+
 /** Requests these parts from a peer that reported higher revisions. */
 export const knowledgeRequestMessageSchema = z.object({
 	type: z.literal('knowledge-wish'),
 	parts: z.array(z.enum(knowledgeParts)),
+	/** The revision of the targets that the sender has, so that it is sent only the later changes. */
+	targetsRevision: z.int().optional(),
 });
 
 export const trafficOrdersSchema = z.object({
@@ -44,11 +53,23 @@
 	targets: z.array(trafficTargetSchema),
 });
 
+/** The changes of the registered targets after one revision up to another. */
+export const targetChangesSchema = z.object({
+	after: z.int(),
+	revision: z.int(),
+	changed: z.array(trafficTargetSchema),
+	/** Identifiers of removed targets; those that were registered again since are also in `changed`. */
+	removed: z.array(z.string()),
+});
+
 export const knowledgeMessageSchema = z.object({
 	type: z.literal('knowledge'),
 	configuration: trafficConfigurationSchema.optional(),
 	orders: trafficOrdersSchema.optional(),
+	/** All targets. */
 	targets: registeredTargetsSchema.optional(),
+	/** In place of `targets` for a requester whose revision of the targets the sender can continue. */
+	targetChanges: targetChangesSchema.optional(),
 });
 
 /**
@@ -62,7 +83,7 @@
 	keptShares: z.record(z.string(), z.number().min(0).max(1)),
 });
 
-export const gatewayMessageSchemas = [gatewayReportMessageSchema, knowledgeRequestMessageSchema, knowledgeMessageSchema, objectPlacementsMessageSchema] as const;
+export const gatewayMessageSchemas = [gatewayReportMessageSchema, membersRequestMessageSchema, knowledgeRequestMessageSchema, knowledgeMessageSchema, objectPlacementsMessageSchema] as const;
 
 export type KnowledgePart = typeof knowledgeParts[number];
 export type KnowledgeRevisions = z.infer<typeof revisionsSchema>;
@@ -71,4 +92,5 @@
 export type TrafficOrders = z.infer<typeof trafficOrdersSchema>;
 export type RegisteredTargets = z.infer<typeof registeredTargetsSchema>;
 export type ObjectPlacement = z.infer<typeof objectPlacementsMessageSchema>['placements'][number];
+export type TargetChanges = z.infer<typeof targetChangesSchema>;
 export type KnowledgeMessage = z.infer<typeof knowledgeMessageSchema>;
