Act on nothing after a pause of the process until the store was read again

Cause: a gateway that was paused, or whose machine was suspended, served the requests that it found on waking with the configuration, keys, targets and evacuations of before, and a waiting call to the store could keep it so for the rest of its wait. Its shares counted as fresh, since its monotonic clock stood still or its peers' messages had queued up.

Change: a guard looks at both clocks, each 100 ms and before each request and attempt. After a gap above two seconds, requests are refused as not run until both tables were read by calls that began after it, at most for the stable window (a store that is silent for all must not stop traffic). The demands of peers count only once they were received again, and the records of version moves are read again before a step.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -45,6 +45,8 @@
 		let candidatesKey = '';
 		let readersKey = '';
 		let utilization = 0;
+		/** Monotonic time of the end of this process's last pause. */
+		let resumedAt = Number.NEGATIVE_INFINITY;
 		/** Limits of targets that the next heartbeat reports. */
 		let changedLimits: readonly TargetLimit[] = [];
 
@@ -107,7 +109,7 @@
 			const now = clock.monotonic();
 			const demandsByGateway = new Map<string, Readonly<Record<string, number>>>([[ownId, demands]]);
 			for (const [id, peer] of peers) {
-				if (peer.report && now - peer.receivedAt <= settings.gateway.shareHoldMilliseconds) {
+				if (peer.report && peer.receivedAt >= resumedAt && now - peer.receivedAt <= settings.gateway.shareHoldMilliseconds) {
 					demandsByGateway.set(id, peer.report.demands);
 				}
 			}
@@ -168,6 +170,10 @@
 					broadcastReport();
 				}
 			}),
+			bus.subscribe('process-paused', () => {
+				resumedAt = clock.monotonic();
+				publishDemands();
+			}),
 			bus.subscribe('traffic-source-state-changed', message => {
 				isSourceFailing = message.isFailing;
 				broadcastReport();
--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -4,6 +4,7 @@
 	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, shouldShedOnLag,
 } from '@catkindale/policy';
 import type {GatewayDependencies} from './gateway-dependencies.js';
+import type {NodeContext} from './node-context.js';
 import type {Problem} from './problem.js';
 import type {TrafficRouter} from './traffic-router.js';
 
@@ -23,8 +24,21 @@
 const defaultTimeoutMilliseconds = 30_000;
 /** By then, lookups return other gateways. */
 const overloadRetryMilliseconds = 700;
+/** By then, a VM that was paused has read its source. */
+export const pauseRetryMilliseconds = 200;
+
+export function checkGatewayRequest({context, quotas}: GatewayDependencies, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
+	const {profile, eventLoopMonitor} = context;
+	if (isUnconfirmedAfterPause(context)) {
+		return refuse({
+			status: 503,
+			outcome: 'not-run',
+			reason: 'paused',
+			detail: 'this VM was paused and reads again what is in force',
+			retryAfterMilliseconds: pauseRetryMilliseconds,
+		});
+	}
 
-export function checkGatewayRequest({context: {profile, eventLoopMonitor}, quotas}: GatewayDependencies, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
 	const host = (request.headers.host ?? '').replace(portSuffix, '').toLowerCase();
 	const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
 	const route = router.findRoute(host, path);
@@ -88,6 +102,12 @@
 	};
 }
 
+/** Whether this process was paused and hasn't read yet what is in force. */
+export function isUnconfirmedAfterPause({pauseGuard, observePause, clock}: Pick<NodeContext, 'pauseGuard' | 'observePause' | 'clock'>): boolean {
+	observePause();
+	return pauseGuard.isUnconfirmed(clock.monotonic());
+}
+
 /** Returns the smaller of the caller's time limit and the route's. */
 function getTimeoutMilliseconds({headers}: IncomingMessage, route: TrafficRoute, deadlineHeader: string): number {
 	const requestedMilliseconds = Number(headers[deadlineHeader] ?? Number.NaN);
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -19,6 +19,7 @@
 import type {GatewayAttemptResult, ChoiceRefusal, ChosenTarget} from './gateway-target-chooser.js';
 import type {GatewayTarget} from './gateway-targets.js';
 import type {GatewayDependencies} from './gateway-dependencies.js';
+import {isUnconfirmedAfterPause, pauseRetryMilliseconds} from './gateway-check.js';
 import {getGatewayHeaders} from './gateway-headers.js';
 import {getAttemptFailureProblem} from './attempt-failure-problem.js';
 import {type Problem, getBodyProblem} from './problem.js';
@@ -57,12 +58,21 @@
 	const tried = new Set<string>();
 	const records: AttemptRecord[] = [];
 	dependencies.retryBudgets.recordRequest(service.name);
-	const {trials, clock} = dependencies.context;
+	const {context} = dependencies;
+	const {trials, clock} = context;
 	const bodyBytes = Number(exchange.request.headers['content-length'] ?? body.prefix.length);
 	let trialPlan = trials.planRequest(service.name, route.name, exchange.object);
-	const chooseTarget = (): ChosenTarget | ChoiceRefusal => dependencies.chooser.choose({
-		route, service, object: exchange.object, regions, remainingMilliseconds: exchange.deadlineAt - clock.monotonic(), bodyBytes, tried, allowsVersion: trialPlan.allows,
-	});
+	const chooseTarget = (): ChosenTarget | ChoiceRefusal => {
+		// The pause may have been while the body was read or while an earlier attempt ran.
+		if (isUnconfirmedAfterPause(context)) {
+			return {kind: 'refused', reason: 'paused', retryAfterMilliseconds: pauseRetryMilliseconds};
+		}
+
+		return dependencies.chooser.choose({
+			route, service, object: exchange.object, regions, remainingMilliseconds: exchange.deadlineAt - clock.monotonic(), bodyBytes, tried, allowsVersion: trialPlan.allows,
+		});
+	};
+
 	for (;;) {
 		if (exchange.callerSignal.aborted) {
 			return {result: {kind: 'problem', problem: getBodyProblem('caller-gone', getRequestOutcome(records))}, records};
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -45,7 +45,7 @@
 	readonly serviceTimeKey: string;
 };
 
-export type RefusalReason = 'no-target' | 'too-late' | 'queue-full';
+export type RefusalReason = 'no-target' | 'too-late' | 'queue-full' | 'paused';
 
 export type ChoiceRefusal = {readonly kind: 'refused'; readonly reason: RefusalReason; readonly retryAfterMilliseconds: number};
 
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -6,7 +6,7 @@
 import type {
 	MachineList, ObjectStore, TableService, TargetHealthReader,
 } from '@catkindale/ports';
-import type {Member} from '@catkindale/policy';
+import type {Member, PauseGuard} from '@catkindale/policy';
 import type {CallerProfile} from './caller-profile.js';
 import type {EventLoopMonitor} from './event-loop-monitor.js';
 import type {NodeMessage} from './node-messages.js';
@@ -54,6 +54,9 @@
 	/** Absent if the trials of new versions aren't recorded. */
 	readonly trialRecordStore?: TrialRecordStore | undefined;
 	readonly eventLoopMonitor: EventLoopMonitor;
+	readonly pauseGuard: PauseGuard;
+	/** Reads the clocks; to be called before acting on what may have run out during a pause. */
+	readonly observePause: () => void;
 	/** The trials of new versions on this gateway. */
 	readonly trials: VersionTrials;
 	readonly callerHandlers: CallerHandlers;
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -76,6 +76,10 @@
 		| {readonly type: 'traffic-source-behind'}
 	/** The source of this node or of a peer (`from`) answers again. The answer of its last failed call was due the given time before; calls that wait since then or longer may never be answered. */
 		| {readonly type: 'traffic-source-regained'; readonly missingMilliseconds: number; readonly from?: string}
+	/** This process didn't run for the given time. What it knew may have been changed or taken over by others since. */
+		| {readonly type: 'process-paused'; readonly milliseconds: number}
+	/** This node's source was read after a pause of the process. */
+		| {readonly type: 'traffic-source-confirmed'}
 	/** Whether the calls of this node's own source fail. */
 		| {readonly type: 'traffic-source-state-changed'; readonly isFailing: boolean}
 	/** The nodes that follow the source; the others receive its changes from them. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -7,6 +7,7 @@
 import {
 	type DriverSettings, type TableService, machineListDrivers, objectDrivers, tableDrivers, targetHealthDrivers,
 } from '@catkindale/ports';
+import {createPauseGuard} from '@catkindale/policy';
 import {
 	type BoundAddresses, type Cuts, type NodeContext, type Platform, type TrafficSource, nodePlugins,
 } from './node-context.js';
@@ -33,6 +34,7 @@
 import './membership-plugin.js';
 import './mesh-plugin.js';
 import './metrics-plugin.js';
+import './pause-guard-plugin.js';
 import './planned-stop-plugin.js';
 import './restriction-plugin.js';
 import './rollout-plugin.js';
@@ -68,6 +70,10 @@
 	const metrics = new Registry();
 	const instrumented = createInstrumentedTable(dependencies.table ?? opened.table, metrics);
 	const platform = {...opened, table: settings.testing.allowCuts ? createDisconnectableTable(instrumented, cuts) : instrumented};
+	const clock = dependencies.clock ?? systemClock;
+	const bus = createMessageBus<NodeMessage>();
+	const {peerSilenceMilliseconds, shareHoldMilliseconds} = settings.gateway;
+	const pauseGuard = createPauseGuard({limitMilliseconds: peerSilenceMilliseconds, maximumMilliseconds: shareHoldMilliseconds});
 	const context: NodeContext = {
 		settings,
 		logger,
@@ -76,11 +82,19 @@
 		trafficSource: dependencies.trafficSource,
 		trialRecordStore: dependencies.trialRecordStore,
 		eventLoopMonitor: startEventLoopMonitor(),
+		pauseGuard,
+		observePause() {
+			const milliseconds = pauseGuard.observe({monotonic: clock.monotonic(), wall: clock.wall()});
+			if (milliseconds > 0) {
+				logger.warn('process_paused', {milliseconds: Math.round(milliseconds)});
+				bus.publish({type: 'process-paused', milliseconds});
+			}
+		},
 		trials: createVersionTrials(),
 		incarnation: createIdentifier(),
-		clock: dependencies.clock ?? systemClock,
+		clock,
 		metrics,
-		bus: createMessageBus<NodeMessage>(),
+		bus,
 		callerHandlers: {},
 		boundAddresses: {
 			caller: '', peer: '', admin: '', metrics: '',
--- a/packages/node/src/version-trial-records.ts
+++ b/packages/node/src/version-trial-records.ts
@@ -11,6 +11,8 @@
 export type TrialRecords = {
 	/** Whether the records were read and every write since then succeeded. */
 	isCurrent: () => boolean;
+	/** Makes the records be read again before they are used. */
+	invalidate: () => void;
 	/** Whether the latest call has failed, has an unknown outcome or takes too long. */
 	isStoreUnreachable: () => boolean;
 	/** Reads all records. Returns none if the store can't be read. */
@@ -52,6 +54,9 @@
 
 	return {
 		isCurrent: () => records !== undefined,
+		invalidate() {
+			records = undefined;
+		},
 		isStoreUnreachable: () => hasFailed || (callStartedAt !== undefined && clock.monotonic() - callStartedAt > maximumResponseMilliseconds),
 		async read() {
 			const outcome = await call(store?.read());
--- a/packages/node/src/version-trial-task.ts
+++ b/packages/node/src/version-trial-task.ts
@@ -194,6 +194,11 @@
 				bus.publish({type: 'peer-send', to: id, message: createStageMessage(trial)});
 			}
 		}),
+		bus.subscribe('process-paused', () => {
+			// Another gateway may have led the trials in the meantime.
+			records.invalidate();
+			lastReadAt = Number.NEGATIVE_INFINITY;
+		}),
 		bus.subscribe('serving-gateways-changed', ({members}) => {
 			gateways = members.map(({id}) => id);
 		}),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -42,6 +42,7 @@
 export * from './name-rank.js';
 export * from './table-reading.js';
 export * from './pause-detection.js';
+export * from './pause-guard.js';
 export * from './slot-allocation.js';
 export * from './target-admission.js';
 export * from './target-chooser.js';
