Read the settings file again on SIGHUP and when it changes

Cause: SIGHUP only logged that nothing is reloaded, and a file that changed without a signal was never read.

Change: the file is read on the signal and each second. An invalid file is reported once and changes nothing.

--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -67,16 +67,18 @@
 		const chooser = createGatewayTargetChooser({
 			clock, targets, rates, region,
 		});
-		const {repeatRatio, repeatReserve, repeatWindowMilliseconds} = settings.gateway;
 		const state: GatewayState = {
 			context,
 			targets,
 			chooser,
 			rates,
 			quotas: createGatewayQuotas({
-				clock, ownId, configuredGateways: Math.max(1, settings.peers.length), tolerance: settings.gateway.quotaTolerance,
+				clock, ownId, configuredGateways: Math.max(1, settings.peers.length), getTolerance: () => settings.gateway.quotaTolerance,
+			}),
+			retryBudgets: createGatewayRetryBudgets(clock, () => {
+				const {repeatRatio: ratio, repeatReserve: reserve, repeatWindowMilliseconds: windowMilliseconds} = settings.gateway;
+				return {ratio, reserve, windowMilliseconds};
 			}),
-			retryBudgets: createGatewayRetryBudgets(clock, {ratio: repeatRatio, reserve: repeatReserve, windowMilliseconds: repeatWindowMilliseconds}),
 			router: undefined,
 			latency: new Histogram({
 				name: 'catkindale_gateway_request_seconds',
@@ -121,6 +123,12 @@
 				rates.setGateways(members);
 				state.retryBudgets.setGatewayCount(members.length);
 			}),
+			bus.subscribe('process-paused', () => {
+				state.quotas.clearTokens();
+				for (const target of targets.getAll()) {
+					target.rateBucket = {...target.rateBucket, tokens: 0, filledAt: clock.monotonic()};
+				}
+			}),
 			bus.subscribe('heartbeat-sending', () => {
 				bus.publish({type: 'own-demands-measured', demands: state.quotas.measureDemands()});
 				bus.publish({type: 'target-limits-changed', limits: rates.takeChangedLimits()});
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -20,6 +20,8 @@
 	setCustomers: (customers: readonly TrafficCustomer[]) => void;
 	/** The smoothed requests per second of each customer; each call measures the time since the last one. */
 	measureDemands: () => Readonly<Record<string, number>>;
+	/** Empties all buckets: during a pause of this process, others may have used its shares. */
+	clearTokens: () => void;
 	setDemands: (demands: ReadonlyMap<string, Readonly<Record<string, number>>>, knownGateways: number) => void;
 };
 
@@ -28,7 +30,8 @@
 	readonly ownId: string;
 	/** The number of gateways in the settings. Until the demands of others arrive, a fleet several times as large is assumed. */
 	readonly configuredGateways: number;
-	readonly tolerance: QuotaTolerance;
+	/** Returns the tolerance that the settings have now. */
+	readonly getTolerance: () => QuotaTolerance;
 };
 
 /** The requests that the fleet may admit beyond a customer's rate and burst in any window, since each node counts on its own. */
@@ -57,7 +60,7 @@
 	reservedUntil: number;
 };
 
-export function createGatewayQuotas({clock, ownId, configuredGateways, tolerance}: GatewayQuotasOptions): GatewayQuotas {
+export function createGatewayQuotas({clock, ownId, configuredGateways, getTolerance}: GatewayQuotasOptions): GatewayQuotas {
 	const customerStates = new Map<string, CustomerState>();
 	let demands: ReadonlyMap<string, Readonly<Record<string, number>>> = new Map();
 	let knownGateways = 0;
@@ -101,6 +104,7 @@
 	 * beyond its burst. A fraction of the tolerated excess compensates for it.
 	 */
 	const getLimit = (customer: TrafficCustomer, share: number): Pick<TokenBucket, 'rate' | 'burst'> => {
+		const tolerance = getTolerance();
 		const ratePerSecond = customer.ratePerSecond ?? 0;
 		const allowed = (ratePerSecond * tolerance.windowMilliseconds / millisecondsPerSecond) + customer.burst;
 		const toleratedExcess = tolerance.slackRequests + (tolerance.overage * allowed);
@@ -169,6 +173,11 @@
 			latestDemands = measuredDemands;
 			return measuredDemands;
 		},
+		clearTokens() {
+			for (const state of customerStates.values()) {
+				state.bucket = {...state.bucket, tokens: 0, filledAt: clock.monotonic()};
+			}
+		},
 		setDemands(nextDemands, gatewayCount) {
 			demands = nextDemands;
 			knownGateways = gatewayCount;
--- a/packages/node/src/gateway-retry-budgets.ts
+++ b/packages/node/src/gateway-retry-budgets.ts
@@ -13,13 +13,19 @@
 	setGatewayCount: (count: number) => void;
 };
 
-export function createGatewayRetryBudgets(clock: Clock, fleetLimits: AttemptBudgetLimits): GatewayRetryBudgets {
+/** @param getFleetLimits returns the limits of all gateways together that the settings have now */
+export function createGatewayRetryBudgets(clock: Clock, getFleetLimits: () => AttemptBudgetLimits): GatewayRetryBudgets {
 	const budgets = new Map<string, AttemptBudget>();
-	let limits = fleetLimits;
-	const getBudget = (service: string): AttemptBudget => budgets.get(service) ?? createAttemptBudget(limits, clock.monotonic());
+	let gatewayCount = 1;
+	const getLimits = (): AttemptBudgetLimits => {
+		const fleetLimits = getFleetLimits();
+		return {...fleetLimits, reserve: fleetLimits.reserve / gatewayCount};
+	};
+
+	const getBudget = (service: string): AttemptBudget => budgets.get(service) ?? createAttemptBudget(getLimits(), clock.monotonic());
 	return {
 		recordRequest(service) {
-			budgets.set(service, addRequestCredit(getBudget(service), limits, clock.monotonic()));
+			budgets.set(service, addRequestCredit(getBudget(service), getLimits(), clock.monotonic()));
 		},
 		takeRetry(service) {
 			const taken = takeToken(getBudget(service));
@@ -30,7 +36,7 @@
 			return taken !== undefined;
 		},
 		setGatewayCount(count) {
-			limits = {...fleetLimits, reserve: fleetLimits.reserve / Math.max(1, count)};
+			gatewayCount = Math.max(1, count);
 		},
 	};
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export * from './constants.js';
 export * from './errors.js';
 export * from './settings.js';
+export * from './settings-reload.js';
 export * from './start-node.js';
 export * from './retry-budgets.js';
 export * from './rollout-task.js';
--- a/packages/node/tests/gateway-quotas.test.ts
+++ b/packages/node/tests/gateway-quotas.test.ts
@@ -16,7 +16,7 @@
 function getRetryDelays(callers: number, leftMilliseconds: number): number[] {
 	const clock = createManualClock();
 	const quotas = createGatewayQuotas({
-		clock, ownId: 'own', configuredGateways: 1, tolerance: {overage: 0, slackRequests: 0, windowMilliseconds: 5000},
+		clock, ownId: 'own', configuredGateways: 1, getTolerance: () => ({overage: 0, slackRequests: 0, windowMilliseconds: 5000}),
 	});
 	quotas.setDemands(new Map([['own', {small: 100}]]), 1);
 	return Array.from({length: callers}, () => {
@@ -56,7 +56,7 @@
 	const ids = getRates(0).map((_, index) => `gateway-${index}`);
 	const fleet = ids.map(ownId => {
 		const quotas = createGatewayQuotas({
-			clock, ownId, configuredGateways: 3, tolerance,
+			clock, ownId, configuredGateways: 3, getTolerance: () => tolerance,
 		});
 		quotas.setCustomers([busyCustomer]);
 		return {
