Refuse a request that a planned stop would cut off

Cause, from other operators' reports: a request that came late in a planned stop, on a connection that was kept open, was passed on and cut without an answer at the end of the grace time, also where it may not be repeated.

--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -1,7 +1,7 @@
 /** Decides whether a gateway admits a request, by its route, its key and its customer's quota. */
 import type {IncomingMessage} from 'node:http';
 import {
-	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, shouldShedOnLag,
+	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, mayFinishBeforeStop, shouldShedOnLag,
 } from '@catkindale/policy';
 import type {GatewayDependencies} from './gateway-dependencies.js';
 import type {NodeContext} from './node-context.js';
@@ -26,8 +26,11 @@
 const overloadRetryMilliseconds = 700;
 /** By then, a VM that was paused has read its source. */
 export const pauseRetryMilliseconds = 200;
+/** The other gateways take the request at once. */
+const stopRetryMilliseconds = 50;
 
-export function checkGatewayRequest({context, quotas}: GatewayDependencies, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
+export function checkGatewayRequest(dependencies: GatewayDependencies, router: TrafficRouter, request: IncomingMessage): GatewayCheck {
+	const {context, quotas} = dependencies;
 	const {profile, eventLoopMonitor} = context;
 	if (isUnconfirmedAfterPause(context)) {
 		return refuse({
@@ -48,10 +51,8 @@
 		});
 	}
 
-	const key = route.isOpen ? undefined : profile.getKey(request);
-	const customer = key === undefined ? undefined : router.findCustomer(key);
-	const needsKey = !route.isOpen && router.configuration.customers.length > 0;
-	if (needsKey && !customer) {
+	const customer = findCustomer(context, router, route, request);
+	if (!customer && !route.isOpen && router.configuration.customers.length > 0) {
 		return refuse({
 			status: 401, outcome: 'not-run', reason: 'unknown-key', detail: 'the route needs the key of a customer',
 		}, route);
@@ -71,6 +72,16 @@
 	}
 
 	const timeoutMilliseconds = getTimeoutMilliseconds(request, route, profile.headers.deadline);
+	if (isTooLateBeforeStop(dependencies, route, timeoutMilliseconds)) {
+		return refuse({
+			status: 503,
+			outcome: 'not-run',
+			reason: 'stopping',
+			detail: 'this VM stops before the request would have ended',
+			retryAfterMilliseconds: stopRetryMilliseconds,
+		}, route, customer);
+	}
+
 	const admission = customer ? quotas.admit(customer, timeoutMilliseconds) : {kind: 'admitted' as const};
 	if (admission.kind === 'refused') {
 		return refuse({
@@ -108,6 +119,16 @@
 	return pauseGuard.isUnconfirmed(clock.monotonic());
 }
 
+function findCustomer({profile}: NodeContext, router: TrafficRouter, {isOpen}: TrafficRoute, request: IncomingMessage): TrafficCustomer | undefined {
+	const key = isOpen ? undefined : profile.getKey(request);
+	return key === undefined ? undefined : router.findCustomer(key);
+}
+
+function isTooLateBeforeStop({context: {clock}, getStopTime}: GatewayDependencies, {targetLatencyMilliseconds}: TrafficRoute, timeoutMilliseconds: number): boolean {
+	const stopsAt = getStopTime();
+	return stopsAt !== undefined && !mayFinishBeforeStop({remainingMilliseconds: stopsAt - clock.monotonic(), timeoutMilliseconds, targetLatencyMilliseconds});
+}
+
 /** Returns the smaller of the caller's time limit and the route's. */
 function getTimeoutMilliseconds({headers}: IncomingMessage, route: TrafficRoute, deadlineHeader: string): number {
 	const requestedMilliseconds = Number(headers[deadlineHeader] ?? Number.NaN);
--- a/packages/node/src/gateway-dependencies.ts
+++ b/packages/node/src/gateway-dependencies.ts
@@ -13,4 +13,6 @@
 	readonly rates: GatewayTargetRates;
 	readonly quotas: GatewayQuotas;
 	readonly retryBudgets: GatewayRetryBudgets;
+	/** Monotonic time at which this gateway closes its connections; undefined unless it is stopping. */
+	readonly getStopTime: () => number | undefined;
 };
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -67,7 +67,9 @@
 		const chooser = createGatewayTargetChooser({
 			clock, targets, rates, region,
 		});
+		let stopsAt: number | undefined;
 		const state: GatewayState = {
+			getStopTime: () => stopsAt,
 			context,
 			targets,
 			chooser,
@@ -123,6 +125,9 @@
 				rates.setGateways(members);
 				state.retryBudgets.setGatewayCount(members.length);
 			}),
+			bus.subscribe('drain-started', () => {
+				stopsAt = clock.monotonic() + settings.timing.lookupHoldMilliseconds + settings.timing.graceMilliseconds;
+			}),
 			bus.subscribe('process-paused', () => {
 				state.quotas.clearTokens();
 				for (const target of targets.getAll()) {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -43,6 +43,7 @@
 export * from './table-reading.js';
 export * from './pause-detection.js';
 export * from './pause-guard.js';
+export * from './planned-stop.js';
 export * from './slot-allocation.js';
 export * from './target-admission.js';
 export * from './target-chooser.js';
