Plan which requests run at home where slots are few, and prefer the own zone among equals

Cause 1: a region with few slots for its callers ran all of its first requests at home; nothing shows that this is too many until the first ones end. Change: a planned share of the requests runs at home, by the position of their object, from the first request on.

Change: a target of another zone costs 5 ms a kilobyte, one of another region 10 (7.5 before). Bytes to targets are counted by place in catkindale_target_bytes_total.

--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -7,7 +7,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Counter, Histogram} from 'prom-client';
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
-import type {Member, TrafficCustomer, TrafficRoute} from '@catkindale/policy';
+import {
+	type Member, type TrafficCustomer, type TrafficRoute, getPlace,
+} from '@catkindale/policy';
 import {getRequestOutcome} from './attempt-outcome.js';
 import {readCallerBody} from './caller-body.js';
 import {watchCallerDisconnect} from './caller-disconnect.js';
@@ -55,17 +57,28 @@
 		} = context;
 		const ownId = settings.node.name;
 		const {region} = settings.node;
+		const targetBytes = new Counter({
+			name: 'catkindale_target_bytes_total',
+			help: 'Bytes sent to and received from targets, by their place: the same zone, another zone of the region, or a remote region',
+			labelNames: ['place', 'direction'],
+			registers: [context.metrics],
+		});
 		const targets = createGatewayTargets({
 			clock,
 			region,
 			connectionsPerTarget: settings.limits.connectionsPerTarget,
+			onTraffic(registration, {sent, received}) {
+				const place = getPlace(settings.node, registration);
+				targetBytes.inc({place, direction: 'sent'}, sent);
+				targetBytes.inc({place, direction: 'received'}, received);
+			},
 			onRemoved({id}) {
 				chooser.removeTarget(id);
 			},
 		});
 		const rates = createGatewayTargetRates({logger, ownId, region});
 		const chooser = createGatewayTargetChooser({
-			clock, targets, rates, region,
+			clock, targets, rates, location: settings.node,
 		});
 		let stopsAt: number | undefined;
 		const state: GatewayState = {
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -4,8 +4,8 @@
  */
 import {type Clock, rankMembers} from '@catkindale/common';
 import {
-	type FinishCandidate, type FinishChoice, type WarmObjects, type ServiceTimeKind, type ServiceTimes, type TrafficRoute, type TrafficService,
-	chooseByFinishTime, classifyServiceTime, createWarmObjects, createServiceTimes, getExpectedRunning, getRemotePenalty, getObjectPosition,
+	type FinishCandidate, type FinishChoice, type FinishRequest, type Location, type WarmObjects, type ServiceTimeKind, type ServiceTimes, type TrafficRoute, type TrafficService,
+	chooseByFinishTime, classifyServiceTime, createWarmObjects, createServiceTimes, getExpectedRunning, getObjectPosition, getPlace, getPlacePenalties,
 	getRotatedPosition, isUnresponsive, mergeCacheableShare, recordSuccess, recordRequestEnded, recordFailure, recordRequestSent,
 	recordShed, recordResponse, recordUnresponsive, recordReportedLoad, recordUnreachable,
 	updateAdmittedShare, updateCacheableShareByHit, updateCacheableShareByLoad, updateServiceTimes,
@@ -13,6 +13,7 @@
 import type {ObjectPlacement} from '@catkindale/protocol';
 import {minimumServerErrorStatus} from './attempt-outcome.js';
 import type {ReportedLoad} from './target-dialect.js';
+import {createGatewayRegionShares} from './gateway-region-shares.js';
 import type {GatewayTargetRates} from './gateway-target-rates.js';
 import type {GatewayTarget, GatewayTargets} from './gateway-targets.js';
 
@@ -81,7 +82,8 @@
 	readonly clock: Clock;
 	readonly targets: GatewayTargets;
 	readonly rates: GatewayTargetRates;
-	readonly region: string;
+	/** Where this gateway runs. */
+	readonly location: Location;
 };
 
 /** A response is expected within twice the service time of an uncached object; service times vary by about a sixth. */
@@ -96,8 +98,9 @@
 const shareFractionDigits = 3;
 const maximumRankings = 5000;
 
-export function createGatewayTargetChooser({clock, targets, rates, region}: GatewayTargetChooserOptions): GatewayTargetChooser {
+export function createGatewayTargetChooser({clock, targets, rates, location}: GatewayTargetChooserOptions): GatewayTargetChooser {
 	const warmObjects: WarmObjects = createWarmObjects();
+	const regionShares = createGatewayRegionShares(clock, location);
 	const serviceTimesByKey = new Map<string, ServiceTimes>();
 	const rankings = new Map<string, ObjectRanking>();
 	let placements: ObjectPlacement[] = [];
@@ -118,7 +121,7 @@
 		const nextRanks = {local: 0, remote: 0};
 		const ranking = new Map<string, ObjectPlace>();
 		for (const {id, region: targetRegion} of rankMembers(objectKey, servingTargets.map(({registration}) => registration))) {
-			const group = targetRegion === region ? 'local' : 'remote';
+			const group = targetRegion === location.region ? 'local' : 'remote';
 			ranking.set(id, {rank: nextRanks[group], position: getObjectPosition(objectKey, id)});
 			nextRanks[group] += 1;
 		}
@@ -156,7 +159,7 @@
 		const fitsInCache = (place?.position ?? 0) < target.admission.cacheableShare;
 		return {
 			id: target.registration.id,
-			region: target.registration.region,
+			place: getPlace(location, target.registration),
 			slots: target.registration.slots,
 			expectedRunning: getExpectedRunning(target.condition, now),
 			slowness: target.condition.slowness,
@@ -232,13 +235,18 @@
 			const serviceTimeKey = `${service.name}\n${route.name}`;
 			const serviceTimes = serviceTimesByKey.get(serviceTimeKey) ?? createServiceTimes(route.targetLatencyMilliseconds);
 			serviceTimesByKey.set(serviceTimeKey, serviceTimes);
-			const choice = chooseByFinishTime(admittingTargets.map(target => getCandidate(target, objectKey, ranking, now)), {
+			const finishCandidates = admittingTargets.map(target => getCandidate(target, objectKey, ranking, now));
+			const surplusCandidates = regionShares.getSurplusCandidates({
+				service: service.name, objectKey, servingTargets, candidates: finishCandidates,
+			});
+			const finishRequest: FinishRequest = {
 				serviceTimes,
 				remainingMilliseconds: request.remainingMilliseconds,
 				targetLatencyMilliseconds: route.targetLatencyMilliseconds,
-				remotePenaltyMilliseconds: getRemotePenalty(request.bodyBytes),
-				localRegion: region,
-			});
+				penaltyMilliseconds: getPlacePenalties(request.bodyBytes),
+			};
+			const surplusChoice = surplusCandidates && chooseByFinishTime(surplusCandidates, finishRequest);
+			const choice = surplusChoice?.kind === 'chosen' ? surplusChoice : chooseByFinishTime(finishCandidates, finishRequest);
 			if (choice.kind !== 'chosen') {
 				const minimumWait = usableTargets.length > 0 ? 0 : getMinimumWait(servingTargets, service, now);
 				const waitMilliseconds = Math.max(getRefusalWait(choice, request.remainingMilliseconds), minimumWait);
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -6,7 +6,7 @@
 import {
 	type ObjectAdmission, type TargetCondition, type TrafficTarget, type RateBucket, createTargetCondition, createRateBucket, fullAdmission,
 } from '@catkindale/policy';
-import {type TargetConnections, createTargetConnections} from './target-connections.js';
+import {type ConnectionTraffic, type TargetConnections, createTargetConnections} from './target-connections.js';
 
 export type GatewayTarget = {
 	registration: TrafficTarget;
@@ -49,6 +49,8 @@
 	readonly clock: Clock;
 	readonly region: string;
 	readonly connectionsPerTarget: number;
+	/** Called with the bytes of a connection's last request. */
+	readonly onTraffic: (target: TrafficTarget, traffic: ConnectionTraffic) => void;
 	readonly onRemoved: (target: TrafficTarget) => void;
 };
 
@@ -61,7 +63,7 @@
 const idleConnectionTimeoutMilliseconds = 8000;
 const maximumRemovedTargets = 1000;
 
-export function createGatewayTargets({clock, region: localRegion, connectionsPerTarget, onRemoved}: GatewayTargetsOptions): GatewayTargets {
+export function createGatewayTargets({clock, region: localRegion, connectionsPerTarget, onTraffic, onRemoved}: GatewayTargetsOptions): GatewayTargets {
 	const targetsById = new Map<string, GatewayTarget>();
 	/** The targets that were removed last, in the order of their removal. */
 	const removedTargets = new Map<string, Pick<GatewayTarget, 'registration' | 'reported'>>();
@@ -75,6 +77,9 @@
 			maximumConnections: connectionsPerTarget,
 			connectTimeoutMilliseconds,
 			idleTimeoutMilliseconds: idleConnectionTimeoutMilliseconds,
+			onTraffic(traffic) {
+				onTraffic(registration, traffic);
+			},
 			onConnected(milliseconds) {
 				roundTrips.set(registration.region, Math.min(roundTrips.get(registration.region) ?? Number.POSITIVE_INFINITY, milliseconds));
 			},
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -3,6 +3,7 @@
  * own. A request takes the connection that was used last, so that few stay
  * open, and an unresponsive connection can be closed without the others.
  */
+import type {Socket} from 'node:net';
 import {Client, type Dispatcher, buildConnector} from 'undici';
 
 export type TargetConnection = Pick<Dispatcher, 'dispatch'> & {
@@ -22,6 +23,9 @@
 	close: () => Promise<void>;
 };
 
+/** Bytes sent and received on a connection. */
+export type ConnectionTraffic = {readonly sent: number; readonly received: number};
+
 export type ConnectionLimits = {
 	readonly maximumConnections: number;
 	readonly connectTimeoutMilliseconds: number;
@@ -29,9 +33,21 @@
 	readonly idleTimeoutMilliseconds: number;
 	/** Called with the time that opening a connection took. */
 	readonly onConnected?: (milliseconds: number) => void;
+	/** Called when a request releases its connection. */
+	readonly onTraffic?: (traffic: ConnectionTraffic) => void;
+};
+
+type PooledClient = {
+	readonly client: Client;
+	socket: Socket | undefined;
+	/** The socket's bytes that were reported already. */
+	reported: ConnectionTraffic;
+	wasReset: boolean;
+	isRetired: boolean;
+	hasBeenUsed: boolean;
 };
 
-type PooledClient = {readonly client: Client; wasReset: boolean; isRetired: boolean; hasBeenUsed: boolean};
+const noTraffic: ConnectionTraffic = {sent: 0, received: 0};
 
 /** A target may close an idle connection this long before the time that it announces. */
 const keepAliveMarginMilliseconds = 2000;
@@ -45,6 +61,12 @@
 		void pooled.client.destroy();
 	};
 
+	const reportTraffic = (pooled: PooledClient): void => {
+		const traffic = {sent: pooled.socket?.bytesWritten ?? 0, received: pooled.socket?.bytesRead ?? 0};
+		limits.onTraffic?.({sent: traffic.sent - pooled.reported.sent, received: traffic.received - pooled.reported.received});
+		pooled.reported = traffic;
+	};
+
 	const createClient = (): PooledClient => {
 		const connect = buildConnector({timeout: limits.connectTimeoutMilliseconds});
 		const client = new Client(`http://${address}`, {
@@ -62,6 +84,8 @@
 						return;
 					}
 
+					pooled.socket = socket;
+					pooled.reported = noTraffic;
 					pooled.wasReset = false;
 					pooled.hasBeenUsed = false;
 					limits.onConnected?.(performance.now() - startedAt);
@@ -77,7 +101,7 @@
 			},
 		});
 		const pooled: PooledClient = {
-			client, wasReset: false, isRetired: false, hasBeenUsed: false,
+			client, socket: undefined, reported: noTraffic, wasReset: false, isRetired: false, hasBeenUsed: false,
 		};
 		return pooled;
 	};
@@ -100,6 +124,7 @@
 					}
 
 					pooled.hasBeenUsed = true;
+					reportTraffic(pooled);
 
 					if (pooled.isRetired || !isReusable) {
 						destroy(pooled);
--- a/packages/policy/src/finish-choice.ts
+++ b/packages/policy/src/finish-choice.ts
@@ -8,11 +8,12 @@
  * cost of an uncached request rises with the utilization of the service, since
  * it occupies slots that other requests wait for.
  */
+import type {Place} from './place.js';
 import type {ServiceTimes} from './service-times.js';
 
 export type FinishCandidate = {
 	readonly id: string;
-	readonly region: string;
+	readonly place: Place;
 	readonly slots: number;
 	/** Requests that already run or wait at the target. */
 	readonly expectedRunning: number;
@@ -35,9 +36,8 @@
 	readonly remainingMilliseconds: number;
 	/** A response within this time has its full value; undefined if every response before the deadline has. */
 	readonly targetLatencyMilliseconds: number | undefined;
-	/** Additional cost of a target in a remote region, for the bytes sent between regions. */
-	readonly remotePenaltyMilliseconds: number;
-	readonly localRegion: string;
+	/** Additional cost of a target by its place, for the bytes sent there. */
+	readonly penaltyMilliseconds: PlacePenalties;
 };
 
 export type FinishChoice
@@ -74,15 +74,25 @@
  */
 const maximumQueueFactor = 0.9;
 
-/** Waiting time that is worth as much as a kilobyte sent between regions; all requests share the bytes of a link. */
-const remoteMillisecondsPerKilobyte = 7.5;
+/**
+ * Waiting time that is worth as much as a kilobyte sent to that place. It decides
+ * between targets that would serve the request about equally well. A target that
+ * has the object cached is worth many times as much, so an object isn't run a
+ * second time for the sake of a zone.
+ */
+const millisecondsPerKilobyte: Readonly<Record<Place, number>> = {zone: 0, region: 5, remote: 10};
 const bytesPerKilobyte = 1000;
 /** Headers and response of a typical request. */
 const typicalKilobytes = 2;
 
-/** Returns the additional cost, in milliseconds, of sending a request with a body of that size to a remote region. */
-export function getRemotePenalty(bodyBytes: number): number {
-	return remoteMillisecondsPerKilobyte * (typicalKilobytes + (bodyBytes / bytesPerKilobyte));
+/** Milliseconds by place. */
+export type PlacePenalties = Readonly<Record<Place, number>>;
+
+/** Returns the additional cost of sending a request with a body of that size to a target of each place. */
+export function getPlacePenalties(bodyBytes: number): PlacePenalties {
+	const kilobytes = typicalKilobytes + (bodyBytes / bytesPerKilobyte);
+	const {zone, region, remote} = millisecondsPerKilobyte;
+	return {zone: zone * kilobytes, region: region * kilobytes, remote: remote * kilobytes};
 }
 
 /** Returns the utilization of the candidates' slots, from 0 to 1; 1 without slots. */
@@ -109,14 +119,13 @@
 	let best: {readonly candidate: FinishCandidate; readonly cost: number; readonly finish: number} | undefined;
 	let earliestFinish = Number.POSITIVE_INFINITY;
 	for (const candidate of candidates) {
-		const isLocal = candidate.region === request.localRegion;
-		const serviceTime = getServiceTime(candidate, isLocal, request.serviceTimes);
+		const serviceTime = getServiceTime(candidate, request.serviceTimes);
 		const wait = getWait(candidate, request.serviceTimes);
 		const finish = candidate.roundTripMilliseconds + wait + serviceTime;
 		// A candidate is ruled out only if it would be late even with the object cached.
 		const earliestPossibleFinish = candidate.roundTripMilliseconds + wait + (request.serviceTimes.cachedMilliseconds * candidate.slowness);
 		earliestFinish = Math.min(earliestFinish, earliestPossibleFinish);
-		const cost = finish + (slotPrice * serviceTime) + (isLocal ? 0 : request.remotePenaltyMilliseconds);
+		const cost = finish + (slotPrice * serviceTime) + request.penaltyMilliseconds[candidate.place];
 		if (earliestPossibleFinish > request.remainingMilliseconds) {
 			continue;
 		}
@@ -141,8 +150,8 @@
 	return candidates.length === 0 ? {kind: 'no-target'} : {kind: 'too-late', expectedMilliseconds: earliestFinish};
 }
 
-function getServiceTime(candidate: FinishCandidate, isLocal: boolean, {uncachedMilliseconds, cachedMilliseconds}: ServiceTimes): number {
-	const byRank: readonly number[] = cachedLikelihoodByRank[isLocal ? 'local' : 'remote'];
+function getServiceTime(candidate: FinishCandidate, {uncachedMilliseconds, cachedMilliseconds}: ServiceTimes): number {
+	const byRank: readonly number[] = cachedLikelihoodByRank[candidate.place === 'remote' ? 'remote' : 'local'];
 	const likelihoodIfCacheable = candidate.isKnownWarm ? 1 : (byRank[candidate.rank ?? byRank.length] ?? 0);
 	const likelihood = candidate.fitsInCache ? likelihoodIfCacheable : likelihoodIfCacheable * uncacheableLikelihoodFactor;
 	const expectedMilliseconds = (likelihood * cachedMilliseconds) + ((1 - likelihood) * uncachedMilliseconds);
--- a/packages/policy/tests/finish-choice.test.ts
+++ b/packages/policy/tests/finish-choice.test.ts
@@ -1,20 +1,21 @@
 /** The choice of a target by expected finish time; each case names the load for which its rule exists. */
 import {describe, expect, it} from 'vitest';
 import {
-	type FinishCandidate, type FinishRequest, chooseByFinishTime, getRemotePenalty, getSlotPrice, getUtilization,
+	type FinishCandidate, type FinishRequest, chooseByFinishTime, getPlacePenalties, getSlotPrice, getUtilization,
 } from '@catkindale/policy';
 
 const request: FinishRequest = {
-	serviceTimes: {uncachedMilliseconds: 480, cachedMilliseconds: 144}, remainingMilliseconds: 800, targetLatencyMilliseconds: undefined, remotePenaltyMilliseconds: 15, localRegion: 'home',
+	serviceTimes: {uncachedMilliseconds: 480, cachedMilliseconds: 144}, remainingMilliseconds: 800, targetLatencyMilliseconds: undefined, penaltyMilliseconds: getPlacePenalties(0),
 };
 
 function createCandidate(id: string, fields: Partial<FinishCandidate> = {}): FinishCandidate {
 	return {
-		id, region: 'home', slots: 4, expectedRunning: 0, slowness: 1, fitsInCache: true, rank: undefined, isKnownWarm: false, isCold: false, roundTripMilliseconds: 1, ...fields,
+		id, place: 'zone', slots: 4, expectedRunning: 0, slowness: 1, fitsInCache: true, rank: undefined, isKnownWarm: false, isCold: false, roundTripMilliseconds: 1, ...fields,
 	};
 }
 
-const remote = {region: 'away', roundTripMilliseconds: 24};
+const remote = {place: 'remote', roundTripMilliseconds: 24} as const;
+const otherZone = {place: 'region', roundTripMilliseconds: 3} as const;
 
 type Case = {readonly load: string; readonly candidates: readonly FinishCandidate[]; readonly remaining?: number; readonly targetLatency?: number; readonly chosen: string};
 
@@ -107,6 +108,31 @@
 		candidates: [createCandidate('cached', {isKnownWarm: true, expectedRunning: 8})],
 		chosen: 'cached',
 	},
+	{
+		load: 'an object cached in both zones: the own zone',
+		candidates: [createCandidate('other-zone', {...otherZone, isKnownWarm: true}), createCandidate('own-zone', {isKnownWarm: true})],
+		chosen: 'own-zone',
+	},
+	{
+		load: 'an object cached in both zones, with a little more work in the own one: the own zone',
+		candidates: [createCandidate('other-zone', {...otherZone, isKnownWarm: true, expectedRunning: 1}), createCandidate('own-zone', {isKnownWarm: true, expectedRunning: 1.5})],
+		chosen: 'own-zone',
+	},
+	{
+		load: 'an object cached in both zones, with a queue in the own one: the other zone',
+		candidates: [createCandidate('other-zone', {...otherZone, isKnownWarm: true}), createCandidate('own-zone', {isKnownWarm: true, expectedRunning: 6})],
+		chosen: 'other-zone',
+	},
+	{
+		load: 'an object cached in the other zone alone: it isn\'t run a second time',
+		candidates: [createCandidate('other-zone', {...otherZone, isKnownWarm: true}), createCandidate('own-zone', {rank: 1})],
+		chosen: 'other-zone',
+	},
+	{
+		load: 'an object that is cached nowhere: its first-ranked target, also in the other zone',
+		candidates: [createCandidate('other-zone', {...otherZone, rank: 0}), createCandidate('own-zone', {rank: 1})],
+		chosen: 'other-zone',
+	},
 	{load: 'no allowed target', candidates: [], chosen: 'no-target'},
 ];
 
@@ -134,7 +160,7 @@
 	const bodies = [{bytes: 0, chosen: 'away'}, {bytes: 60_000, chosen: 'home'}];
 	it.each(bodies)('a full local region: a body of $bytes bytes is sent to $chosen', ({bytes, chosen}) => {
 		const candidates = [createCandidate('home', {expectedRunning: 7}), createCandidate('away', remote)];
-		expect(chooseByFinishTime(candidates, {...request, remotePenaltyMilliseconds: getRemotePenalty(bytes)})).toMatchObject({kind: 'chosen', id: chosen});
+		expect(chooseByFinishTime(candidates, {...request, penaltyMilliseconds: getPlacePenalties(bytes)})).toMatchObject({kind: 'chosen', id: chosen});
 	});
 
 	const utilizationCases = [{running: 0, utilization: 0, price: 0}, {running: 1, utilization: 0.25, price: 0}, {running: 4, utilization: 1, price: 3}, {running: 9, utilization: 1, price: 3}];
