Send what fits into caches once a second, and encode a broadcast once

Cause: each message on cached objects, five a second to each gateway of the region, carried the shares of all targets that can't cache everything; at 48 targets that is most of its bytes. Its rate grew with the square of the region. A broadcast was encoded anew for each link.

--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -8,7 +8,7 @@
 import {Counter, Histogram} from 'prom-client';
 import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
 import {
-	type Member, type TrafficCustomer, type TrafficRoute, getPlace,
+	type Member, type TrafficCustomer, type TrafficRoute, getObjectExchangeInterval, getPlace,
 } from '@catkindale/policy';
 import {getRequestOutcome} from './attempt-outcome.js';
 import {readCallerBody} from './caller-body.js';
@@ -32,8 +32,9 @@
 
 const startOrder = 40;
 const latencyBucketsSeconds = [0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 2, 5];
-/** Shorter than the usual time until an object is requested again. */
-const placementsIntervalMilliseconds = 200;
+const placementsCheckMilliseconds = 100;
+/** The shares change slowly, and are as long as many placements. */
+const sharesIntervalMilliseconds = 1000;
 /** If a request waited longer than this to be read, its caller may have disconnected already. */
 const maximumReadDelayMilliseconds = 100;
 /** The first `setImmediate` runs in the turn that read the request, the second after the next turn has read its connection again. */
@@ -107,10 +108,20 @@
 			}),
 		};
 		let regionGateways: readonly Member[] = [];
+		let placementsSentAt = Number.NEGATIVE_INFINITY;
+		let sharesSentAt = Number.NEGATIVE_INFINITY;
 		/** Sends the placements to the gateways of the region, because the callers of a region request mostly the same objects. */
 		const sendPlacements = async (): Promise<void> => {
+			const now = clock.monotonic();
+			if (now - placementsSentAt < getObjectExchangeInterval(regionGateways.length)) {
+				return;
+			}
+
+			placementsSentAt = now;
 			const placements = [...chooser.takePlacements()];
-			const keptShares = chooser.getCacheableShares();
+			const sendsShares = now - sharesSentAt >= sharesIntervalMilliseconds;
+			const keptShares = sendsShares ? chooser.getCacheableShares() : {};
+			sharesSentAt = sendsShares ? now : sharesSentAt;
 			if (placements.length > 0 || Object.keys(keptShares).length > 0) {
 				for (const {id} of regionGateways) {
 					bus.publish({type: 'peer-send', to: id, message: {type: 'object-placements', placements, keptShares}});
@@ -118,7 +129,7 @@
 			}
 		};
 
-		const placementsWork = startPeriodicWork(sendPlacements, placementsIntervalMilliseconds);
+		const placementsWork = startPeriodicWork(sendPlacements, placementsCheckMilliseconds);
 		const unsubscribers = [
 			bus.subscribe('traffic-configuration-changed', ({configuration}) => {
 				state.router = createTrafficRouter(configuration);
--- a/packages/node/src/mesh-link.ts
+++ b/packages/node/src/mesh-link.ts
@@ -33,6 +33,8 @@
 	/** Returns the bytes sent and received so far. */
 	getTraffic: () => MeshLinkTraffic;
 	send: (message: PeerMessage) => void;
+	/** Sends a message that is encoded already, as one that goes to many peers. */
+	sendEncoded: (frame: Uint8Array) => void;
 	close: (reason: string) => void;
 };
 
@@ -74,13 +76,16 @@
 		isDialed: options.isDialed,
 		getTraffic: () => ({sent: socket.bytesWritten, received: socket.bytesRead}),
 		send(message) {
+			link.sendEncoded(encodeMessage(message));
+		},
+		sendEncoded(frame) {
 			if (socket.writableLength > maximumQueuedBytes) {
 				link.close('the peer reads too slowly');
 				return;
 			}
 
 			batchWrites();
-			socket.write(encodeMessage(message));
+			socket.write(frame);
 		},
 		close(reason) {
 			closeReason = reason;
--- a/packages/node/src/mesh-plugin.ts
+++ b/packages/node/src/mesh-plugin.ts
@@ -4,6 +4,7 @@
  */
 import {type Socket, connect, createServer} from 'node:net';
 import type {Member} from '@catkindale/policy';
+import {encodeMessage} from '@catkindale/protocol';
 import {gatewayRole, roles} from './constants.js';
 import {parseListenAddress, listenOn} from './http-server.js';
 import {createMeshAdmission} from './mesh-admission.js';
@@ -122,9 +123,10 @@
 				}
 			}),
 			bus.subscribe('peer-broadcast', ({message}) => {
+				const frame = encodeMessage(message);
 				for (const [id, link] of links) {
 					if (!context.cuts.peers.has(id)) {
-						link.send(message);
+						link.sendEncoded(frame);
 					}
 				}
 			}),
