Review: 32 hosts with the same prefix end every gateway

Cause: the routes of all hosts are in one router, which throws on more than 31 routes with the same prefix; nothing catches the exception, so the process ends, also after each restart.

The case adds 32 routes, each with the prefix /api/ on a host of its own, by one version while orders run at instances.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,13 +1,17 @@
 /**
- * A planned stop of one gateway. Clients that pipeline send three idempotent
- * requests on their open connections while their lookup is still valid.
+ * A new configuration adds the hosts of more teams, each with a route of the same
+ * prefix. The platform restarts processes that end.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import * as support from '../support.mjs';
 
-const clientCount = 6;
-const stableWindowMilliseconds = 3000;
-const sentAfterSignalMilliseconds = 300;
+const clientCount = 8;
+const workMilliseconds = 400;
+const restartMilliseconds = 500;
+/** The platform starts a process again this often. */
+const restartsPerGateway = 3;
+/** The routes that the change adds; without the disruption, it adds one. */
+const addedRouteCount = 32;
 
 await support.runCase(import.meta.dirname, async isTrouble => {
 	const store = await support.startStore();
@@ -16,54 +20,72 @@
 	for (const id of ['i-1', 'i-2', 'i-3']) {
 		instances.push(await support.startInstance(store, id, {
 			slots: 8,
-			answer(request, response, {requestId}) {
-				// The first request of each connection takes less time than those behind it.
+			answer(_request, response, {requestId}) {
 				setTimeout(() => {
 					support.answerWith(response, requestId, `answer to ${requestId}`);
-				}, request.url.endsWith('-1') ? 100 : 250);
+				}, workMilliseconds);
 			},
 		}));
 	}
 
-	const stopping = await support.startGateway(store, 'edge-oslo-a-1');
-	const staying = await support.startGateway(store, 'edge-oslo-a-2', {seeds: [stopping.control]});
-	await support.waitUntilServed(stopping);
-	await support.waitUntilServed(staying);
-	// Both gateways know each other and nothing else is wrong for longer than the stable window.
-	await delay(stableWindowMilliseconds + 1000);
-
-	const clients = [];
-	for (let index = 1; index <= clientCount; index++) {
-		clients.push(await support.openConnection(stopping.front, `c${index}`));
+	const first = await support.startGateway(store, 'edge-oslo-a-1');
+	const second = await support.startGateway(store, 'edge-oslo-a-2', {seeds: [first.control]});
+	const gateways = [first, second];
+	for (const gateway of gateways) {
+		await support.waitUntilServed(gateway);
 	}
 
-	const lookup = await support.lookUp(staying);
-	if (!lookup.addresses.includes(stopping.front)) {
-		throw new Error('the lookup does not name the gateway');
-	}
+	await delay(4000);
 
-	for (const client of clients) {
-		client.socket.write(support.formatRequest({path: '/history/warm', id: `${client.name}-0`}));
-	}
+	const sent = [];
+	const connections = [];
+	const sendOrders = async label => {
+		for (let index = 1; index <= clientCount; index++) {
+			const gateway = gateways[index % gateways.length];
+			const id = `${label}-${index}`;
+			const connection = await support.openConnection(gateway.front, id);
+			connections.push(connection);
+			sent.push(id);
+			support.record(`client ${id}: sends an order to ${gateway.name}`);
+			connection.socket.write(support.formatRequest({
+				method: 'POST', path: `/orders/${id}`, id, deadline: 3000, body: '{"litres":900}',
+			}));
+		}
+	};
 
-	await support.waitUntil(() => clients.every(({answers}) => answers.length === 1), 'the first answers');
-	if (isTrouble) {
-		support.signal(stopping, 'SIGTERM');
+	// Orders at another time than the change, for comparison.
+	await sendOrders('before');
+	await delay(1500);
+	await sendOrders('beside');
+	await delay(workMilliseconds / 2);
+	const configuration = support.createConfiguration(2);
+	const addedCount = isTrouble ? addedRouteCount : 1;
+	for (let team = 1; team <= addedCount; team++) {
+		configuration.routes.rows.push([`team-${team}`, `team-${team}.example`, '/api/', 'idempotent', 1, 0.15, 1, null, 2, false, false, [], 'documents']);
 	}
 
-	await delay(sentAfterSignalMilliseconds);
-	const sent = [];
-	for (const client of clients) {
-		const ids = [1, 2, 3].map(number => `${client.name}-${number}`);
-		support.record(`client ${client.name}: sends ${ids.join(', ')} behind one another`);
-		client.socket.write(ids.map(id => support.formatRequest({path: `/history/${id}`, id, deadline: 2000})).join(''));
-		sent.push(...ids);
-	}
+	support.record(`operator: version 2 adds ${addedCount} routes, the prefix /api/ on as many hosts`);
+	store.put('op', 'config', configuration);
+	await delay(2000);
 
-	await delay(2500);
-	const answered = new Set(clients.flatMap(({answers}) => answers.map(({id}) => id)));
+	const isAnswered = id => connections.some(({answers}) => answers.some(answer => answer.id === id));
 	const passedOn = new Set(instances.flatMap(({ran}) => ran.map(({requestId}) => requestId)));
-	const lost = sent.filter(id => passedOn.has(id) && !answered.has(id));
-	support.record(`sent ${sent.length}, of these passed on to instances ${sent.filter(id => passedOn.has(id)).length}, answered ${sent.filter(id => answered.has(id)).length}`);
-	return lost.length > 0 && `LOST: ${lost.length} requests were passed on to an instance and the gateway closed their connections without an answer: ${lost.join(', ')}`;
+	const lost = sent.filter(id => passedOn.has(id) && !isAnswered(id));
+	// Each gateway is started again after it has ended.
+	let ends = gateways.filter(({exit}) => exit).length;
+	for (let count = 1; count <= restartsPerGateway; count++) {
+		for (const [index, gateway] of gateways.entries()) {
+			if (gateway.exit) {
+				await delay(restartMilliseconds);
+				gateways[index] = await support.restartGateway(gateway);
+			}
+		}
+
+		await delay(2000);
+		ends += gateways.filter(({exit}) => exit).length;
+	}
+
+	const summary = `${lost.length} of ${sent.length} orders were passed on to an instance and their connections ended without an answer`;
+	support.record(`${summary}; processes ended by themselves ${ends} times`);
+	return lost.length > 0 && `LOST: ${summary}: ${lost.join(', ')}; processes ended by themselves ${ends} times`;
 });
--- a/review/support.mjs
+++ b/review/support.mjs
@@ -398,28 +398,38 @@
 ttl_max_s = 5
 shift_most = 0.15
 `);
-	const log = openSync(path.join(folder, `${name}.log`), 'a');
-	const child = spawn('node', ['--max-old-space-size=200', 'target/catkindale.cjs'], {
-		cwd: path.resolve(import.meta.dirname, '..'),
-		env: {PATH: process.env.PATH, HOME: process.env.HOME, CATKINDALE_SETTINGS: file},
-		stdio: ['ignore', log, log],
-	});
-	const gateway = {
+	return launch({
 		name,
-		child,
-		exit: undefined,
+		file,
 		front: `127.0.0.1:${front}`,
 		ready: `127.0.0.1:${ready}`,
 		control: `127.0.0.1:${control}`,
 		directory: `127.0.0.1:${directory}`,
 		logFile: path.join(folder, `${name}.log`),
-	};
-	child.once('exit', (code, signal) => {
-		gateway.exit = {code, signal};
-		record(`gateway ${name}: the process ended with code ${code}, signal ${signal}`);
+	});
+}
+
+/** Starts a gateway that has ended again, as the platform does. */
+export async function restartGateway({name, file, front, ready, control, directory, logFile}) {
+	return launch({
+		name, file, front, ready, control, directory, logFile,
+	});
+}
+
+function launch(fields) {
+	const log = openSync(fields.logFile, 'a');
+	const child = spawn('node', ['--max-old-space-size=200', 'target/catkindale.cjs'], {
+		cwd: path.resolve(import.meta.dirname, '..'),
+		env: {PATH: process.env.PATH, HOME: process.env.HOME, CATKINDALE_SETTINGS: fields.file},
+		stdio: ['ignore', log, log],
+	});
+	const gateway = {...fields, child, exit: undefined};
+	child.once('exit', (code, signalName) => {
+		gateway.exit = {code, signal: signalName};
+		record(`gateway ${gateway.name}: the process ended with code ${code}, signal ${signalName}`);
 	});
 	gateways.add(gateway);
-	record(`gateway ${name}: started, takes requests at ${gateway.front}`);
+	record(`gateway ${gateway.name}: started, takes requests at ${gateway.front}`);
 	return gateway;
 }
 
