--- a/review/support.mjs
+++ b/review/support.mjs
@@ -43,12 +43,24 @@
 	closers.push(close);
 }
 
+function endProcesses() {
+	for (const {child} of gateways) {
+		child.kill('SIGCONT');
+		child.kill('SIGKILL');
+	}
+}
+
+// Also where the script itself is ended early.
+process.once('exit', endProcesses);
+for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+	process.once(name, () => {
+		process.exit(2);
+	});
+}
+
 /** Ends all processes and servers that the script started. */
 export async function endAll() {
-	for (const gateway of gateways) {
-		gateway.child.kill('SIGCONT');
-		gateway.child.kill('SIGKILL');
-	}
+	endProcesses();
 
 	for (const close of closers) {
 		close();
