Review: read TROUBLE in each case

Cause: only the shared support module read the variable, so that nothing in the folder of a case showed what TROUBLE=0 changes.

Each case now reads it and passes it on. The disruptions and the checks are the same.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,6 +2,7 @@
  * A new configuration adds the hosts of more teams, each with a route of the same
  * prefix. The platform restarts processes that end.
  */
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import * as support from '../support.mjs';
 
@@ -13,7 +14,7 @@
 /** The routes that the change adds; without the disruption, it adds one. */
 const addedRouteCount = 32;
 
-await support.runCase(import.meta.dirname, async isTrouble => {
+await support.runCase(import.meta.dirname, process.env.TROUBLE !== '0', async isTrouble => {
 	const store = await support.startStore();
 	store.put('op', 'config', support.createConfiguration(1));
 	const instances = [];
--- a/review/support.mjs
+++ b/review/support.mjs
@@ -567,7 +567,7 @@
 }
 
 /** Runs the script: exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. */
-export async function runCase(folder, run) {
+export async function runCase(folder, isTrouble, run) {
 	const limit = setTimeout(() => {
 		record('the case took too long');
 		writeRecord(folder);
@@ -576,7 +576,6 @@
 	let code = 2;
 	let verdict = 'the case couldn\'t run';
 	try {
-		const isTrouble = process.env.TROUBLE !== '0';
 		record(isTrouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
 		const broken = await run(isTrouble);
 		verdict = broken ? `rule broken: ${broken}` : 'rule held';
