Limit responses of targets that have no head or content

Cause: the HTTP client limits each head, but starts anew with each interim one, and doesn't count status lines and chunk extensions. Such a response went on until the deadline, at the full speed of the connection, and the request had no time left for another target.

Change: an attempt ends as failed after 100 interim responses, or once over 64 KiB arrived without a head or content. The rest of a refusal is limited to 64 KiB, besides its second.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -14,6 +14,7 @@
 import {headerNames} from './constants.js';
 import type {RequestDispatcher} from './link-meter.js';
 import {getResponseHeaders} from './request-headers.js';
+import {createResponseLimits} from './response-limits.js';
 import {
 	type HeaderReader, type TargetDialect, type TargetStatement, defaultDialect,
 } from './target-dialect.js';
@@ -40,6 +41,8 @@
 	readonly isConnectionReset?: () => boolean;
 	/** Whether no earlier request was sent on the connection; false by default. */
 	readonly isConnectionFresh?: () => boolean;
+	/** Calls the listener with the size of each chunk that the connection receives; given if the dispatcher can tell. */
+	readonly watchReceivedBytes?: (listener: (bytes: number) => void) => void;
 	/** Called with what the target says of itself in its response. */
 	readonly onStatement?: (statement: TargetStatement) => void;
 };
@@ -107,7 +110,7 @@
 	let discardTimer: NodeJS.Timeout | undefined;
 	const abortDiscarded = (): void => {
 		freeConnection(false);
-		controller?.abort(new AttemptAbortError('target', 'the rest of the refusal took too long'));
+		controller?.abort(new AttemptAbortError('target', 'the rest of the refusal took too long or is too large'));
 	};
 
 	const settle = (result: ForwardOutcome): void => {
@@ -193,6 +196,14 @@
 		}
 	};
 
+	const limits = createResponseLimits(reason => {
+		if (responseState.kind === 'discarded') {
+			abortDiscarded();
+		} else {
+			abort('target', reason);
+		}
+	});
+
 	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
 		const readHeader: HeaderReader = name => getRawHeader(rawHeaders, name);
 		const headClass = classifyHead(options, dialect, status, readHeader);
@@ -226,6 +237,7 @@
 	};
 
 	const receiveData = (chunk: Buffer): void => {
+		limits.receiveContent();
 		switch (responseState.kind) {
 			case 'buffered': {
 				responseState.chunks.push(chunk);
@@ -243,6 +255,7 @@
 			}
 
 			case 'discarded': {
+				limits.discardContent(chunk.length);
 				return;
 			}
 
@@ -286,9 +299,16 @@
 			}
 
 			controller = requestController;
+			options.watchReceivedBytes?.(limits.receiveBytes);
 		},
 		onResponseStart(requestController, status) {
-			if (status >= minimumFinalStatus && !isSettled) {
+			if (status < minimumFinalStatus) {
+				limits.receiveInterimHead();
+				return;
+			}
+
+			limits.receiveContent();
+			if (!isSettled) {
 				receiveHead(status, decodeHeaders(requestController.rawHeaders));
 			}
 		},
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -123,6 +123,7 @@
 		dialect: context.profile.dialect,
 		isConnectionReset: connection.isReset,
 		isConnectionFresh: connection.isFresh,
+		watchReceivedBytes: connection.watchReceivedBytes,
 		onLeaving() {
 			context.logger.info('target_leaving', {target: target.registration.id, request: exchange.requestId});
 			dependencies.targets.markLeaving(target);
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -11,6 +11,8 @@
 	isReset: () => boolean;
 	/** Whether no earlier request was sent on the connection, so that nothing of an earlier response can arrive on it. */
 	isFresh: () => boolean;
+	/** Calls the listener with the size of each chunk that the connection receives, until its next request. */
+	watchReceivedBytes: (listener: (bytes: number) => void) => void;
 	/** Makes the connection available again if it is reusable, or closes it; call it once, after the attempt has ended. */
 	release: (options: {readonly isReusable: boolean}) => void;
 };
@@ -45,6 +47,9 @@
 	wasReset: boolean;
 	isRetired: boolean;
 	hasBeenUsed: boolean;
+	/** The socket whose received bytes are watched. */
+	watchedSocket: Socket | undefined;
+	onReceived: ((bytes: number) => void) | undefined;
 };
 
 const noTraffic: ConnectionTraffic = {sent: 0, received: 0};
@@ -101,11 +106,21 @@
 			},
 		});
 		const pooled: PooledClient = {
-			client, socket: undefined, reported: noTraffic, wasReset: false, isRetired: false, hasBeenUsed: false,
+			client, socket: undefined, reported: noTraffic, wasReset: false, isRetired: false, hasBeenUsed: false, watchedSocket: undefined, onReceived: undefined,
 		};
 		return pooled;
 	};
 
+	/** The HTTP client has its own listeners on the socket by then, so that this one doesn't start the flow of data. */
+	const watchSocket = (pooled: PooledClient): void => {
+		if (pooled.socket && pooled.socket !== pooled.watchedSocket) {
+			pooled.watchedSocket = pooled.socket;
+			pooled.socket.on('data', (chunk: Uint8Array) => {
+				pooled.onReceived?.(chunk.length);
+			});
+		}
+	};
+
 	return {
 		acquire() {
 			const pooled = idleClients.pop() ?? (usedClients.size < limits.maximumConnections ? createClient() : undefined);
@@ -118,6 +133,10 @@
 				dispatch: (options, handler) => pooled.client.dispatch(options, handler),
 				isReset: () => pooled.wasReset,
 				isFresh: () => !pooled.hasBeenUsed,
+				watchReceivedBytes(listener) {
+					pooled.onReceived = listener;
+					watchSocket(pooled);
+				},
 				release({isReusable}) {
 					if (!usedClients.delete(pooled)) {
 						return;
--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -4,6 +4,7 @@
  * response was lost, which the service may have executed.
  */
 import {Pool} from 'undici';
+import VError from 'verror';
 import {getErrorCode, getErrorMessage} from '@catkindale/common';
 import type {DriverSettings} from './driver-registry.js';
 
@@ -23,19 +24,30 @@
 
 type Method = 'GET' | 'POST' | 'PUT';
 
+export type HttpCallerSettings = DriverSettings & {
+	/** A response with a larger body counts as lost. */
+	readonly maximumResponseBytes?: number;
+};
+
 export type HttpCaller = {
 	call: (method: Method, path: string, body?: string | Uint8Array, options?: CallOptions) => Promise<CallOutcome>;
 	close: () => Promise<void>;
 };
 
+/** Responses of status 1xx that may precede a final one. Each is limited in size, as any head. */
+export const maximumInterimResponses = 100;
+/** Above any list of rows. */
+const defaultMaximumResponseBytes = 16_777_216;
+
 /** Error codes that occur before the request is sent. */
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-export function createHttpCaller(settings: DriverSettings): HttpCaller {
+export function createHttpCaller(settings: HttpCallerSettings): HttpCaller {
 	const pool = new Pool(settings.address, {
 		connections: settings.maximumCallsInFlight,
 		connect: {timeout: settings.timeoutMilliseconds},
 		pipelining: 1,
+		maxResponseSize: settings.maximumResponseBytes ?? defaultMaximumResponseBytes,
 	});
 	let callsInFlight = 0;
 	return {
@@ -80,6 +92,14 @@
 		abort();
 	}
 
+	let interimResponses = 0;
+	const countInterimResponse = (): void => {
+		interimResponses += 1;
+		if (interimResponses > maximumInterimResponses) {
+			controller.abort(new VError('more than %d interim responses arrived', maximumInterimResponses));
+		}
+	};
+
 	options.signal?.addEventListener('abort', abort);
 	try {
 		const response = await pool.request({
@@ -87,6 +107,7 @@
 			path: options.path,
 			body: options.body,
 			signal: controller.signal,
+			onInfo: countInterimResponse,
 			...(options.headers && {headers: options.headers}),
 		});
 		const body = await response.body.bytes();
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -7,7 +7,9 @@
 
 export * from './driver-registry.js';
 export * from './errors.js';
-export {type CallOutcome, type HttpCaller, createHttpCaller} from './http-caller.js';
+export {
+	type CallOutcome, type HttpCaller, createHttpCaller, maximumInterimResponses,
+} from './http-caller.js';
 export type * from './machine-list-port.js';
 export type * from './object-store-port.js';
 export type * from './table-port.js';
