Take a malformed VM list for a failed read

Operators saw (from the code, and shown by a test): a VM list that isn't one ends the process, or keeps it from starting.

Change: such a list is a read that failed, as one with another status is.

--- a/packages/ports/src/machine-list-http.ts
+++ b/packages/ports/src/machine-list-http.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import {machineListDrivers} from './driver-registry.js';
 import {createHttpCaller, parseJson} from './http-caller.js';
-import type {MachineList} from './machine-list-port.js';
+import type {ListedMachine, MachineList} from './machine-list-port.js';
 
 const machinesSchema = z.object({
 	machines: z.array(z.object({id: z.string(), state: z.enum(['live', 'leaving'])})),
@@ -23,8 +23,17 @@
 				return {kind: 'not-done', reason: `the VM list responded with status ${outcome.status}`};
 			}
 
-			return {kind: 'done', machines: machinesSchema.parse(parseJson(outcome.body)).machines};
+			const machines = parseMachines(outcome.body);
+			return machines ? {kind: 'done', machines} : {kind: 'not-done', reason: 'the VM list is malformed'};
 		},
 		close: async () => caller.close(),
 	};
 });
+
+function parseMachines(body: Uint8Array): readonly ListedMachine[] | undefined {
+	try {
+		return machinesSchema.parse(parseJson(body)).machines;
+	} catch {
+		return undefined;
+	}
+}
