Limit responses of services and of targets' health

A service that sends interim responses, a body or pages of a table without end was read until the timeout, up to 30 s for the feed, and all bytes of the body were kept.

Change: at most 100 interim responses, and a body of 16 MiB (256 MiB for an object).

--- a/packages/ports/src/object-store-http.ts
+++ b/packages/ports/src/object-store-http.ts
@@ -5,9 +5,11 @@
 
 const statusOk = 200;
 const statusNotFound = 404;
+/** Above any snapshot of client blocks. */
+const maximumObjectBytes = 268_435_456;
 
 objectDrivers.register('http', (settings): ObjectStore => {
-	const caller = createHttpCaller(settings);
+	const caller = createHttpCaller({...settings, maximumResponseBytes: maximumObjectBytes});
 	return {
 		async get(name) {
 			const outcome = await caller.call('GET', getPath(name));
--- a/packages/ports/src/target-health-http.ts
+++ b/packages/ports/src/target-health-http.ts
@@ -7,7 +7,7 @@
 import * as z from 'zod';
 import {getErrorMessage} from '@catkindale/common';
 import {type TargetHealthSettings, targetHealthDrivers} from './driver-registry.js';
-import {parseJson} from './http-caller.js';
+import {maximumInterimResponses, parseJson} from './http-caller.js';
 import type {TargetHealthOutcome, TargetHealthReader} from './target-health-port.js';
 
 const healthSchema = z.object({
@@ -52,11 +52,32 @@
 });
 
 async function requestHealth(agent: Agent, targetAddress: string, {path, timeoutMilliseconds}: TargetHealthSettings): Promise<TargetHealthOutcome> {
+	const controller = new AbortController();
+	const timer = setTimeout(() => {
+		controller.abort();
+	}, timeoutMilliseconds);
+	try {
+		return await readHealth(agent, {targetAddress, path, controller});
+	} finally {
+		clearTimeout(timer);
+	}
+}
+
+type HealthCall = {readonly targetAddress: string; readonly path: string; readonly controller: AbortController};
+
+async function readHealth(agent: Agent, {targetAddress, path, controller}: HealthCall): Promise<TargetHealthOutcome> {
+	let interimResponses = 0;
 	const {statusCode, body} = await agent.request({
 		origin: `http://${targetAddress}`,
 		path,
 		method: 'GET',
-		signal: AbortSignal.timeout(timeoutMilliseconds),
+		signal: controller.signal,
+		onInfo() {
+			interimResponses += 1;
+			if (interimResponses > maximumInterimResponses) {
+				controller.abort();
+			}
+		},
 	});
 	const content = await body.bytes();
 	if (statusCode !== statusHealthy && statusCode !== statusUnhealthy) {
