--- a/packages/node/src/gateway-headers.ts
+++ b/packages/node/src/gateway-headers.ts
@@ -1,5 +1,7 @@
 /** Builds the headers of a request that a gateway sends to a target. */
-import {hopByHopHeaders, copyHeaders, getConnectionHeaderNames} from './request-headers.js';
+import {
+	hopByHopHeaders, copyHeaders, encodeHeaderText, getConnectionHeaderNames,
+} from './request-headers.js';
 import type {CallerProfile} from './caller-profile.js';
 import type {GatewayExchange} from './gateway-exchange.js';
 
@@ -18,7 +20,7 @@
 	const headers = copyHeaders(request.rawHeaders, name => connectionHeaders.has(name) || hopByHopHeaders.has(name) || ownHeaders.has(name));
 	headers.push(names.requestId, requestId, names.deadline, String(Math.max(1, Math.floor(targetValues.deadlineMilliseconds))), names.expectedTarget, targetValues.target);
 	if (customer) {
-		headers.push(names.customer, customer.name);
+		headers.push(names.customer, encodeHeaderText(customer.name));
 	}
 
 	return headers;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -26,6 +26,7 @@
 	type CallerProfile, type LookupResponse, type LookupRequest, getBearerKey, defaultCallerProfile,
 } from './caller-profile.js';
 export type {TrafficSource} from './node-context.js';
+export {type OnUnreadable, createUnreadableReports} from './unreadable-reports.js';
 export type {
 	HeaderReader, ReportedLimit, ReportedLoad, TargetDialect, TargetStatement,
 } from './target-dialect.js';
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -37,7 +37,7 @@
 export type Cuts = {peers: ReadonlySet<string>; isTableCut: boolean};
 
 /** Publishes the traffic configuration, orders and targets on the bus until it is stopped. */
-export type TrafficSource = (dependencies: Pick<NodeContext, 'bus' | 'clock' | 'logger'>) => {stop: () => Promise<void>};
+export type TrafficSource = (dependencies: Pick<NodeContext, 'bus' | 'clock' | 'logger' | 'metrics'>) => {stop: () => Promise<void>};
 
 export type NodeContext = {
 	readonly settings: Settings;
--- a/packages/node/src/request-headers.ts
+++ b/packages/node/src/request-headers.ts
@@ -1,4 +1,5 @@
 /** Selects the headers that are forwarded from callers to targets and back. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {headerNames, reservedHeaderPrefix} from './constants.js';
 
@@ -15,6 +16,7 @@
 	'upgrade',
 	'expect',
 ]);
+const beyondAscii = /\P{ASCII}/v;
 const keyHeaders = new Set(['authorization', 'x-api-key']);
 const cookieHeader = 'cookie';
 export const idempotencyKeyHeader = 'idempotency-key';
@@ -67,7 +69,7 @@
 	const deadline = Math.max(0, Math.floor(identity.deadlineMilliseconds));
 	headers.push(headerNames.requestId, identity.requestId, headerNames.deadline, String(deadline));
 	if (identity.customer !== undefined) {
-		headers.push(headerNames.customer, identity.customer);
+		headers.push(headerNames.customer, encodeHeaderText(identity.customer));
 	}
 
 	return headers;
@@ -97,3 +99,13 @@
 
 	return copied;
 }
+
+/** Encodes a text as UTF-8 for a header; the HTTP client sends each character as one byte. */
+export function encodeHeaderText(text: string): string {
+	return beyondAscii.test(text) ? Buffer.from(text, 'utf8').toString('latin1') : text;
+}
+
+/** Decodes a header with UTF-8 text, of which the HTTP parser returns each byte as one character. */
+export function decodeHeaderText(value: string): string {
+	return beyondAscii.test(value) ? Buffer.from(value, 'latin1').toString('utf8') : value;
+}
--- a/packages/node/src/traffic-router.ts
+++ b/packages/node/src/traffic-router.ts
@@ -1,10 +1,10 @@
 /** Indexes a traffic configuration for the lookups that a gateway makes for each request. */
-import {Buffer} from 'node:buffer';
 import {hashText} from '@catkindale/common';
 import {
 	type DestinationRoundRobin, type PathPrefixes, type TrafficConfiguration, type TrafficCustomer, type TrafficRoute, type TrafficService,
 	createDestinationRoundRobin, createPathPrefixes, encodePath, encodeReceivedPath, isPathPrefix,
 } from '@catkindale/policy';
+import {decodeHeaderText} from './request-headers.js';
 
 export type TrafficRouter = {
 	readonly configuration: TrafficConfiguration;
@@ -26,7 +26,6 @@
 const portSuffix = /:\d+$/v;
 /** What precedes the path in the absolute form of a request target. */
 const originPattern = /^[a-z][a-z\d+.\-]*:\/\/[^\/]*/iv;
-const beyondAscii = /[\u0080-\u00FF]/v;
 
 export function createTrafficRouter(configuration: TrafficConfiguration): TrafficRouter {
 	const prefixesByHost = new Map<string, PathPrefixes<TrafficRoute>>();
@@ -50,17 +49,17 @@
 				customersByKey.clear();
 			}
 
-			customersByKey.set(key, customers.get(hashText(decodeHeader(key))));
+			customersByKey.set(key, customers.get(hashText(decodeHeaderText(key))));
 		}
 
 		return customersByKey.get(key);
 	};
 
-	const roundRobins = new Map<string, DestinationRoundRobin>();
+	const roundRobins = new Map<TrafficRoute, DestinationRoundRobin>();
 	return {
 		configuration,
 		unusedRoutes,
-		findRoute: (host, url) => prefixesByHost.get(normalizeHost(decodeHeader(host)))?.find(getPath(url)),
+		findRoute: (host, url) => prefixesByHost.get(normalizeHost(decodeHeaderText(host)))?.find(getPath(url)),
 		findCustomer,
 		getService: name => services.get(name),
 		chooseDestination(route) {
@@ -69,8 +68,8 @@
 				return first?.service;
 			}
 
-			const roundRobin = roundRobins.get(route.name) ?? createDestinationRoundRobin(route.destinations);
-			roundRobins.set(route.name, roundRobin);
+			const roundRobin = roundRobins.get(route) ?? createDestinationRoundRobin(route.destinations);
+			roundRobins.set(route, roundRobin);
 			return roundRobin.next();
 		},
 	};
@@ -85,8 +84,3 @@
 	const [path = ''] = url.split('?', 1);
 	return encodeReceivedPath(path.startsWith('/') ? path : path.replace(originPattern, ''));
 }
-
-/** Decodes a header with UTF-8 text, which HTTP parsers return as Latin-1. */
-function decodeHeader(value: string): string {
-	return beyondAscii.test(value) ? Buffer.from(value, 'latin1').toString('utf8') : value;
-}
