Count the demand of customers that are named like properties of objects

Cause: demands and cacheable shares are plain objects by name, looked up without asking whether the name is their own.

Change: look-ups ask for own values, and `__proto__` is written as the decoder of messages writes it.

Measured: gateway-quotas.test.ts, 3 of 10 cases failed before, all pass.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,3 +9,4 @@
 export * from './outcome.js';
 export * from './random.js';
 export * from './rendezvous.js';
+export * from './record-key.js';
--- a/packages/node/src/gateway-quotas.ts
+++ b/packages/node/src/gateway-quotas.ts
@@ -2,7 +2,9 @@
  * Admits customers' requests within this gateway's shares of their rates, and
  * measures each customer's demand at this gateway.
  */
-import {type Clock, millisecondsPerSecond} from '@catkindale/common';
+import {
+	type Clock, getRecordValue, millisecondsPerSecond, toRecordKey,
+} from '@catkindale/common';
 import {
 	type TokenBucket, type TrafficCustomer, createTokenBucket, fillTokenBucket, getCustomerRateFraction, getTokenDelay, takeToken,
 } from '@catkindale/policy';
@@ -88,8 +90,8 @@
 		}
 
 		// Uses this gateway's demand as the others last received it. While a demand grows everywhere, each gateway would otherwise see its own growth first, and all would use too much.
-		const receivedDemands = new Map([...demands].map(([id, byCustomer]) => [id, byCustomer[customer] ?? 0]));
-		receivedDemands.set(ownId, previousDemands[customer] ?? 0);
+		const receivedDemands = new Map([...demands].map(([id, byCustomer]) => [id, getRecordValue(byCustomer, customer) ?? 0]));
+		receivedDemands.set(ownId, getRecordValue(previousDemands, customer) ?? 0);
 		return getCustomerRateFraction({ownId, demands: receivedDemands});
 	};
 
@@ -165,7 +167,7 @@
 				state.demand += latestDemandWeight * ((state.arrivals / seconds) - state.demand);
 				state.arrivals = 0;
 				if (state.demand >= minimumDemand) {
-					measuredDemands[name] = Number(state.demand.toFixed(2));
+					measuredDemands[toRecordKey(name)] = Number(state.demand.toFixed(2));
 				}
 			}
 
--- a/packages/node/src/gateway-target-chooser.ts
+++ b/packages/node/src/gateway-target-chooser.ts
@@ -2,7 +2,9 @@
  * Chooses the target of a request by this gateway's estimates of each target's
  * state, and updates the estimates after each attempt.
  */
-import {type Clock, rankMembers} from '@catkindale/common';
+import {
+	type Clock, getRecordValue, rankMembers, toRecordKey,
+} from '@catkindale/common';
 import {
 	type FinishCandidate, type FinishChoice, type FinishRequest, type Location, type WarmObjects, type ServiceTimeKind, type ServiceTimes, type TrafficRoute, type TrafficService,
 	chooseByFinishTime, classifyServiceTime, createWarmObjects, createServiceTimes, getExpectedRunning, getObjectPosition, getPlace, getPlacePenalties,
@@ -335,12 +337,12 @@
 		},
 		getCacheableShares() {
 			const limited = targets.getAll().filter(({admission}) => admission.cacheableShare < 1);
-			return Object.fromEntries(limited.map(({registration, admission}) => [registration.id, Number(admission.cacheableShare.toFixed(shareFractionDigits))]));
+			return Object.fromEntries(limited.map(({registration, admission}) => [toRecordKey(registration.id), Number(admission.cacheableShare.toFixed(shareFractionDigits))]));
 		},
 		receivePlacements(receivedPlacements, cacheableShares) {
 			const now = clock.monotonic();
 			for (const target of targets.getAll()) {
-				const receivedShare = cacheableShares[target.registration.id];
+				const receivedShare = getRecordValue(cacheableShares, target.registration.id);
 				if (receivedShare !== undefined) {
 					target.admission = mergeCacheableShare(target.admission, receivedShare);
 				}
--- a/packages/node/tests/gateway-quotas.test.ts
+++ b/packages/node/tests/gateway-quotas.test.ts
@@ -6,6 +6,9 @@
 import {describe, expect, it} from 'vitest';
 import {createManualClock} from '@catkindale/common';
 import type {TrafficCustomer} from '@catkindale/policy';
+import {
+	type PeerMessage, createFrameReader, encodeMessage, parsePeerMessage,
+} from '@catkindale/protocol';
 import {createGatewayQuotas} from '../src/gateway-quotas.js';
 
 const customer: TrafficCustomer = {
@@ -141,3 +144,50 @@
 		expect(admitted.filter(time => time >= 9000).length).toBeGreaterThan(minimumServedFraction * ratePerSecond * 5);
 	});
 });
+
+/** A quarter of the rate is shared evenly by the three gateways, the rest by their demands. */
+const twoThirdsShare = (0.25 / 3) + (0.75 * 2 / 3);
+
+/** Returns the demands as a peer receives them. */
+function sendToPeer(demands: Readonly<Record<string, number>>): Readonly<Record<string, number>> {
+	const messages: PeerMessage[] = [];
+	createFrameReader().push(encodeMessage({
+		type: 'gateway-report', isServing: true, use: 0, revisions: {configuration: 1, orders: 1, targets: 1}, demands,
+	}), frame => {
+		const parsed = parsePeerMessage(frame);
+		if (parsed.ok) {
+			messages.push(parsed.value);
+		}
+	});
+	const [message] = messages;
+	return message?.type === 'gateway-report' ? message.demands : {};
+}
+
+/** The record of demands inherits properties with these names. */
+describe('a customer that is named like a property of objects', () => {
+	it.each(['small', 'constructor', 'toString', '__proto__'])('as %s gets the share of its demand at this gateway', name => {
+		const clock = createManualClock();
+		const quotas = createGatewayQuotas({
+			clock, ownId: 'own', configuredGateways: 2, getTolerance: () => ({overage: 0, slackRequests: 0, windowMilliseconds: 5000}),
+		});
+		const named = {...customer, name, ratePerSecond: 100};
+		quotas.setCustomers([named]);
+		let demands: Readonly<Record<string, number>> = {};
+		for (let heartbeat = 0; heartbeat < 20; heartbeat++) {
+			for (let count = 0; count < 100; count++) {
+				quotas.admit(named, 0);
+			}
+
+			clock.advance(500);
+			demands = quotas.measureDemands();
+		}
+
+		expect(Object.values(demands)).toHaveLength(1);
+		// The other gateway has half of the demand.
+		const [own = 0] = Object.values(demands);
+		const other = sendToPeer(Object.fromEntries(Object.keys(demands).map(key => [key, own / 2])));
+		quotas.setDemands(new Map([['own', demands], ['other', other], ['idle', {}]]), 3);
+		const admission = Array.from({length: 200}, () => quotas.admit(named, 0)).find(({kind}) => kind === 'refused');
+		expect(admission).toMatchObject({kind: 'refused', share: expect.closeTo(twoThirdsShare, 3) as number});
+	});
+});
