Refuse manifests with paths that the router rejects

An encoded path, such as `/kj%C3%B8p`, was never matched.

Cause: paths were checked for their first slash and for duplicates alone, and compiled by whoever routes, where nothing catches the router's error.

Change: a manifest whose paths can't be compiled together is refused, with the line and the router's reason. A node that receives such a configuration from the table or a peer keeps the one in force and logs it once. Encoded paths are decoded, as the router does with those of requests.

--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -11,6 +11,7 @@
 import {rowKeys, roles} from './constants.js';
 import {isFresh} from './freshness-validity.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
+import {findRouteIssues} from './routing-table.js';
 import {startTablePoller} from './table-poller.js';
 
 const startOrder = 20;
@@ -24,6 +25,7 @@
 		const store = createConfigurationStore();
 		const forwarder = createConfigurationForwarder(context);
 		let active: VersionedConfiguration | undefined;
+		let refusedVersion: number | undefined;
 
 		const activate = (): void => {
 			const effective = store.getEffective();
@@ -39,7 +41,22 @@
 			bus.publish({type: 'configuration-changed', ...effective});
 		};
 
+		/** Whether the node can route by the record; of one that it can't, the version is logged once. */
+		const isUsable = ({version, configuration}: VersionedConfigurationRecord, source: string): boolean => {
+			const [issue] = findRouteIssues(configuration.routes);
+			if (issue && refusedVersion !== version) {
+				refusedVersion = version;
+				context.logger.error('configuration_unreadable', {version, source, reason: issue.reason});
+			}
+
+			return issue === undefined;
+		};
+
 		const receiveRecord = (record: VersionedConfigurationRecord, source: string): void => {
+			if (record.version > store.getLatest().version && !isUsable(record, source)) {
+				return;
+			}
+
 			if (!store.update(record)) {
 				// A read may return this node's own change before the response to the write arrives. The peers still need the push.
 				if (source === 'change' && record.version === store.getLatest().version) {
--- a/packages/node/src/manifest.ts
+++ b/packages/node/src/manifest.ts
@@ -5,6 +5,7 @@
 } from '@catkindale/common';
 import {type Configuration, type ConfigurationInput, parseConfiguration} from '@catkindale/policy';
 import {findManifestLine} from './manifest-lines.js';
+import {findRouteIssues} from './routing-table.js';
 
 /** An issue of a manifest; the line, counted from 1, is undefined if it can't be determined. */
 export type ManifestIssue = {
@@ -25,9 +26,10 @@
 	}
 
 	const parsed = parseConfiguration(data);
-	return parsed.ok
+	const issues = parsed.ok ? findRouteIssues(parsed.value.routes) : parsed.error;
+	return parsed.ok && issues.length === 0
 		? succeed(parsed.value)
-		: fail(parsed.error.map(({path, reason}) => ({
+		: fail(issues.map(({path, reason}) => ({
 			line: findManifestLine(text, path), field: path.join('.') || 'manifest', reason,
 		})));
 }
--- a/packages/node/src/routing-table.ts
+++ b/packages/node/src/routing-table.ts
@@ -1,8 +1,8 @@
 /** Indexes a configuration for the lookups that an entry makes for each request. */
-import createRouter, {type HTTPMethod} from 'find-my-way';
-import {hashText} from '@catkindale/common';
+import createRouter, {type HTTPMethod, type HTTPVersion, type Instance} from 'find-my-way';
+import {getErrorMessage, hashText} from '@catkindale/common';
 import type {
-	Configuration, Customer, Route, Target,
+	Configuration, ConfigurationIssue, Customer, Route, Target,
 } from '@catkindale/policy';
 
 export type RoutingTable = {
@@ -15,6 +15,7 @@
 	getTargets: (service: string, version: string) => readonly Target[];
 };
 
+type RouterInstance = Instance<HTTPVersion.V1>;
 type RouteMatch = {readonly store: Route};
 
 const tablesByConfiguration = new WeakMap<Configuration, RoutingTable>();
@@ -32,11 +33,7 @@
 }
 
 export function createRoutingTable(configuration: Configuration): RoutingTable {
-	const router = createRouter({ignoreTrailingSlash: false, caseSensitive: true});
-	for (const route of configuration.routes) {
-		router.on(route.method, route.path, () => undefined, route);
-	}
-
+	const {router} = registerRoutes(configuration.routes);
 	const customers = new Map(configuration.customers.map(customer => [customer.name, customer]));
 	const customersByHash = new Map(configuration.keys.map(key => [key.hash, customers.get(key.customer)]));
 	const targets = getTargetsByPool(configuration);
@@ -51,6 +48,34 @@
 	};
 }
 
+/** Returns the routes whose paths can't be used together with those before them. */
+export function findRouteIssues(routes: readonly Route[]): ConfigurationIssue[] {
+	return registerRoutes(routes).issues;
+}
+
+function registerRoutes(routes: readonly Route[]): {readonly router: RouterInstance; readonly issues: ConfigurationIssue[]} {
+	const router = createRouter({ignoreTrailingSlash: false, caseSensitive: true});
+	const issues: ConfigurationIssue[] = [];
+	for (const [index, route] of routes.entries()) {
+		try {
+			router.on(route.method, decodePattern(route.path), () => undefined, route);
+		} catch (error) {
+			issues.push({path: ['routes', index, 'path'], reason: `"${route.path}" can't be used: ${getErrorMessage(error)}`});
+		}
+	}
+
+	return {router, issues};
+}
+
+/** Decodes a path, as the router does with the paths of requests. One that is no encoding is used as it is. */
+function decodePattern(path: string): string {
+	try {
+		return decodeURI(path);
+	} catch {
+		return path;
+	}
+}
+
 function getTargetsByPool(configuration: Configuration): Map<string, Target[]> {
 	const drained = new Set(configuration.drains.filter(drain => drain.kind === 'target').map(drain => drain.name));
 	const serving = configuration.targets.filter(target => !drained.has(target.name));
