Survive errors in the handling of requests, lookups, peers and operators

Callers saw (shown by a test): a member whose peer address is none, from a peer or a row of the table, ended the gateway that was told of it.

Cause: errors in the handling of a message, a request, a lookup or an operator's action went up to the socket's event or to a promise that nobody awaits, which ends the process with the requests of all callers.

Change: addresses of peers are parsed before they are dialled, and one that is none is logged once (`peer_address_unusable`). Any other error ends only what caused it: a request gets 502, or a reset once its answer has begun; a message is dropped. Each is logged and counted in `catkindale_input_errors_total`. Broken invariants still end the process.

The general guard has no test that reaches it but through a value that isn't known to throw: it is from the code.

--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
-import {hashText} from '@catkindale/common';
+import {getErrorMessage, hashText} from '@catkindale/common';
 import {type AdminResponse, findAdminAction} from './admin-actions.js';
 import {maximumAdminBodyBytes, readAdminBody} from './admin-body.js';
 import {type AdminState, createAdminState} from './admin-state.js';
@@ -94,7 +94,12 @@
 
 	const body = await readAdminBody(request);
 	if (body.ok) {
-		return action.run(context, state, {query, body: body.value});
+		try {
+			return await action.run(context, state, {query, body: body.value});
+		} catch (error) {
+			context.inputErrors.record('operator-action', error, {action: action.name});
+			return {status: 500, body: {result: 'unknown', detail: `the action failed: ${getErrorMessage(error)}`}};
+		}
 	}
 
 	return body.error === 'cut-off'
--- a/packages/node/src/directory-plugin.ts
+++ b/packages/node/src/directory-plugin.ts
@@ -9,7 +9,7 @@
 } from '@catkindale/policy';
 import {splitUrl} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
-import {sendProblem} from './problem.js';
+import {failRequest, sendProblem} from './problem.js';
 import {getRequestKey} from './request-headers.js';
 import {type RoutingTable, getRoutingTable} from './routing-table.js';
 import {type ShiftRegionResolver, createShiftRegionResolver} from './shift-region-resolver.js';
@@ -60,7 +60,12 @@
 			}),
 		];
 		context.callerHandlers.directory = (request, response) => {
-			sendEntries(context, state, request, response);
+			try {
+				sendEntries(context, state, request, response);
+			} catch (error) {
+				context.inputErrors.record('lookup', error);
+				failRequest(response);
+			}
 		};
 
 		return {
--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -19,7 +19,7 @@
 import {registerLinkMetrics} from './link-metrics.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
-import {sendProblem} from './problem.js';
+import {failRequest, sendProblem} from './problem.js';
 import {checkRequest} from './request-check.js';
 import {getRequestKey} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
@@ -92,7 +92,7 @@
 			}),
 		];
 		context.callerHandlers.entry = (request, response) => {
-			void serve(state, request, response);
+			void serveSafely(state, request, response);
 		};
 
 		return {
@@ -108,6 +108,15 @@
 	},
 });
 
+async function serveSafely(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	try {
+		await serve(state, request, response);
+	} catch (error) {
+		state.context.inputErrors.record('request', error);
+		failRequest(response);
+	}
+}
+
 async function serve(state: EntryState, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const startedAt = state.context.clock.monotonic();
 	const isForwarded = isSignedHop(state.context.settings.secrets.peer, request);
--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -6,7 +6,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Counter, Histogram} from 'prom-client';
-import {createIdentifier, getErrorMessage, millisecondsPerSecond} from '@catkindale/common';
+import {createIdentifier, millisecondsPerSecond} from '@catkindale/common';
 import {
 	type Member, type TrafficCustomer, type TrafficRoute, getObjectExchangeInterval, getPlace,
 } from '@catkindale/policy';
@@ -27,7 +27,7 @@
 import {createGatewayTargets} from './gateway-targets.js';
 import {nodePlugins} from './node-context.js';
 import {startPeriodicWork} from './periodic-work.js';
-import {getBodyProblem, sendProblem} from './problem.js';
+import {failRequest, getBodyProblem, sendProblem} from './problem.js';
 import {type TrafficRouter, createTrafficRouter} from './traffic-router.js';
 
 const startOrder = 40;
@@ -140,7 +140,7 @@
 
 				state.quotas.setCustomers(configuration.customers);
 				context.callerHandlers.entry ??= (request, response) => {
-					void serve(state, request, response);
+					void serveSafely(state, request, response);
 				};
 			}),
 			bus.subscribe('traffic-targets-changed', message => {
@@ -197,11 +197,22 @@
 	},
 });
 
-async function serve(state: GatewayState, request: IncomingMessage, response: ServerResponse): Promise<void> {
+/** Answers a request whose handling failed with 502, which promises nothing: a target may have run it. */
+async function serveSafely(state: GatewayState, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const {profile, inputErrors} = state.context;
+	const requestId = getHeader(request, profile.headers.requestId) ?? createIdentifier();
+	try {
+		await serve(state, requestId, request, response);
+	} catch (error) {
+		inputErrors.record('request', error, {request: requestId});
+		failRequest(response, requestId);
+	}
+}
+
+async function serve(state: GatewayState, requestId: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const {context, router} = state;
 	const {profile, clock} = context;
 	const startedAt = clock.monotonic();
-	const requestId = getHeader(request, profile.headers.requestId) ?? createIdentifier();
 	if (!router) {
 		return;
 	}
@@ -238,22 +249,17 @@
 		object: getHeader(request, profile.headers.object),
 		callerSignal: callerController.signal,
 	};
-	try {
-		if (context.eventLoopMonitor.getDelayMilliseconds() > maximumReadDelayMilliseconds) {
-			await yieldToEventLoop();
-		}
-
-		const exchangeEnd = await readBodyAndRun(state, exchange, router);
-		if (customer && getRequestOutcome(exchangeEnd.records) === 'not-run') {
-			state.quotas.refund(customer);
-		}
+	if (context.eventLoopMonitor.getDelayMilliseconds() > maximumReadDelayMilliseconds) {
+		await yieldToEventLoop();
+	}
 
-		sendResult(exchange, exchangeEnd.result, profile);
-		reportResult(state, exchange, exchangeEnd);
-	} catch (error) {
-		context.logger.error('request_failed', {request: requestId, route: route.name, reason: getErrorMessage(error)});
-		throw error;
+	const exchangeEnd = await readBodyAndRun(state, exchange, router);
+	if (customer && getRequestOutcome(exchangeEnd.records) === 'not-run') {
+		state.quotas.refund(customer);
 	}
+
+	sendResult(exchange, exchangeEnd.result, profile);
+	reportResult(state, exchange, exchangeEnd);
 }
 
 /** Lets the event loop read pending socket events, which include disconnects of callers. */
--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -8,7 +8,7 @@
 import {gatewayRole} from './constants.js';
 import {closeGracefully, listenOn, splitUrl} from './http-server.js';
 import {type CallerHandler, nodePlugins} from './node-context.js';
-import {sendProblem} from './problem.js';
+import {failRequest, sendProblem} from './problem.js';
 
 const startOrder = 30;
 const statusReady = 200;
@@ -74,7 +74,14 @@
 		const servers: Server[] = [];
 		const listenWith = async (address: string | undefined, handler: CallerHandler): Promise<void> => {
 			if (address !== undefined) {
-				const server = createServer({keepAliveTimeout: limits.idleTimeoutMilliseconds}, handler);
+				const server = createServer({keepAliveTimeout: limits.idleTimeoutMilliseconds}, (request, response) => {
+					try {
+						handler(request, response);
+					} catch (error) {
+						context.inputErrors.record('lookup', error);
+						failRequest(response);
+					}
+				});
 				servers.push(server);
 				await listenOn(server, address);
 			}
--- a/packages/node/src/mesh-plugin.ts
+++ b/packages/node/src/mesh-plugin.ts
@@ -3,10 +3,11 @@
  * broadcasts to all peers and closes links whose peer is unresponsive.
  */
 import {type Socket, connect, createServer} from 'node:net';
+import {parseAddress} from '@catkindale/common';
 import type {Member} from '@catkindale/policy';
 import {encodeMessage} from '@catkindale/protocol';
 import {gatewayRole, roles} from './constants.js';
-import {parseListenAddress, listenOn} from './http-server.js';
+import {listenOn} from './http-server.js';
 import {createMeshAdmission} from './mesh-admission.js';
 import {type MeshLink, openMeshLink} from './mesh-link.js';
 import {createMeshTraffic} from './mesh-traffic.js';
@@ -17,6 +18,7 @@
 const handshakeTimeoutMilliseconds = 3000;
 const minimumReceiveTimeoutMilliseconds = 3000;
 const heartbeatsBeforeTimeout = 6;
+const maximumUndialable = 1000;
 
 nodePlugins.register({
 	name: 'mesh',
@@ -28,6 +30,8 @@
 		const links = new Map<string, MeshLink>();
 		const openLinks = new Set<MeshLink>();
 		const dialing = new Set<string>();
+		/** Addresses of members that were logged as unusable. */
+		const undialable = new Set<string>();
 		const traffic = createMeshTraffic(context, openLinks);
 		const admission = createMeshAdmission(context);
 		let members: readonly Member[] = [];
@@ -58,7 +62,11 @@
 				onMessage(readyLink, message) {
 					const from = readyLink.peer?.id ?? '';
 					if (links.get(from) === readyLink && !context.cuts.peers.has(from)) {
-						bus.publish({type: 'peer-received', from, message});
+						try {
+							bus.publish({type: 'peer-received', from, message});
+						} catch (error) {
+							context.inputErrors.record('peer-message', error, {peer: from, type: message.type});
+						}
 					}
 				},
 				onClosed(closedLink, reason) {
@@ -80,13 +88,26 @@
 			openLinks.add(link);
 		};
 
+		const logUndialable = (address: string): void => {
+			if (!undialable.has(address) && undialable.size < maximumUndialable) {
+				undialable.add(address);
+				logger.warn('peer_address_unusable', {address});
+			}
+		};
+
 		const dial = (address: string): void => {
 			if (dialing.has(address) || address === context.boundAddresses.peer) {
 				return;
 			}
 
+			const parsed = parseAddress(address);
+			if (!parsed.ok || parsed.value.port === 0) {
+				logUndialable(address);
+				return;
+			}
+
 			dialing.add(address);
-			addLink(connect(parseListenAddress(address)), address);
+			addLink(connect(parsed.value), address);
 		};
 
 		const dialMissingMembers = async (): Promise<void> => {
--- a/packages/node/src/node-context.ts
+++ b/packages/node/src/node-context.ts
@@ -9,6 +9,7 @@
 import type {Member, PauseGuard} from '@catkindale/policy';
 import type {CallerProfile} from './caller-profile.js';
 import type {EventLoopMonitor} from './event-loop-monitor.js';
+import type {InputErrors} from './input-errors.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import type {TrialRecordStore} from './trial-record-store.js';
@@ -45,6 +46,7 @@
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Registry;
+	readonly inputErrors: InputErrors;
 	readonly bus: MessageBus<NodeMessage>;
 	readonly platform: Platform;
 	/** The gateway's protocol with the callers and targets of the deployment. */
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -4,6 +4,7 @@
 import {type RequestOutcome, millisecondsPerSecond} from '@catkindale/common';
 import {type BodyFailureKind, hasBody} from './caller-body.js';
 import {headerNames} from './constants.js';
+import {abortResponse} from './target-response.js';
 
 export type Problem = {
 	readonly status: number;
@@ -58,6 +59,22 @@
 	}
 }
 
+/** Ends a request whose handling failed: with status 502 if no response has begun, otherwise with a reset. */
+export function failRequest(response: ServerResponse, requestId?: string): void {
+	if (response.writableEnded) {
+		return;
+	}
+
+	if (response.headersSent) {
+		abortResponse(response);
+		return;
+	}
+
+	sendProblem(response, {
+		status: 502, outcome: 'unknown', reason: 'internal-error', detail: 'this VM failed to handle the request',
+	}, requestId);
+}
+
 /** Reads the rest of the body first: a close with unread data would reset the connection before the caller has the response. */
 function endAfterBody(response: ServerResponse, body: string): void {
 	const {req: request} = response;
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -14,6 +14,7 @@
 import {type CallerProfile, defaultCallerProfile} from './caller-profile.js';
 import {createDisconnectableTable} from './cut-action.js';
 import {startEventLoopMonitor} from './event-loop-monitor.js';
+import {createInputErrors} from './input-errors.js';
 import type {NodeMessage} from './node-messages.js';
 import type {Settings} from './settings.js';
 import {createInstrumentedTable} from './table-metrics.js';
@@ -94,6 +95,7 @@
 		incarnation: createIdentifier(),
 		clock,
 		metrics,
+		inputErrors: createInputErrors({logger, metrics}),
 		bus,
 		callerHandlers: {},
 		boundAddresses: {
