--- a/packages/node/src/configuration-plugin.ts
+++ b/packages/node/src/configuration-plugin.ts
@@ -82,6 +82,11 @@
 			store.allowActivation();
 			receiveRecord(record, 'table');
 			activate();
+			if (record.version > store.getLatest().version) {
+				// The record can't be used. Its restrictions aren't in force, so that what is known counts as out of date.
+				return;
+			}
+
 			if (record.version < store.getLatest().version) {
 				context.logger.warn('table_behind', {version: record.version, known: store.getLatest().version});
 				return;
--- a/packages/node/tests/route-patterns.test.ts
+++ b/packages/node/tests/route-patterns.test.ts
@@ -76,6 +76,33 @@
 		await task.stop();
 	});
 
+	// Restrictions of a version that isn't in force, such as a withdrawn key, don't bind the node.
+	it.each([
+		{name: 'that can be used', paths: [], reads: 1},
+		...refused.map(({name, paths}) => ({name: `with ${name}`, paths, reads: 0})),
+	])('a row $name makes the node current $reads times', async ({paths, reads}) => {
+		const bus = createMessageBus<NodeMessage>();
+		const value = {history: [], configuration: createConfiguration(['/prices', ...paths])};
+		const table = {
+			get: async () => ({
+				kind: 'done', value: {
+					key: 'configuration', version: 1, changeId: 'first', value,
+				},
+			}),
+		};
+		const context = {
+			bus, clock: createManualClock(), logger: createSilentLogger(), platform: {table}, settings: {timing: {tablePollMilliseconds: longIntervalMilliseconds, heartbeatMilliseconds: longIntervalMilliseconds}},
+		} as unknown as NodeContext;
+		let readCount = 0;
+		bus.subscribe('configuration-read', () => {
+			readCount += 1;
+		});
+		const task = await nodePlugins.getPlugins(['entry']).find(({name}) => name === 'configuration')!.start(context);
+		await task.onAllStarted?.();
+		expect(readCount).toBe(reads);
+		await task.stop();
+	});
+
 	it.each([
 		{name: '40 parameters', path: `/${Array.from({length: 40}, (_, index) => `:p${index}`).join('/')}`, url: `/${'a/'.repeat(39)}a`},
 		{name: 'an encoded letter', path: '/kj%C3%B8p', url: '/kj%C3%B8p'},
