Cut deadlines to what a timer can wait for

Callers saw (shown by a test): a deadline of more than 2^31 ms, on a route without a timeout, was answered with 504 at once, though the target ran the request.

Cause: a timer with more than 2^31 ms ends at once, and the time that the caller names was limited by the route's timeout alone.

--- a/packages/node/src/exchange.ts
+++ b/packages/node/src/exchange.ts
@@ -3,6 +3,7 @@
  * retries at another target where that is safe and the retry budget allows it.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {maximumTimerMilliseconds} from '@catkindale/common';
 import {
 	type Customer, type Route, isRetriable,
 } from '@catkindale/policy';
@@ -57,7 +58,7 @@
 
 export function getTimeoutMilliseconds(request: IncomingMessage, route: Route): number {
 	const requestedMilliseconds = Number(request.headers[headerNames.deadline] ?? Number.NaN);
-	return requestedMilliseconds > 0 ? Math.min(requestedMilliseconds, route.deadlineMilliseconds) : route.deadlineMilliseconds;
+	return Math.min(maximumTimerMilliseconds, route.deadlineMilliseconds, requestedMilliseconds > 0 ? requestedMilliseconds : Number.POSITIVE_INFINITY);
 }
 
 /** Reads the body or its prefix. A failure is returned as a problem with the outcome `not-run`, since no target has the request. */
--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -1,5 +1,6 @@
 /** Decides whether a gateway admits a request, by its route, its key and its customer's quota. */
 import type {IncomingMessage} from 'node:http';
+import {maximumTimerMilliseconds} from '@catkindale/common';
 import {
 	type TrafficCustomer, type TrafficRoute, type TrafficService, getPriority, mayFinishBeforeStop, shouldShedOnLag,
 } from '@catkindale/policy';
@@ -131,7 +132,7 @@
 	const requestedMilliseconds = Number(headers[deadlineHeader] ?? Number.NaN);
 	const callerMilliseconds = requestedMilliseconds > 0 ? requestedMilliseconds : Number.POSITIVE_INFINITY;
 	const milliseconds = Math.min(callerMilliseconds, route.timeoutMilliseconds ?? Number.POSITIVE_INFINITY);
-	return Number.isFinite(milliseconds) ? milliseconds : defaultTimeoutMilliseconds;
+	return Number.isFinite(milliseconds) ? Math.min(milliseconds, maximumTimerMilliseconds) : defaultTimeoutMilliseconds;
 }
 
 function refuse(problem: Problem, route?: TrafficRoute, customer?: TrafficCustomer): GatewayCheck {
