Log the region of each attempt's target

The lines of the requests named the targets but not their regions, so that the log couldn't tell which requests had moved, or where to.

Each attempt now names the region of its target after the target.

--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -307,6 +307,7 @@
 		milliseconds: Math.round(milliseconds),
 		attempts: records.map(({chosen, outcome: attemptOutcome}) => [
 			chosen.target.registration.id,
+			chosen.target.registration.region,
 			attemptOutcome.kind,
 			`expected=${Math.round(chosen.expectedMilliseconds)}`,
 			`running=${chosen.expectedRunning.toFixed(1)}`,
