Refuse waiting requests once the knowledge of keys is out of date

Callers of an entry that was cut off, or had lost the table, waited for a slot until their whole deadline although the entry could run no request of a customer any more: its knowledge of keys and its lease of slots end after 2.5 s. A request that got its token late was even let on, as keys were checked only before the wait; the slots' lease alone kept it from running.

Cause: the freshness of the knowledge was compared once, on arrival.

Now the entry compares again once the token is there, and requests of customers that wait for a slot are refused with 'knowledge-out-of-date' and not run as soon as the validity ends (knowledge-expiry.ts). Open routes wait as before.

Gateways on the users' platform don't use this code.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -9,18 +9,19 @@
 import {
 	type EntryDependencies, type Exchange, getTimeoutMilliseconds, readExchangeBody, runExchange,
 } from './exchange.js';
-import {type ExchangeResult, sendResult} from './exchange-result.js';
+import {type ExchangeResult, createProblemResult, sendResult} from './exchange-result.js';
+import type {CallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
-import {type FreshnessValidity, isFresh, expiredValidity} from './freshness-validity.js';
 import {createHedgeDelays} from './hedge-delays.js';
 import {getIdempotencyKey, isSignedHop} from './idempotency-hop.js';
 import {type Idempotency, createIdempotency} from './idempotency.js';
+import {type KnowledgeExpiry, createKnowledgeExpiry} from './knowledge-expiry.js';
 import {createLinkMeter} from './link-meter.js';
 import {registerLinkMetrics} from './link-metrics.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getNodeQuotas} from './node-quotas.js';
 import {failRequest, sendProblem} from './problem.js';
-import {checkRequest} from './request-check.js';
+import {checkRequest, outOfDateProblem} from './request-check.js';
 import {getRequestKey} from './request-headers.js';
 import type {RequestQuotas} from './request-quotas.js';
 import {createRetryBudgets} from './retry-budgets.js';
@@ -34,7 +35,7 @@
 
 type EntryState = Omit<EntryDependencies, 'routing'> & {
 	routing: RoutingTable | undefined;
-	validity: FreshnessValidity;
+	readonly knowledge: KnowledgeExpiry;
 	readonly idempotency: Idempotency;
 	readonly quotas: RequestQuotas;
 	readonly latency: Histogram<'customer' | 'class' | 'outcome'>;
@@ -53,7 +54,7 @@
 		const state: EntryState = {
 			context,
 			routing: undefined,
-			validity: expiredValidity,
+			knowledge: createKnowledgeExpiry(context.clock),
 			idempotency: createIdempotency(context),
 			quotas: requests,
 			selector: createTargetSelector({
@@ -79,7 +80,7 @@
 				state.connectionPools.setTargets(configuration.targets);
 			}),
 			bus.subscribe('freshness-changed', ({validity}) => {
-				state.validity = validity;
+				state.knowledge.setValidity(validity);
 			}),
 			bus.subscribe('slots-gained', ({target}) => {
 				state.selector.refreshSlots(target);
@@ -101,6 +102,7 @@
 					unsubscribe();
 				}
 
+				state.knowledge.stop();
 				await state.idempotency.stop();
 				await state.connectionPools.close();
 			},
@@ -124,7 +126,7 @@
 	const checked = await checkRequest(request, {
 		routing: state.routing,
 		quotas: state.quotas,
-		isCurrent: isFresh(state.validity, state.context.clock),
+		isCurrent: state.knowledge.isCurrent,
 		isForwarded,
 		getTokenDeadline: route => startedAt + getTimeoutMilliseconds(request, route) - state.selector.getLatencyBound(route.service),
 	});
@@ -152,28 +154,46 @@
 	observeLatency(state, exchange, result);
 }
 
-async function runForCaller(dependencies: EntryDependencies & Pick<EntryState, 'idempotency'>, exchange: Exchange, isForwarded: boolean): Promise<ExchangeResult> {
+async function runForCaller(dependencies: EntryDependencies & Pick<EntryState, 'idempotency' | 'knowledge'>, exchange: Exchange, isForwarded: boolean): Promise<ExchangeResult> {
 	const body = await readExchangeBody(dependencies, exchange);
 	if ('status' in body) {
 		return {kind: 'problem', problem: body};
 	}
 
 	const callerController = new AbortController();
+	const selectionController = new AbortController();
 	exchange.response.once('close', () => {
 		// An abort is costly because it creates an exception with a stack trace, so it is used only for callers that disconnect early.
 		if (!exchange.response.writableFinished) {
 			callerController.abort();
+			selectionController.abort();
 		}
 	});
-	const {signal} = callerController;
+	// Beyond the validity, the customer's key may be withdrawn: the request mustn't wait on.
+	const stopWatching = exchange.customer && dependencies.knowledge.onExpiry(() => {
+		selectionController.abort();
+	});
+	const result = await runAdmitted(dependencies, {exchange, body, isForwarded}, {caller: callerController.signal, selection: selectionController.signal});
+	stopWatching?.();
+	const isOutOfDate = result.kind === 'problem' && result.problem.reason === 'cancelled' && !callerController.signal.aborted;
+	return isOutOfDate ? createProblemResult({...outOfDateProblem, outcome: result.problem.outcome}) : result;
+}
+
+type AdmittedRequest = {readonly exchange: Exchange; readonly body: CallerBody; readonly isForwarded: boolean};
+
+async function runAdmitted(
+	dependencies: EntryDependencies & Pick<EntryState, 'idempotency'>,
+	{exchange, body, isForwarded}: AdmittedRequest,
+	{caller, selection}: {readonly caller: AbortSignal; readonly selection: AbortSignal},
+): Promise<ExchangeResult> {
 	if (exchange.route.idempotent || getIdempotencyKey(exchange.request) === '') {
-		return runExchange(dependencies, exchange, body, {selection: signal, attempt: signal});
+		return runExchange(dependencies, exchange, body, {selection, attempt: caller});
 	}
 
 	// A request whose outcome is remembered continues at its target after the caller disconnects, since the caller may repeat it. A request with a streamed body is aborted, because the rest of its body is lost.
-	const attemptSignal = body.isFullyBuffered ? new AbortController().signal : signal;
+	const attemptSignal = body.isFullyBuffered ? new AbortController().signal : caller;
 	return dependencies.idempotency.runAtMostOnce({
-		exchange, body, isForwarded, signal, run: async () => runExchange(dependencies, exchange, body, {selection: signal, attempt: attemptSignal}),
+		exchange, body, isForwarded, signal: caller, run: async () => runExchange(dependencies, exchange, body, {selection, attempt: attemptSignal}),
 	});
 }
 
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -7,7 +7,14 @@
 import type {RequestQuotas} from './request-quotas.js';
 import type {RoutingTable} from './routing-table.js';
 
-const staleRetryMilliseconds = 1000;
+/** Refuses a request that needs a key while this node's keys may be out of date. */
+export const outOfDateProblem: Problem = {
+	status: 503,
+	outcome: 'not-run',
+	reason: 'knowledge-out-of-date',
+	detail: 'this VM can\'t tell whether keys and rates are current; use another entry',
+	retryAfterMilliseconds: 1000,
+};
 
 export type CheckedRequest
 	/** The customer is undefined on a route that needs no key. */
@@ -18,7 +25,7 @@
 	readonly routing: RoutingTable | undefined;
 	readonly quotas: RequestQuotas;
 	/** Whether this node's keys and rates are current. */
-	readonly isCurrent: boolean;
+	readonly isCurrent: () => boolean;
 	/** Whether the request comes from another entry, which has taken its token already. */
 	readonly isForwarded: boolean;
 	/** Monotonic time in milliseconds by which a request of the route must have its token. */
@@ -53,8 +60,8 @@
 		return {kind: 'admitted', route, customer: undefined};
 	}
 
-	if (!isCurrent) {
-		return refuse(503, 'knowledge-out-of-date', 'this VM can\'t tell whether keys and rates are current; use another entry', staleRetryMilliseconds);
+	if (!isCurrent()) {
+		return {kind: 'refused', problem: outOfDateProblem};
 	}
 
 	const key = getRequestKey(request);
@@ -72,7 +79,8 @@
 		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
 	}
 
-	return {kind: 'admitted', route, customer};
+	// The validity may have ended while the request waited for its token.
+	return isCurrent() ? {kind: 'admitted', route, customer} : {kind: 'refused', problem: outOfDateProblem};
 }
 
 function refuse(status: number, reason: string, detail: string, retryAfterMilliseconds?: number): CheckedRequest {
--- a/packages/node/tests/entry-exchange.test.ts
+++ b/packages/node/tests/entry-exchange.test.ts
@@ -289,3 +289,33 @@
 		await stopped;
 	});
 });
+
+describe('a request that waits for a slot while the knowledge of keys goes out of date', () => {
+	const slots = 20;
+	/** Longer than the freshness limit of 2.5 s, shorter than the request's own deadline. */
+	const waitLimitMilliseconds = 5000;
+
+	// Guards against requests that waited for their whole deadline on a node that could run none of them any more.
+	test('is refused as soon as it is', async () => {
+		const {url, stopTable} = await start(() => undefined);
+		const get = async () => request(`${url}/patient/ENGM`, {headers: {authorization: `Bearer ${callerKey}`}});
+		const running = Array.from({length: slots}, async () => get().catch(() => undefined));
+		await waitUntilCount(() => target!.requestHeads.length, slots);
+		const startedAt = performance.now();
+		const waiting = get();
+		await stopTable();
+		const response = await waiting;
+		expect(response.statusCode).toBe(503);
+		expect(await response.body.json()).toMatchObject({outcome: 'not-run', reason: 'knowledge-out-of-date'});
+		expect(performance.now() - startedAt).toBeLessThan(waitLimitMilliseconds);
+		expect(target!.requestHeads).toHaveLength(slots);
+		await target!.stop();
+		await Promise.all(running);
+	});
+});
+
+async function waitUntilCount(getCount: () => number, count: number): Promise<void> {
+	while (getCount() < count) {
+		await delay(10);
+	}
+}
--- a/packages/node/tests/entry-helpers.ts
+++ b/packages/node/tests/entry-helpers.ts
@@ -89,6 +89,8 @@
 	/** Sends the lines unchanged and returns everything received until the connection ends. */
 	sendRaw: (lines: readonly string[]) => Promise<string>;
 	connect: () => Socket;
+	/** The table answers no request from now on. */
+	stopTable: () => Promise<void>;
 	stop: () => Promise<void>;
 };
 
@@ -118,6 +120,10 @@
 		node,
 		url,
 		connect: openSocket,
+		async stopTable() {
+			const response = await request(`${table.address}/faults`, {method: 'POST', body: JSON.stringify({outage: true})});
+			await response.body.dump();
+		},
 		async sendRaw(lines) {
 			const socket = openSocket();
 			socket.write([...lines, '', ''].join('\r\n'));
@@ -179,6 +185,7 @@
 		['GET', '/prices/:airfield', true, true],
 		['HEAD', '/prices/:airfield', true, true],
 		['GET', '/keyed/:airfield', true, false],
+		['GET', '/patient/:airfield', true, false],
 		['POST', '/orders', false, false],
 		['POST', '/open-orders', false, true],
 		['PUT', '/receipts/:name', true, true],
@@ -192,7 +199,7 @@
 idempotent = ${isIdempotent}
 open = ${isOpen}
 hedge = ${path.startsWith('/hedged')}
-deadlineMilliseconds = 1500`);
+deadlineMilliseconds = ${path.startsWith('/patient') ? 10_000 : 1500}`);
 	return `[[regions]]
 name = "oslo"
 zones = ["oslo-a"]
