Let a node that starts take its first version from a quorum

A node that was restarted while the table was down could serve version 9 after it had served version 10: for up to the freshness limit of 2.5 s it took the age that a single peer had relayed, also from a peer that had been cut off while version 10 was accepted.

Cause: the state's age counted a peer's read of the table at once; only the attested age asked for a quorum. Now a node that hasn't been current since it started counts its own read or a quorum alone. One that has been current counts relayed reads as before, since its version never falls.

--- a/packages/policy/src/freshness.ts
+++ b/packages/policy/src/freshness.ts
@@ -64,7 +64,12 @@
 	});
 }
 
-/** The age of the state: the lower of its table age and its attested age. */
+/**
+ * The age of the state: the lower of its table age and its attested age. A node
+ * that just started takes no age from a single peer: that one may have been cut off
+ * since, and the node may have served a higher version before.
+ */
 export function getStateAge(state: FreshnessState, now: number): number {
-	return Math.min(getTableAge(state, now), getAttestedAge(state, now));
+	const tableAge = state.isEstablished ? getTableAge(state, now) : now - state.tableReadAt;
+	return Math.min(tableAge, getAttestedAge(state, now));
 }
--- a/packages/policy/tests/quorum.test.ts
+++ b/packages/policy/tests/quorum.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {
-	type Attestation, type QuorumMember, createFreshnessState, getAttestedAge, isFleetFormed,
+	type Attestation, type QuorumMember, createFreshnessState, getAttestedAge, getStateAge, isFleetFormed,
 } from '@catkindale/policy';
 
 const now = 10_000;
@@ -30,6 +30,34 @@
 	});
 });
 
+describe('the age of the state of a node that', () => {
+	const readAgo = 300;
+	const relayed = new Map([['tromso-1', {
+		sentAt: now - attestedAge, version: 1, tableAgeMilliseconds: readAgo, isEstablished: true,
+	}]]);
+
+	// Guards against a restarted node that took an older version, while the table was down, from a peer that was cut off when the newer one was accepted.
+	test.each([
+		{
+			name: 'has been current: a peer\'s read of the table counts', isEstablished: true, tableReadAt: Number.NEGATIVE_INFINITY, attestations: relayed, age: attestedAge + readAgo,
+		},
+		{
+			name: 'just started: a peer\'s read doesn\'t count', isEstablished: false, tableReadAt: Number.NEGATIVE_INFINITY, attestations: relayed, age: Number.POSITIVE_INFINITY,
+		},
+		{
+			name: 'just started: its own read counts', isEstablished: false, tableReadAt: now - readAgo, attestations: relayed, age: readAgo,
+		},
+		{
+			name: 'just started: a quorum of others counts', isEstablished: false, tableReadAt: Number.NEGATIVE_INFINITY, attestations: attest(['oslo-2', 'bergen-1', 'tromso-1']), age: attestedAge,
+		},
+	])('$name', ({isEstablished, tableReadAt, attestations, age}) => {
+		const state = {
+			...createFreshnessState(own.id), version: 1, isEstablished, tableReadAt, members: [own, ...others], attestations,
+		};
+		expect(getStateAge(state, now)).toBe(age);
+	});
+});
+
 describe('a fleet is formed', () => {
 	test.each<[number, number, boolean]>([
 		[1, 0, true],
