Read the rest of a body that a target answered early

Cause: the end of the attempt destroys the reader of the body, which pauses the caller's request. Node.js drops the rest of a body only if nobody has read from it. Refusals read on and close the connection; answers had no such step. It is one place for buffered and streamed answers, entries and gateways: once the response is finished, the body's source drops what still comes, within the limits of size and of idle time; beyond them the connection is closed.

--- a/packages/node/src/caller-body.ts
+++ b/packages/node/src/caller-body.ts
@@ -51,6 +51,8 @@
 	resume: () => void;
 	pause: () => void;
 	setEvents: (events: BodyEvents) => void;
+	/** Reads the rest of the body and drops it. */
+	discard: () => void;
 };
 
 export function hasBody(request: IncomingMessage): boolean {
@@ -72,6 +74,8 @@
 	}
 
 	const source = createBodySource(request, limits);
+	// A target may answer before it has read the body; the caller's next request follows the rest of it.
+	response.once('finish', source.discard);
 	return readPrefix(source, limits);
 }
 
@@ -183,6 +187,7 @@
 	let events: BodyEvents | undefined;
 	let bytes = 0;
 	let isFinished = false;
+	let isDiscarded = false;
 	const finish = (): void => {
 		isFinished = true;
 		clearTimeout(idleTimer);
@@ -224,20 +229,35 @@
 		failWith('caller-gone');
 	});
 	request.pause();
+	const resume = (): void => {
+		if (!isFinished) {
+			clearTimeout(idleTimer);
+			idleTimer = setTimeout(failWith, limits.idleTimeoutMilliseconds, 'too-slow');
+			request.resume();
+		}
+	};
+
 	return {
-		resume() {
-			if (!isFinished) {
+		resume,
+		pause() {
+			if (!isDiscarded) {
 				clearTimeout(idleTimer);
-				idleTimer = setTimeout(failWith, limits.idleTimeoutMilliseconds, 'too-slow');
-				request.resume();
+				request.pause();
 			}
 		},
-		pause() {
-			clearTimeout(idleTimer);
-			request.pause();
-		},
 		setEvents(nextEvents) {
 			events = nextEvents;
 		},
+		discard() {
+			isDiscarded = true;
+			events = {
+				onChunk: () => undefined,
+				onEnd: () => undefined,
+				onFailure() {
+					request.destroy();
+				},
+			};
+			resume();
+		},
 	};
 }
--- a/packages/node/tests/entry-exchange.test.ts
+++ b/packages/node/tests/entry-exchange.test.ts
@@ -290,6 +290,32 @@
 	});
 });
 
+describe('a target that answers before it has read a large body', () => {
+	const bodyBytes = 1_000_000;
+	const sentBeforeAnswer = 600_000;
+	const answerTimeoutMilliseconds = 3000;
+
+	// Guards against a connection whose next request was never read, as nothing read the rest of the body.
+	test('the next request on the caller\'s connection is answered', async () => {
+		const {connect} = await start(({socket, requestId, getInput}) => {
+			const isUpload = getInput().includes('PUT /receipts/');
+			socket.write(`${ok}catkindale-request-id: ${requestId}\r\ncontent-length: 5\r\n\r\n${isUpload ? 'early' : 'whole'}`);
+		});
+		const socket = connect();
+		let received = '';
+		socket.on('data', chunk => {
+			received += String(chunk);
+		});
+		socket.write(`PUT /receipts/one HTTP/1.1\r\nhost: entry\r\ncontent-length: ${bodyBytes}\r\n\r\n${'x'.repeat(sentBeforeAnswer)}`);
+		await waitUntilReceived(() => received, 'early', answerTimeoutMilliseconds);
+		socket.write('x'.repeat(bodyBytes - sentBeforeAnswer));
+		socket.write('GET /prices/ENGM HTTP/1.1\r\nhost: entry\r\n\r\n');
+		await waitUntilReceived(() => received, 'whole', answerTimeoutMilliseconds);
+		expect(received.match(/HTTP\/1.1 200/gv)).toHaveLength(2);
+		socket.destroy();
+	});
+});
+
 describe('a request that waits for a slot while the knowledge of keys goes out of date', () => {
 	const slots = 20;
 	/** Longer than the freshness limit of 2.5 s, shorter than the request's own deadline. */
@@ -319,3 +345,15 @@
 		await delay(10);
 	}
 }
+
+/** Resolves once the text contains the part; fails after the timeout. */
+async function waitUntilReceived(getText: () => string, part: string, timeoutMilliseconds: number): Promise<void> {
+	const endsAt = performance.now() + timeoutMilliseconds;
+	while (!getText().includes(part)) {
+		if (performance.now() > endsAt) {
+			throw new Error(`'${part}' wasn't received in time, only '${getText()}'`);
+		}
+
+		await delay(10);
+	}
+}
