Hold a response of unknown length while others wait behind it

Cause: a response without a length was streamed from its first bytes on, also while other requests of the connection ran elsewhere; once its head is sent, a reset is the only true end. Responses with a length up to 64 KiB were held already. Now those of unknown length are held too, up to the same size, while another request of the connection waits behind; one that breaks off is then repeated or answered with its problem, and the others get theirs. A caller that waits for one response at a time gets it as it comes, as before. Which response is the latest on a connection was known to the caller server for malformed requests; it is a module of its own now.

Not covered: a request that arrives behind a response whose streaming has begun, and responses above 64 KiB.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -5,6 +5,7 @@
  */
 import type {Duplex} from 'node:stream';
 import {type Server, type ServerResponse, createServer} from 'node:http';
+import {getLatestResponse, recordResponse} from './caller-connections.js';
 import {abortResponse} from './target-response.js';
 import type {CallerHandler} from './node-context.js';
 import {drainServer} from './http-server.js';
@@ -29,8 +30,6 @@
 const headerCheckIntervalMilliseconds = 1000;
 
 export function createCallerServer(limits: CallerServerLimits, handleRequest: CallerHandler): CallerServer {
-	/** The latest response on each connection, which distinguishes an error during a request from one before it. */
-	const latestResponses = new WeakMap<Duplex, ServerResponse>();
 	const runningResponses = new Set<ServerResponse>();
 	let isDraining = false;
 	const serve: CallerHandler = (request, response) => {
@@ -38,7 +37,7 @@
 			announceClose(response);
 		}
 
-		latestResponses.set(request.socket, response);
+		recordResponse(request.socket, response);
 		runningResponses.add(response);
 		response.once('close', () => {
 			runningResponses.delete(response);
@@ -61,7 +60,8 @@
 	server.on('checkContinue', serve);
 	server.maxConnections = limits.callerConnections;
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
-		refuseMalformedRequest(error, socket, latestResponses.get(socket));
+		// The latest response distinguishes an error during a request from one before it.
+		refuseMalformedRequest(error, socket, getLatestResponse(socket));
 	});
 	return {
 		server,
--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -3,6 +3,7 @@
 import {minimumServerErrorStatus} from './attempt-outcome.js';
 import {type TimedDispatcher, createTimedDispatcher} from './attempt-timing.js';
 import type {CallerBody} from './caller-body.js';
+import {hasRequestBehind} from './caller-connections.js';
 import type {EntryDependencies, Exchange, ExchangeSignals} from './exchange.js';
 import {
 	type Attempt, type ForwardOutcome, type AttemptFailureCause, forwardRequest,
@@ -102,6 +103,7 @@
 			onResponseClaimed?.();
 			return response;
 		},
+		isHeldUntilComplete: () => hasRequestBehind(response),
 	});
 	return {...attempt, getTimeToHeadMilliseconds: timedDispatcher.getTimeToHeadMilliseconds};
 }
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -35,6 +35,8 @@
 	readonly onLeaving?: () => void;
 	/** Returns the caller's response object for streaming; undefined if another attempt has claimed it. */
 	readonly claimResponse: () => ServerResponse | undefined;
+	/** Whether a response of unknown length is held until it is complete, as far as it can be buffered; false by default. */
+	readonly isHeldUntilComplete?: () => boolean;
 	/** The dialect of the target's headers; the product's own by default. */
 	readonly dialect?: TargetDialect;
 	/** Whether the connection was reset, so that a response without a length is incomplete. */
@@ -230,7 +232,11 @@
 			kind: 'buffered', head, echoesRequestId, chunks: [], bytes: 0,
 		};
 		if (length === undefined) {
-			setImmediate(streamIfIncomplete);
+			setImmediate(() => {
+				if (!options.isHeldUntilComplete?.()) {
+					streamIfIncomplete();
+				}
+			});
 		} else if (Number(length) > maximumBufferedResponseBytes && !isBodylessResponse(options.method, status)) {
 			stream(head, echoesRequestId, []);
 		}
--- a/packages/node/src/gateway-exchange.ts
+++ b/packages/node/src/gateway-exchange.ts
@@ -12,6 +12,7 @@
 	minimumServerErrorStatus, getAttemptOutcome, getFailedResponse, getRequestOutcome,
 } from './attempt-outcome.js';
 import type {CallerBody} from './caller-body.js';
+import {hasRequestBehind} from './caller-connections.js';
 import type {ExchangeResult} from './exchange-result.js';
 import {
 	type Attempt, type ForwardOutcome, type AttemptFailureCause, forwardRequest,
@@ -136,6 +137,7 @@
 			recordPause(dependencies, target, statement);
 		},
 		claimResponse: () => exchange.response.headersSent || exchange.response.destroyed ? undefined : exchange.response,
+		isHeldUntilComplete: () => hasRequestBehind(exchange.response),
 	});
 	const abortAttempt = (): void => {
 		// A request that may not be repeated runs to its end once it is sent, so that its outcome doesn't depend on its caller.
--- a/packages/node/tests/entry-exchange.test.ts
+++ b/packages/node/tests/entry-exchange.test.ts
@@ -316,6 +316,39 @@
 	});
 });
 
+describe('a response that breaks off while other requests of its caller wait behind it', () => {
+	const answerTimeoutMilliseconds = 3000;
+
+	// Guards against a reset for one broken response that took the whole ones of other targets with it.
+	test('costs those requests nothing', async () => {
+		const {connect} = await start(({socket, requestId, getInput}) => {
+			const head = `${ok}catkindale-request-id: ${requestId}\r\n`;
+			if (getInput().includes('GET /prices/ENGM')) {
+				socket.write(`${head}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 50);
+				return;
+			}
+
+			setTimeout(() => {
+				socket.write(`${head}content-length: 5\r\n\r\nwhole`);
+			}, 100);
+		});
+		const socket = connect();
+		let received = '';
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			received += String(chunk);
+		});
+		socket.write(['ENGM', 'ENBR', 'ENVA'].map(airfield => `GET /prices/${airfield} HTTP/1.1\r\nhost: entry\r\n\r\n`).join(''));
+		await waitUntilReceived(() => received, 'whole', answerTimeoutMilliseconds);
+		expect(received).toMatch(/^HTTP\/1.1 50[23] .*HTTP\/1.1 200 .*HTTP\/1.1 200 /vs);
+		expect(received).not.toContain('half');
+		socket.destroy();
+	});
+});
+
 describe('a request that waits for a slot while the knowledge of keys goes out of date', () => {
 	const slots = 20;
 	/** Longer than the freshness limit of 2.5 s, shorter than the request's own deadline. */
