--- a/packages/kernel/src/life-cycle.ts
+++ b/packages/kernel/src/life-cycle.ts
@@ -42,13 +42,27 @@
 async function stopTasks(running: readonly RunningTask[], logger: Logger): Promise<void> {
 	const reversed = running.toReversed();
 	const startedAt = performance.now();
-	for (const {task} of reversed) {
-		await task.drain?.();
+	for (const {name, task: {drain}} of reversed) {
+		if (drain) {
+			await runStep({event: 'plugin_drained', name, run: drain}, logger);
+		}
 	}
 
-	for (const {task} of reversed) {
-		await task.stop();
+	for (const {name, task} of reversed) {
+		await runStep({event: 'plugin_stopped', name, run: task.stop}, logger);
 	}
 
-	logger.info('stopped', {drain_seconds: ((performance.now() - startedAt) / millisecondsPerSecond).toFixed(3)});
+	logger.info('stopped', {drain_seconds: getSecondsSince(startedAt)});
+}
+
+type StopStep = {readonly event: 'plugin_drained' | 'plugin_stopped'; readonly name: string; readonly run: () => Promise<void>};
+
+async function runStep({event, name, run}: StopStep, logger: Logger): Promise<void> {
+	const startedAt = performance.now();
+	await run();
+	logger.info(event, {plugin: name, seconds: getSecondsSince(startedAt)});
+}
+
+function getSecondsSince(startedAt: number): string {
+	return ((performance.now() - startedAt) / millisecondsPerSecond).toFixed(3);
 }
--- a/packages/node/src/caller-server-plugin.ts
+++ b/packages/node/src/caller-server-plugin.ts
@@ -3,6 +3,7 @@
  * other request goes to the entry.
  */
 import {createCallerServer} from './caller-server.js';
+import {createCutOffLog} from './cut-off-log.js';
 import {type CallerHandler, type NodeContext, nodePlugins} from './node-context.js';
 import {listenOn} from './http-server.js';
 import {sendProblem} from './problem.js';
@@ -25,7 +26,7 @@
 			callerServer.startDraining();
 		});
 		return {
-			drain: async () => callerServer.drain(timing.graceMilliseconds),
+			drain: async () => callerServer.drain({graceMilliseconds: timing.graceMilliseconds, onCutOff: createCutOffLog(context)}),
 			async stop() {
 				unsubscribe();
 				callerServer.close();
--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -6,6 +6,7 @@
 import type {Duplex} from 'node:stream';
 import {type Server, type ServerResponse, createServer} from 'node:http';
 import {getLatestResponse, recordResponse} from './caller-connections.js';
+import {trackConnections} from './http-connections.js';
 import {abortResponse} from './target-response.js';
 import type {CallerHandler} from './node-context.js';
 import {drainServer} from './http-server.js';
@@ -22,15 +23,20 @@
 	/** From now on each response closes its connection. */
 	startDraining: () => void;
 	/** Waits for the running requests, at most for the grace time. */
-	drain: (graceMilliseconds: number) => Promise<void>;
+	drain: (options: CallerServerDrain) => Promise<void>;
 	close: () => void;
 };
 
+export type CallerServerDrain = {
+	readonly graceMilliseconds: number;
+	/** Called for each request that is still at work at the end of the grace time. */
+	readonly onCutOff: (response: ServerResponse) => void;
+};
+
 /** Maximum time between two checks for callers that send their headers too slowly. */
 const headerCheckIntervalMilliseconds = 1000;
 
 export function createCallerServer(limits: CallerServerLimits, handleRequest: CallerHandler): CallerServer {
-	const runningResponses = new Set<ServerResponse>();
 	let isDraining = false;
 	const serve: CallerHandler = (request, response) => {
 		if (isDraining) {
@@ -38,10 +44,6 @@
 		}
 
 		recordResponse(request.socket, response);
-		runningResponses.add(response);
-		response.once('close', () => {
-			runningResponses.delete(response);
-		});
 		handleRequest(request, response);
 	};
 
@@ -59,6 +61,7 @@
 	// `100 Continue` is sent when the body is first read, not before the request is checked.
 	server.on('checkContinue', serve);
 	server.maxConnections = limits.callerConnections;
+	const connections = trackConnections(server);
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
 		// The latest response distinguishes an error during a request from one before it.
 		refuseMalformedRequest(error, socket, getLatestResponse(socket));
@@ -68,12 +71,18 @@
 		startDraining() {
 			isDraining = true;
 		},
-		async drain(graceMilliseconds) {
-			for (const response of runningResponses) {
+		async drain({graceMilliseconds, onCutOff}) {
+			for (const response of connections.getAllOpenResponses()) {
 				announceClose(response);
 			}
 
-			await drainServer(server, graceMilliseconds);
+			await drainServer({
+				server, graceMilliseconds, onGraceEnd() {
+					for (const response of connections.getAllOpenResponses()) {
+						onCutOff(response);
+					}
+				},
+			});
 		},
 		close() {
 			server.closeAllConnections();
--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -5,6 +5,7 @@
 import {type Server, type ServerResponse, createServer} from 'node:http';
 import {type CallerLimits, type Member, chooseGateways} from '@catkindale/policy';
 import {createCallerServer} from './caller-server.js';
+import {createCutOffLog} from './cut-off-log.js';
 import {gatewayRole} from './constants.js';
 import {closeGracefully, listenOn, splitUrl} from './http-server.js';
 import {type CallerHandler, nodePlugins} from './node-context.js';
@@ -107,7 +108,7 @@
 			}),
 		];
 		return {
-			drain: async () => callerServer.drain(timing.graceMilliseconds),
+			drain: async () => callerServer.drain({graceMilliseconds: timing.graceMilliseconds, onCutOff: createCutOffLog(context)}),
 			async stop() {
 				for (const unsubscribe of unsubscribers) {
 					unsubscribe();
--- /dev/null
+++ b/packages/node/src/http-connections.ts
@@ -0,0 +1,49 @@
+/**
+ * The connections of an HTTP server and the requests at work on each. Node.js
+ * counts a connection as idle once its current response was ended, also while
+ * bytes of that response wait in the process or further requests wait behind it.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {Socket} from 'node:net';
+
+type Connection = {
+	readonly socket: Socket;
+	/** Responses that aren't handed over to the operating system yet, in the order of their requests. */
+	readonly openResponses: Set<ServerResponse>;
+};
+
+export type HttpConnections = {
+	/** Returns the open responses of the connection, in the order of their requests. */
+	getOpenResponses: (socket: Duplex) => readonly ServerResponse[];
+	/** Returns the open responses of all connections. */
+	getAllOpenResponses: () => readonly ServerResponse[];
+};
+
+export function trackConnections(server: Server): HttpConnections {
+	const connections = new Map<Duplex, Connection>();
+	server.on('connection', (socket: Socket) => {
+		connections.set(socket, {socket, openResponses: new Set()});
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+	const recordRequest = ({socket}: IncomingMessage, response: ServerResponse): void => {
+		const connection = connections.get(socket);
+		connection?.openResponses.add(response);
+		response.once('close', () => {
+			connection?.openResponses.delete(response);
+		});
+	};
+
+	server.prependListener('request', recordRequest);
+	if (server.listenerCount('checkContinue') > 0) {
+		// Such a listener takes over from the HTTP server, so that none is added where there is none.
+		server.prependListener('checkContinue', recordRequest);
+	}
+
+	return {
+		getOpenResponses: socket => [...connections.get(socket)?.openResponses ?? []],
+		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
+	};
+}
--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -30,17 +30,30 @@
 	});
 }
 
+export type ServerDrain = {
+	readonly server: Server;
+	readonly graceMilliseconds: number;
+	/** Called once if the grace time ends before all connections have. */
+	readonly onGraceEnd: () => void;
+};
+
 /**
  * Shuts down a server for callers without cutting off requests within the grace
  * time: a request that is in transit on an idle connection is still served
  * before the idle connections are closed. Requests that run longer are cut off.
  */
-export async function drainServer(server: Server, graceMilliseconds: number): Promise<void> {
+export async function drainServer({server, graceMilliseconds, onGraceEnd}: ServerDrain): Promise<void> {
+	let isGraceOver = false;
 	const startedAt = performance.now();
 	const linger = Math.min(idleLingerMilliseconds, graceMilliseconds);
 	const check = setInterval(() => {
 		const elapsed = performance.now() - startedAt;
 		if (elapsed >= graceMilliseconds) {
+			if (!isGraceOver) {
+				isGraceOver = true;
+				onGraceEnd();
+			}
+
 			server.closeAllConnections();
 		} else if (elapsed >= linger) {
 			server.closeIdleConnections();
