Keep the signal handlers of a process until it exits

Cause: signals were taken with process.once. After the first one, a second has its default action and ends the process with all that it has accepted; so does one that comes while the program starts, SIGHUP at "catkindale node", and SIGQUIT and SIGUSR2 anywhere. An operator's tool and a supervisor, or Ctrl-C in a process group, easily send two.

Every signal that would end the process asks for the planned stop now, from the first line of the program on, and its handlers stay. Each signal has a line. SIGHUP stays a reload on the platform; elsewhere it asks for a stop, as it ended the process before.

--- a/packages/cli/src/node-command.ts
+++ b/packages/cli/src/node-command.ts
@@ -1,7 +1,8 @@
-/** `catkindale node`: runs one node until SIGTERM or SIGINT, then stops gracefully. */
+/** `catkindale node`: runs one node until a signal asks it to stop, then stops gracefully. */
 import process from 'node:process';
 import type {CommandModule} from 'yargs';
-import {readSettings, startNode} from '@catkindale/node';
+import {createLogger, createSilentLogger} from '@catkindale/common';
+import {readSettings, startNode, waitForStopSignal} from '@catkindale/node';
 import {exitCodes} from './constants.js';
 
 type NodeArguments = {settings: string};
@@ -13,19 +14,13 @@
 		type: 'string', demandOption: true, describe: 'the settings file (TOML)',
 	}),
 	async handler({settings: file}) {
-		const node = await startNode(await readSettings(file));
-		await waitForStopSignal();
+		let logger = createSilentLogger();
+		const stopSignal = waitForStopSignal({getLogger: () => logger});
+		const settings = await readSettings(file);
+		logger = createLogger(settings.node.name);
+		const node = await startNode(settings, {logger});
+		logger.info('stopping', {signal: await stopSignal});
 		await node.stop();
 		process.exit(exitCodes.done);
 	},
 };
-
-export async function waitForStopSignal(): Promise<void> {
-	await new Promise<void>(resolve => {
-		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
-				resolve();
-			});
-		}
-	});
-}
--- a/packages/cli/src/standin-command.ts
+++ b/packages/cli/src/standin-command.ts
@@ -2,13 +2,12 @@
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import type {Argv, CommandModule} from 'yargs';
-import {parseAddress} from '@catkindale/common';
-import {formatManifestIssue, parseManifest} from '@catkindale/node';
+import {createSilentLogger, parseAddress} from '@catkindale/common';
+import {formatManifestIssue, parseManifest, waitForStopSignal} from '@catkindale/node';
 import {
 	type Standin, startMachineListStandin, startObjectStoreStandin, startTableStandin, startTargetStandin,
 } from '@catkindale/standins';
 import {exitCodes} from './constants.js';
-import {waitForStopSignal} from './node-command.js';
 
 type StandinArguments = {kind: StandinKind; listen: string; manifest: string | undefined; slots: number; serviceMilliseconds: number; lagMilliseconds: number; seed: number};
 type StandinKind = typeof kinds[number];
@@ -32,7 +31,7 @@
 			process.stdout.write(`listening on ${standin.address}\n`);
 		}
 
-		await waitForStopSignal();
+		await waitForStopSignal({getLogger: createSilentLogger});
 		await Promise.all(standins.map(async standin => standin.stop()));
 		process.exit(exitCodes.done);
 	},
--- a/packages/cli/tests/stop.test.ts
+++ b/packages/cli/tests/stop.test.ts
@@ -61,6 +61,27 @@
 	expect(stoppingNode.getOutput()).not.toContain('requests_cut_off');
 });
 
+// A signal without a handler ends the process at once, with all requests that it runs.
+test.each([
+	{index: 1, signals: ['SIGTERM', 'SIGTERM']},
+	{index: 2, signals: ['SIGINT', 'SIGTERM', 'SIGINT']},
+	{index: 3, signals: ['SIGHUP', 'SIGTERM']},
+] as const)('a node that gets $signals answers the orders at work and exits with code 0', async ({index, signals}) => {
+	await Promise.all(targets.map(async target => setBehaviour(target, {serviceMilliseconds: 800})));
+	const node = nodes[index]!;
+	const orders = Promise.all(['a', 'b', 'c'].map(async order => request(`${node.callerUrl}/orders`, {method: 'POST', headers, body: `${index} ${order}`})));
+	await delay(200);
+	for (const signal of signals) {
+		node.sendSignal(signal);
+		await delay(100);
+	}
+
+	const responses = await orders;
+	expect(responses.map(({statusCode}) => statusCode)).toEqual([200, 200, 200]);
+	await Promise.all(responses.map(async ({body}) => body.dump()));
+	expect(await node.waitForExit()).toBe(0);
+});
+
 /** Starts a replacement with a new name, as the platform does, and then stops the old node. */
 async function replaceNode(place: TestNodePlace): Promise<void> {
 	const index = nodes.findIndex(node => node.name === place.name);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,6 +6,7 @@
 export * from './settings.js';
 export * from './settings-reload.js';
 export * from './start-node.js';
+export {type StopSignalOptions, waitForStopSignal} from './stop-signals.js';
 export * from './retry-budgets.js';
 export * from './rollout-task.js';
 export type {AttemptResult} from './target-selector.js';
