Close a connection in a drain only once its response has left the process

A caller that read slowly while a node stopped got the beginning of its answer.

Cause: the drain closed, every 50 ms, the connections that Node.js counts as idle, and it counts one as idle as soon as its response was ended, also while its bytes wait in the process or another request of the connection is at work behind it. A connection that never sent anything counts as busy instead, and held the drain until the end of the grace time.

The server keeps the open responses of each connection itself and closes those that have none, no bytes left and no part of a request.

Evidence: caller-server.test.ts on (with its older drain): both large responses were cut and a silent connection held the drain for 3 s; all pass now.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -77,7 +77,7 @@
 			}
 
 			await drainServer({
-				server, graceMilliseconds, onGraceEnd() {
+				server, connections, graceMilliseconds, onGraceEnd() {
 					for (const response of connections.getAllOpenResponses()) {
 						onCutOff(response);
 					}
--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -11,6 +11,8 @@
 	readonly socket: Socket;
 	/** Responses that aren't handed over to the operating system yet, in the order of their requests. */
 	readonly openResponses: Set<ServerResponse>;
+	/** Bytes that had been received when the last response was complete. */
+	bytesAtRest: number;
 };
 
 export type HttpConnections = {
@@ -18,12 +20,14 @@
 	getOpenResponses: (socket: Duplex) => readonly ServerResponse[];
 	/** Returns the open responses of all connections. */
 	getAllOpenResponses: () => readonly ServerResponse[];
+	/** Closes the connections without a request. A part of a request counts as one if `keepsPartial`. */
+	closeIdle: (options: {readonly keepsPartial: boolean}) => void;
 };
 
 export function trackConnections(server: Server): HttpConnections {
 	const connections = new Map<Duplex, Connection>();
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {socket, openResponses: new Set()});
+		connections.set(socket, {socket, openResponses: new Set(), bytesAtRest: 0});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -33,6 +37,9 @@
 		connection?.openResponses.add(response);
 		response.once('close', () => {
 			connection?.openResponses.delete(response);
+			if (connection?.openResponses.size === 0) {
+				connection.bytesAtRest = socket.bytesRead;
+			}
 		});
 	};
 
@@ -45,5 +52,13 @@
 	return {
 		getOpenResponses: socket => [...connections.get(socket)?.openResponses ?? []],
 		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
+		closeIdle({keepsPartial}) {
+			for (const {socket, openResponses, bytesAtRest} of connections.values()) {
+				const isPartial = socket.bytesRead > bytesAtRest;
+				if (openResponses.size === 0 && socket.writableLength === 0 && !(keepsPartial && isPartial)) {
+					socket.destroy();
+				}
+			}
+		},
 	};
 }
--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -2,6 +2,7 @@
 import {type AddressInfo, Server as NetServer} from 'node:net';
 import type {Server} from 'node:http';
 import {type Address, formatAddress, parseAddress} from '@catkindale/common';
+import type {HttpConnections} from './http-connections.js';
 
 const idleLingerMilliseconds = 500;
 const drainCheckIntervalMilliseconds = 50;
@@ -32,6 +33,7 @@
 
 export type ServerDrain = {
 	readonly server: Server;
+	readonly connections: HttpConnections;
 	readonly graceMilliseconds: number;
 	/** Called once if the grace time ends before all connections have. */
 	readonly onGraceEnd: () => void;
@@ -42,7 +44,7 @@
  * time: a request that is in transit on an idle connection is still served
  * before the idle connections are closed. Requests that run longer are cut off.
  */
-export async function drainServer({server, graceMilliseconds, onGraceEnd}: ServerDrain): Promise<void> {
+export async function drainServer({server, connections, graceMilliseconds, onGraceEnd}: ServerDrain): Promise<void> {
 	let isGraceOver = false;
 	const startedAt = performance.now();
 	const linger = Math.min(idleLingerMilliseconds, graceMilliseconds);
@@ -56,7 +58,7 @@
 
 			server.closeAllConnections();
 		} else if (elapsed >= linger) {
-			server.closeIdleConnections();
+			connections.closeIdle({keepsPartial: true});
 		}
 	}, drainCheckIntervalMilliseconds);
 	await new Promise<void>(resolve => {
--- /dev/null
+++ b/packages/node/tests/caller-server.test.ts
@@ -0,0 +1,81 @@
+/** The drain of a server for callers, with raw connections: it closes none that still carries a response. */
+import {once} from 'node:events';
+import {type Socket, connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {type CallerServer, createCallerServer} from '../src/caller-server.js';
+import {listenOn} from '../src/http-server.js';
+
+const bodyBytes = 24_000_000;
+const graceMilliseconds = 3000;
+const limits = {
+	headerBytes: 16_384, callerConnections: 100, headerTimeoutMilliseconds: 10_000, idleTimeoutMilliseconds: 10_000,
+};
+
+describe('the drain of a server for callers', () => {
+	let callerServer: CallerServer;
+	let port: number;
+	let socket: Socket;
+	let received: string;
+
+	beforeEach(async () => {
+		received = '';
+		callerServer = createCallerServer(limits, (request, response) => {
+			if (request.url === '/large') {
+				response.end('x'.repeat(bodyBytes));
+			} else {
+				setTimeout(() => {
+					response.end(request.url);
+				}, 300);
+			}
+		});
+		const address = await listenOn(callerServer.server, '127.0.0.1:0');
+		port = Number(address.split(':')[1]);
+		socket = connect({host: '127.0.0.1', port});
+		socket.setEncoding('latin1');
+		socket.on('data', (chunk: string) => {
+			received += chunk;
+		});
+		await once(socket, 'connect');
+	});
+
+	afterEach(() => {
+		socket.destroy();
+		callerServer.close();
+	});
+
+	const drain = async (): Promise<void> => callerServer.drain({graceMilliseconds, onCutOff: () => undefined});
+
+	// Node.js counts the connection as idle from the moment at which the response was ended.
+	it('leaves a response whole whose bytes wait in the process', async () => {
+		socket.pause();
+		socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
+		await delay(200);
+		const drained = drain();
+		await delay(1500);
+		socket.resume();
+		await drained;
+		await once(socket, 'close');
+		expect(received.length).toBeGreaterThan(bodyBytes);
+	});
+
+	it('leaves a request whole that waits behind a response whose bytes wait in the process', async () => {
+		socket.pause();
+		socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\n\r\n');
+		await delay(200);
+		const drained = drain();
+		await delay(1500);
+		socket.resume();
+		await drained;
+		await once(socket, 'close');
+		expect(received.endsWith('/behind')).toBe(true);
+	});
+
+	it('closes connections without a request', async () => {
+		const startedAt = performance.now();
+		await drain();
+		expect(performance.now() - startedAt).toBeLessThan(graceMilliseconds / 2);
+	});
+});
