Announce the close of a connection with its last response

A caller that sends requests before the first one is answered lost those behind it when its gateway stopped, also those that were at work at a target.

Cause: from the beginning of a stop each response announced that its connection closes, also one with others behind it, and Node.js closes the connection after such a response. The requests behind it were passed on all the same.

The announcement moves to the last response of a connection: a further request takes it over as long as it wasn't sent. If it was, the request isn't passed on; its caller sends it again elsewhere, as it does behind any such response.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -37,9 +37,39 @@
 const headerCheckIntervalMilliseconds = 1000;
 
 export function createCallerServer(limits: CallerServerLimits, handleRequest: CallerHandler): CallerServer {
+	const closingResponses = new WeakSet<ServerResponse>();
 	let isDraining = false;
+	/** Announces that the connection closes after this response, so that the caller sends no further request on it. */
+	const announceClose = (response: ServerResponse): void => {
+		if (!response.headersSent) {
+			response.setHeader('connection', 'close');
+			closingResponses.add(response);
+		}
+	};
+
+	/** Takes the announcement back, since another request came behind this one; false if it was sent already. */
+	const withdrawClose = (response: ServerResponse): boolean => {
+		if (!closingResponses.has(response)) {
+			return true;
+		}
+
+		if (response.headersSent) {
+			return false;
+		}
+
+		response.setHeader('connection', 'keep-alive');
+		closingResponses.delete(response);
+		return true;
+	};
+
 	const serve: CallerHandler = (request, response) => {
 		if (isDraining) {
+			const previous = getLatestResponse(request.socket);
+			if (previous && !withdrawClose(previous)) {
+				// The connection closes before this request could be answered; its caller sends it again elsewhere.
+				return;
+			}
+
 			announceClose(response);
 		}
 
@@ -72,7 +102,7 @@
 			isDraining = true;
 		},
 		async drain({graceMilliseconds, onCutOff}) {
-			for (const response of connections.getAllOpenResponses()) {
+			for (const response of connections.getLastResponses()) {
 				announceClose(response);
 			}
 
@@ -90,13 +120,6 @@
 	};
 }
 
-/** Announces that the connection closes after this response, so that the caller sends no further request on it. */
-function announceClose(response: ServerResponse): void {
-	if (!response.headersSent) {
-		response.setHeader('connection', 'close');
-	}
-}
-
 const malformedRequestResponses: Record<string, {readonly status: string; readonly reason: string}> = {
 	HPE_HEADER_OVERFLOW: {status: '431 Request Header Fields Too Large', reason: 'header-too-large'},
 	ERR_HTTP_REQUEST_TIMEOUT: {status: '408 Request Timeout', reason: 'request-too-slow'},
--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -20,6 +20,8 @@
 	getOpenResponses: (socket: Duplex) => readonly ServerResponse[];
 	/** Returns the open responses of all connections. */
 	getAllOpenResponses: () => readonly ServerResponse[];
+	/** Returns the last open response of each connection. */
+	getLastResponses: () => readonly ServerResponse[];
 	/** Closes the connections without a request. A part of a request counts as one if `keepsPartial`. */
 	closeIdle: (options: {readonly keepsPartial: boolean}) => void;
 };
@@ -52,6 +54,7 @@
 	return {
 		getOpenResponses: socket => [...connections.get(socket)?.openResponses ?? []],
 		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
+		getLastResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses].slice(-1)),
 		closeIdle({keepsPartial}) {
 			for (const {socket, openResponses, bytesAtRest} of connections.values()) {
 				const isPartial = socket.bytesRead > bytesAtRest;
