Answer the requests ahead of one that can't be read

An order whose connection went on with bytes that are no request got their 400 in place of its own answer, though it ran. The same went for a caller that began its next request and took too long for its headers (408).

Cause: the error response of the parser was written at once, ahead of responses that were still at work, and the connection was closed.

It is written once the complete requests ahead have their answers, and only once for a connection.

Evidence: the row 'whose connection goes on with bytes that are no request' of planned-stop.test.ts failed on (400 for the order) and passes now.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -92,9 +92,23 @@
 	server.on('checkContinue', serve);
 	server.maxConnections = limits.callerConnections;
 	const connections = trackConnections(server);
+	const malformedConnections = new WeakSet<Duplex>();
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
+		if (malformedConnections.has(socket)) {
+			return;
+		}
+
+		malformedConnections.add(socket);
 		// The latest response distinguishes an error during a request from one before it.
-		refuseMalformedRequest(error, socket, getLatestResponse(socket));
+		const latest = getLatestResponse(socket);
+		const lastComplete = connections.getOpenResponses(socket).findLast(response => response !== latest || response.req.complete);
+		if (lastComplete && socket.writable) {
+			lastComplete.once('close', () => {
+				refuseMalformedRequest(error, socket, latest);
+			});
+		} else {
+			refuseMalformedRequest(error, socket, latest);
+		}
 	});
 	return {
 		server,
