Answer requests that outlast a planned stop

A request that was still at work at the end of the grace time got no answer: its connection closed, and a caller of HTTP/1.0 took the beginning of a response without a length for the whole one.

What has no response yet gets 502 with the outcome "unknown" now, and 100 ms to leave the process. A response that has begun is reset.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -10,6 +10,7 @@
 import {abortResponse} from './target-response.js';
 import type {CallerHandler} from './node-context.js';
 import {drainServer} from './http-server.js';
+import {type Problem, sendProblem} from './problem.js';
 
 export type CallerServerLimits = {
 	readonly headerBytes: number;
@@ -22,7 +23,7 @@
 	readonly server: Server;
 	/** From now on each response closes its connection. */
 	startDraining: () => void;
-	/** Waits for the running requests, at most for the grace time. */
+	/** Waits for the running requests, at most for the grace time. Those that run longer get status 502. */
 	drain: (options: CallerServerDrain) => Promise<void>;
 	close: () => void;
 };
@@ -124,6 +125,7 @@
 				server, connections, graceMilliseconds, onGraceEnd() {
 					for (const response of connections.getAllOpenResponses()) {
 						onCutOff(response);
+						sendProblem(response, stoppingProblem);
 					}
 				},
 			});
@@ -134,6 +136,10 @@
 	};
 }
 
+const stoppingProblem: Problem = {
+	status: 502, outcome: 'unknown', reason: 'stopping', detail: 'this VM stops before the request has ended',
+};
+
 const malformedRequestResponses: Record<string, {readonly status: string; readonly reason: string}> = {
 	HPE_HEADER_OVERFLOW: {status: '431 Request Header Fields Too Large', reason: 'header-too-large'},
 	ERR_HTTP_REQUEST_TIMEOUT: {status: '408 Request Timeout', reason: 'request-too-slow'},
--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -3,9 +3,12 @@
 import type {Server} from 'node:http';
 import {type Address, formatAddress, parseAddress} from '@catkindale/common';
 import type {HttpConnections} from './http-connections.js';
+import {abortResponse} from './target-response.js';
 
 const idleLingerMilliseconds = 500;
 const drainCheckIntervalMilliseconds = 50;
+/** Time for the responses that are sent at the end of the grace time to leave the process. */
+const lastResponseMilliseconds = 100;
 
 /** Listens and returns the address in use. Throws if the address is taken or malformed. */
 export async function listenOn(server: NetServer, text: string): Promise<string> {
@@ -35,7 +38,7 @@
 	readonly server: Server;
 	readonly connections: HttpConnections;
 	readonly graceMilliseconds: number;
-	/** Called once if the grace time ends before all connections have. */
+	/** Called once if requests are still at work at the end of the grace time; their connections close soon after. */
 	readonly onGraceEnd: () => void;
 };
 
@@ -45,28 +48,48 @@
  * before the idle connections are closed. Requests that run longer are cut off.
  */
 export async function drainServer({server, connections, graceMilliseconds, onGraceEnd}: ServerDrain): Promise<void> {
-	let isGraceOver = false;
 	const startedAt = performance.now();
 	const linger = Math.min(idleLingerMilliseconds, graceMilliseconds);
-	const check = setInterval(() => {
+	let isGraceOver = false;
+	await closeUnused(server, () => {
 		const elapsed = performance.now() - startedAt;
-		if (elapsed >= graceMilliseconds) {
-			if (!isGraceOver) {
-				isGraceOver = true;
-				onGraceEnd();
-			}
-
+		if (elapsed >= graceMilliseconds + lastResponseMilliseconds) {
+			abortOpenResponses(connections);
 			server.closeAllConnections();
-		} else if (elapsed >= linger) {
-			connections.closeIdle({keepsPartial: true});
+			return;
 		}
-	}, drainCheckIntervalMilliseconds);
-	await new Promise<void>(resolve => {
-		// The `close` of the HTTP server would close idle connections at once.
+
+		if (elapsed >= graceMilliseconds && !isGraceOver) {
+			isGraceOver = true;
+			onGraceEnd();
+		}
+
+		if (elapsed >= linger) {
+			connections.closeIdle({keepsPartial: !isGraceOver});
+		}
+	});
+}
+
+/** A response that ends early must not look complete to a caller for which the end of the connection is its end. */
+function abortOpenResponses(connections: HttpConnections): void {
+	for (const response of connections.getAllOpenResponses()) {
+		if (response.headersSent) {
+			abortResponse(response);
+		}
+	}
+}
+
+/** Closes the listening socket, and calls `closeConnections` at intervals until no connection is left. */
+async function closeUnused(server: Server, closeConnections: () => void): Promise<void> {
+	const check = setInterval(closeConnections, drainCheckIntervalMilliseconds);
+	const closed = new Promise<void>(resolve => {
+		// The `close` of the HTTP server would close connections at once that Node.js counts as idle.
 		Reflect.apply(NetServer.prototype.close, server, [() => {
 			resolve();
 		}]);
 	});
+	closeConnections();
+	await closed;
 	clearInterval(check);
 }
 
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -19,12 +19,17 @@
 	let port: number;
 	let socket: Socket;
 	let received: string;
+	let cutOff: string[];
 
 	beforeEach(async () => {
 		received = '';
+		cutOff = [];
 		callerServer = createCallerServer(limits, (request, response) => {
 			if (request.url === '/large') {
 				response.end('x'.repeat(bodyBytes));
+			} else if (request.url === '/begun') {
+				response.writeHead(200);
+				response.write('begun');
 			} else {
 				setTimeout(() => {
 					response.end(request.url);
@@ -46,7 +51,11 @@
 		callerServer.close();
 	});
 
-	const drain = async (): Promise<void> => callerServer.drain({graceMilliseconds, onCutOff: () => undefined});
+	const drain = async (): Promise<void> => callerServer.drain({
+		graceMilliseconds, onCutOff(response) {
+			cutOff.push(response.req.url ?? '');
+		},
+	});
 
 	// Node.js counts the connection as idle from the moment at which the response was ended.
 	it('leaves a response whole whose bytes wait in the process', async () => {
@@ -73,6 +82,17 @@
 		expect(received.endsWith('/behind')).toBe(true);
 	});
 
+	// Without a length, the end of the connection would tell a caller of HTTP/1.0 that its response is complete.
+	it('resets a response that has begun when the grace time ends, and reports it', async () => {
+		socket.write('GET /begun HTTP/1.0\r\nHost: a\r\n\r\n');
+		await delay(100);
+		const failure = once(socket, 'error');
+		await drain();
+		const [error] = await failure as [NodeJS.ErrnoException];
+		expect(error.code).toBe('ECONNRESET');
+		expect(cutOff).toEqual(['/begun']);
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
