Refuse requests whose time limit ends after a planned stop

An order that a gateway took late in its stop was passed on, ran, and was cut off at the end of the grace time.

From 2.4 s to 3.4 s after SIGTERM an order was taken that might not end before the stop.

The time limit alone counts. Such requests are refused at once with 503, which is true, and go elsewhere.

--- a/packages/node/src/gateway-check.ts
+++ b/packages/node/src/gateway-check.ts
@@ -71,7 +71,7 @@
 	}
 
 	const timeoutMilliseconds = getTimeoutMilliseconds(request, route, profile.headers.deadline);
-	if (isTooLateBeforeStop(dependencies, route, timeoutMilliseconds)) {
+	if (isTooLateBeforeStop(dependencies, timeoutMilliseconds)) {
 		return refuse({
 			status: 503,
 			outcome: 'not-run',
@@ -123,9 +123,9 @@
 	return key === undefined ? undefined : router.findCustomer(key);
 }
 
-function isTooLateBeforeStop({context: {clock}, getStopTime}: GatewayDependencies, {targetLatencyMilliseconds}: TrafficRoute, timeoutMilliseconds: number): boolean {
+function isTooLateBeforeStop({context: {clock}, getStopTime}: GatewayDependencies, timeoutMilliseconds: number): boolean {
 	const stopsAt = getStopTime();
-	return stopsAt !== undefined && !mayFinishBeforeStop({remainingMilliseconds: stopsAt - clock.monotonic(), timeoutMilliseconds, targetLatencyMilliseconds});
+	return stopsAt !== undefined && !mayFinishBeforeStop({remainingMilliseconds: stopsAt - clock.monotonic(), timeoutMilliseconds});
 }
 
 /** Returns the smaller of the caller's time limit and the route's. */
