Keep silent connections from holding up a stop

A node didn't come to an end after SIGTERM as long as a connection to its readiness, directory, metrics or admin port had sent a part of a request: it ran on until SIGKILL.

Cause: the HTTP server's close waits for such connections, and with it ends the check that would time them out. It also cut off responses whose bytes were still in the process, as Node.js counts their connections as idle.

Connections without a request are closed at once; other responses get 200 ms, an operator's action 5 s.

--- a/packages/node/src/admin-plugin.ts
+++ b/packages/node/src/admin-plugin.ts
@@ -6,6 +6,7 @@
 import {type AdminResponse, findAdminAction} from './admin-actions.js';
 import {maximumAdminBodyBytes, readAdminBody} from './admin-body.js';
 import {type AdminState, createAdminState} from './admin-state.js';
+import {trackConnections} from './http-connections.js';
 import {closeGracefully, listenOn, splitUrl} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 import {getRequestKey} from './request-headers.js';
@@ -18,6 +19,8 @@
 import './status-action.js';
 
 const startOrder = 15;
+/** An action that takes longer than this at the end of a stop is cut off, so that it can't keep the process from ending. */
+const maximumActionMilliseconds = 5000;
 
 nodePlugins.register({
 	name: 'admin',
@@ -56,6 +59,7 @@
 		const server = createServer((request, response) => {
 			void serve(context, state, request, response);
 		});
+		const connections = trackConnections(server);
 		context.boundAddresses.admin = await listenOn(server, context.settings.listen.admin);
 		return {
 			async stop() {
@@ -63,7 +67,7 @@
 					unsubscribe();
 				}
 
-				await closeGracefully(server);
+				await closeGracefully(server, connections, maximumActionMilliseconds);
 			},
 		};
 	},
--- a/packages/node/src/gateway-server-plugin.ts
+++ b/packages/node/src/gateway-server-plugin.ts
@@ -7,6 +7,7 @@
 import {createCallerServer} from './caller-server.js';
 import {createCutOffLog} from './cut-off-log.js';
 import {gatewayRole} from './constants.js';
+import {type HttpConnections, trackConnections} from './http-connections.js';
 import {closeGracefully, listenOn, splitUrl} from './http-server.js';
 import {type CallerHandler, nodePlugins} from './node-context.js';
 import {failRequest, sendProblem} from './problem.js';
@@ -72,7 +73,7 @@
 			}, undefined, profile.hasFractionalRetryAfter);
 		});
 		context.eventLoopMonitor.watchServer(callerServer.server);
-		const servers: Server[] = [];
+		const servers = new Map<Server, HttpConnections>();
 		const listenWith = async (address: string | undefined, handler: CallerHandler): Promise<void> => {
 			if (address !== undefined) {
 				const server = createServer({keepAliveTimeout: limits.idleTimeoutMilliseconds}, (request, response) => {
@@ -83,7 +84,7 @@
 						failRequest(response);
 					}
 				});
-				servers.push(server);
+				servers.set(server, trackConnections(server));
 				await listenOn(server, address);
 			}
 		};
@@ -115,7 +116,7 @@
 				}
 
 				callerServer.close();
-				await Promise.all(servers.map(async server => closeGracefully(server)));
+				await Promise.all([...servers].map(async ([server, connections]) => closeGracefully(server, connections)));
 			},
 		};
 	},
--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -9,6 +9,7 @@
 const drainCheckIntervalMilliseconds = 50;
 /** Time for the responses that are sent at the end of the grace time to leave the process. */
 const lastResponseMilliseconds = 100;
+const defaultCloseMilliseconds = 200;
 
 /** Listens and returns the address in use. Throws if the address is taken or malformed. */
 export async function listenOn(server: NetServer, text: string): Promise<string> {
@@ -24,13 +25,19 @@
 	return formatAddress({host: address.host, port});
 }
 
-/** Closes the listening socket and idle connections and waits for the rest. */
-export async function closeGracefully(server: Server): Promise<void> {
-	await new Promise<void>(resolve => {
-		server.close(() => {
-			resolve();
-		});
-		server.closeIdleConnections();
+/**
+ * Closes the listening socket and the connections without a request, and waits
+ * until the other responses are complete. Those that take longer than the
+ * maximum are cut off.
+ */
+export async function closeGracefully(server: Server, connections: HttpConnections, maximumMilliseconds = defaultCloseMilliseconds): Promise<void> {
+	const endsAt = performance.now() + maximumMilliseconds;
+	await closeUnused(server, () => {
+		if (performance.now() >= endsAt) {
+			server.closeAllConnections();
+		} else {
+			connections.closeIdle({keepsPartial: false});
+		}
 	});
 }
 
--- a/packages/node/src/metrics-plugin.ts
+++ b/packages/node/src/metrics-plugin.ts
@@ -1,6 +1,7 @@
 /** Serves `/metrics`, `/healthz` and `/readyz`. */
 import {type ServerResponse, createServer} from 'node:http';
 import {gatewayRole, roles} from './constants.js';
+import {trackConnections} from './http-connections.js';
 import {closeGracefully, listenOn} from './http-server.js';
 import {type NodeContext, nodePlugins} from './node-context.js';
 
@@ -29,6 +30,7 @@
 		const server = createServer((request, response) => {
 			void serveRequest(context, request.url ?? '/', isReady, response);
 		});
+		const connections = trackConnections(server);
 		context.boundAddresses.metrics = await listenOn(server, context.settings.listen.metrics);
 		return {
 			async stop() {
@@ -36,7 +38,7 @@
 					unsubscribe();
 				}
 
-				await closeGracefully(server);
+				await closeGracefully(server, connections);
 			},
 		};
 	},
