--- a/packages/node/src/idempotency.ts
+++ b/packages/node/src/idempotency.ts
@@ -39,9 +39,16 @@
 	const {bus, clock, incarnation, logger, settings} = context;
 	const {name: node, region} = settings.node;
 	let members: readonly Member[] = [];
-	const unsubscribeMembers = bus.subscribe('membership-changed', message => {
-		members = message.members;
-	});
+	/** When the planned stop cuts off the requests that still run. */
+	let stopsAt: number | undefined;
+	const unsubscribers = [
+		bus.subscribe('membership-changed', message => {
+			members = message.members;
+		}),
+		bus.subscribe('drain-started', () => {
+			stopsAt = clock.monotonic() + settings.timing.lookupHoldMilliseconds + settings.timing.graceMilliseconds;
+		}),
+	];
 	const ticketClock = createTicketClock(clock);
 	const ticketStore = createTicketStore();
 	const successors = createTicketSuccessors(clock);
@@ -86,12 +93,16 @@
 			return key === '' ? problem : guard.adjustProblemOutcome(key, problem);
 		},
 		async stop() {
-			await Promise.race([guard.waitForRunning(), delay(settings.timing.graceMilliseconds, undefined, {ref: false})]);
+			const remainingMilliseconds = Math.max(0, (stopsAt ?? clock.monotonic()) - clock.monotonic());
+			await Promise.race([guard.waitForRunning(), delay(remainingMilliseconds, undefined, {ref: false})]);
 			await claims.stop();
 			const successor = await handover.handOver();
 			logger.info('tickets_handed_over', {heir: successor ?? 'none', remembered: ticketStore.getSize()});
 			handover.end();
-			unsubscribeMembers();
+			for (const unsubscribe of unsubscribers) {
+				unsubscribe();
+			}
+
 			await entryForwarder.close();
 		},
 	};
