Tell in a request's log line that its caller has gone

A line request_finished told what the gateway answered, not whether its caller was still there: an order whose caller left, or whose connection closed, looked like an answered one. It has caller=gone now.

--- a/packages/node/src/gateway-plugin.ts
+++ b/packages/node/src/gateway-plugin.ts
@@ -228,7 +228,9 @@
 	const check = await checkGatewayRequest(state, router, request);
 	if (check.kind === 'refused') {
 		sendProblem(response, check.problem, requestId, profile.hasFractionalRetryAfter);
-		reportResult(state, {requestId, startedAt, ...check}, {result: {kind: 'problem', problem: check.problem}, records: []});
+		reportResult(state, {
+			requestId, startedAt, callerSignal: callerController.signal, ...check,
+		}, {result: {kind: 'problem', problem: check.problem}, records: []});
 		return;
 	}
 
@@ -282,10 +284,12 @@
 	readonly route: TrafficRoute | undefined;
 	readonly customer: TrafficCustomer | undefined;
 	readonly object?: string | undefined;
+	/** Aborted if the caller disconnected before its response was complete. */
+	readonly callerSignal: AbortSignal;
 };
 
 /** Updates the metrics and logs the line that shows operators the result of a request and its cause. */
-function reportResult(state: GatewayState, {requestId, startedAt, route, customer, object}: ReportedRequest, {result, records}: GatewayExchangeEnd): void {
+function reportResult(state: GatewayState, {requestId, startedAt, route, customer, object, callerSignal}: ReportedRequest, {result, records}: GatewayExchangeEnd): void {
 	const {context, router} = state;
 	const milliseconds = context.clock.monotonic() - startedAt;
 	const outcome = result.kind === 'problem' ? result.problem.reason : result.kind;
@@ -305,6 +309,7 @@
 		status: getStatus(result),
 		ran: getRequestOutcome(records),
 		milliseconds: Math.round(milliseconds),
+		caller: callerSignal.aborted ? 'gone' : undefined,
 		attempts: records.map(({chosen, outcome: attemptOutcome}) => [
 			chosen.target.registration.id,
 			chosen.target.registration.region,
