--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -46,8 +46,8 @@
 	graceMilliseconds: z.int().positive().default(30_000),
 	/** How long a stopping node continues to serve callers that hold an older lookup. */
 	lookupHoldMilliseconds: z.int().min(0).default(10_000),
-	/** Time for the plug-ins to stop after the last request has ended. */
-	maximumStopMilliseconds: z.int().positive().default(10_000),
+	/** Time for the plug-ins to stop after callers have their responses; requests whose callers have left may need it. */
+	maximumStopMilliseconds: z.int().positive().default(30_000),
 });
 
 /** Limits of a gateway. An adapter derives them from the limits of its platform. */
