Serve a request whose target leaves the configuration

What callers saw: all requests of an entry lost their connections when the configuration removed a target, or changed its address, while a request for it waited for its body or for a slot.

Cause: the request kept the routing table of its admission. The pool of the target's address no longer existed when the request was to be sent, which broke an invariant; a broken invariant ends the process.

Change: targets are selected from the routing table in force, and an attempt at a target without a pool counts as not sent.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -130,7 +130,8 @@
 		isForwarded,
 		getTokenDeadline: route => startedAt + getTimeoutMilliseconds(request, route) - state.selector.getLatencyBound(route.service),
 	});
-	if (checked.kind === 'refused' || !state.routing) {
+	const {routing: routingAtAdmission} = state;
+	if (checked.kind === 'refused' || !routingAtAdmission) {
 		if (checked.kind === 'refused') {
 			sendProblem(response, state.idempotency.adjustProblemOutcome(request, checked.problem), requestId);
 		}
@@ -149,7 +150,14 @@
 		customer,
 		key: getRequestKey(request),
 	};
-	const result = await runForCaller({...state, routing: state.routing}, exchange, isForwarded);
+	const dependencies = {
+		...state,
+		/** The configuration may change before the target is selected. */
+		get routing() {
+			return state.routing ?? routingAtAdmission;
+		},
+	};
+	const result = await runForCaller(dependencies, exchange, isForwarded);
 	sendResult(exchange, result);
 	observeLatency(state, exchange, result);
 }
--- a/packages/node/src/exchange-attempt.ts
+++ b/packages/node/src/exchange-attempt.ts
@@ -19,7 +19,13 @@
 	readonly onResponseClaimed?: () => void;
 };
 
-type TimedAttempt = Attempt & Pick<TimedDispatcher, 'getTimeToHeadMilliseconds'>;
+type TimedAttempt
+	= | Attempt & Pick<TimedDispatcher, 'getTimeToHeadMilliseconds'> & {readonly kind: 'running'}
+		| {readonly kind: 'not-begun'; readonly outcome: ForwardOutcome};
+
+const callerGone: TimedAttempt = {kind: 'not-begun', outcome: {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller disconnected'}};
+/** The configuration may change while the request waits for its body or for a slot. */
+const targetRemoved: TimedAttempt = {kind: 'not-begun', outcome: {kind: 'not-sent', cause: 'target', reason: 'the configuration no longer has the target'}};
 
 export type AttemptRecord = {readonly target: Target; readonly outcome: ForwardOutcome};
 
@@ -29,27 +35,31 @@
 };
 
 export function startAttempt(dependencies: EntryDependencies, exchange: Exchange, options: AttemptOptions): RunningAttempt {
-	const attempt = options.signals.selection.aborted ? undefined : forwardToTarget(dependencies, exchange, options);
+	const attempt = options.signals.selection.aborted ? callerGone : forwardToTarget(dependencies, exchange, options);
 	return {
 		done: finishAttempt(dependencies, exchange, options, attempt),
 		abort(cause) {
-			attempt?.abort(cause);
+			if (attempt.kind === 'running') {
+				attempt.abort(cause);
+			}
 		},
 	};
 }
 
-async function finishAttempt(dependencies: EntryDependencies, exchange: Exchange, {selection, signals}: AttemptOptions, attempt: TimedAttempt | undefined): Promise<AttemptRecord> {
+async function finishAttempt(dependencies: EntryDependencies, exchange: Exchange, {selection, signals}: AttemptOptions, attempt: TimedAttempt): Promise<AttemptRecord> {
 	const {clock, bus} = dependencies.context;
 	const {target} = selection;
 	const startedAt = clock.monotonic();
 	const abortAttempt = (): void => {
-		attempt?.abort('caller-gone');
+		if (attempt.kind === 'running') {
+			attempt.abort('caller-gone');
+		}
 	};
 
 	signals.attempt.addEventListener('abort', abortAttempt);
-	const outcome: ForwardOutcome = await attempt?.outcome ?? {kind: 'not-sent', cause: 'caller-gone', reason: 'the caller disconnected'};
+	const outcome = await attempt.outcome;
 	signals.attempt.removeEventListener('abort', abortAttempt);
-	const timeToHeadMilliseconds = attempt?.getTimeToHeadMilliseconds();
+	const timeToHeadMilliseconds = attempt.kind === 'running' ? attempt.getTimeToHeadMilliseconds() : undefined;
 	const result: AttemptResult = {
 		kind: getResultKind(outcome),
 		milliseconds: clock.monotonic() - startedAt,
@@ -78,7 +88,12 @@
 	const {request, response, requestId, customer, key} = exchange;
 	const {target} = selection;
 	const deadlineMilliseconds = exchange.deadlineAt - dependencies.context.clock.monotonic();
-	const timedDispatcher = createTimedDispatcher(dependencies.connectionPools.getPool(target), dependencies.context.clock);
+	const pool = dependencies.connectionPools.getPool(target);
+	if (!pool) {
+		return targetRemoved;
+	}
+
+	const timedDispatcher = createTimedDispatcher(pool, dependencies.context.clock);
 	const attempt = forwardRequest({
 		dispatcher: dependencies.linkMeter.getDispatcher(timedDispatcher, {
 			region: target.region, class: exchange.route.class, deadlineMilliseconds, signal: signals.attempt,
@@ -105,7 +120,7 @@
 		},
 		isHeldUntilComplete: () => hasRequestBehind(response),
 	});
-	return {...attempt, getTimeToHeadMilliseconds: timedDispatcher.getTimeToHeadMilliseconds};
+	return {...attempt, kind: 'running', getTimeToHeadMilliseconds: timedDispatcher.getTimeToHeadMilliseconds};
 }
 
 /** Returns the result of a request for the trial of the version, from its attempt at that version. */
--- a/packages/node/src/target-connection-pools.ts
+++ b/packages/node/src/target-connection-pools.ts
@@ -1,11 +1,11 @@
 /** The HTTP connection pools of an entry, one per target address. */
 import {Pool} from 'undici';
-import {assertInvariant} from '@catkindale/common';
 import type {Target} from '@catkindale/policy';
 
 export type TargetConnectionPools = {
 	setTargets: (targets: readonly Target[]) => void;
-	getPool: (target: Target) => Pool;
+	/** Returns undefined if the configuration no longer has a target with the address. */
+	getPool: (target: Target) => Pool | undefined;
 	/** Whether the target has echoed the identifier of a request; from then on each response must do so. */
 	echoesRequestId: (target: Target) => boolean;
 	markEchoesRequestId: (target: Target) => void;
@@ -32,11 +32,7 @@
 				}
 			}
 		},
-		getPool(target) {
-			const pool = pools.get(target.address);
-			assertInvariant(pool !== undefined, 'each target of the configuration has a pool', {target: target.name});
-			return pool;
-		},
+		getPool: target => pools.get(target.address),
 		echoesRequestId: target => echoingAddresses.has(target.address),
 		markEchoesRequestId(target) {
 			echoingAddresses.add(target.address);
--- a/packages/node/tests/entry-helpers.ts
+++ b/packages/node/tests/entry-helpers.ts
@@ -140,7 +140,7 @@
 	await Promise.all(standins.map(async standin => standin.stop()));
 }
 
-async function applyManifest(node: NodeHandle, targets: readonly string[]): Promise<void> {
+export async function applyManifest(node: NodeHandle, targets: readonly string[]): Promise<void> {
 	const response = await request(`http://${node.addresses.admin}/v1/configuration`, {
 		method: 'POST', body: getManifest(targets), headers: {authorization: `Bearer ${operatorToken}`},
 	});
