Read what arrived during a suspension before the end of a planned stop

What callers saw: orders that their target had finished, and those at work, lost their connections without an answer when the process was suspended over the end of its grace time.

Cause: the first check of the drain after the suspension found both the end of the grace time and that of the last responses, so that it closed the connections at once: no order was answered with 502, and the answers of targets that waited in the process's sockets weren't read.

Evidence: planned-stop.test.ts with the bundled program, SIGSTOP 300 ms after SIGTERM, for 1.4 s: 3 of 3 finished orders without a byte of an answer.

Change: the last responses have their time from the moment at which they are sent, and each check runs after the sockets have been read.

Measured: the finished orders are answered with 200, and the one at work with 502. planned-stop.test.ts and caller-server.test.ts pass (30 tests).

--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -57,22 +57,24 @@
 export async function drainServer({server, connections, graceMilliseconds, onGraceEnd}: ServerDrain): Promise<void> {
 	const startedAt = performance.now();
 	const linger = Math.min(idleLingerMilliseconds, graceMilliseconds);
-	let isGraceOver = false;
+	let graceEndedAt: number | undefined;
 	await closeUnused(server, () => {
-		const elapsed = performance.now() - startedAt;
-		if (elapsed >= graceMilliseconds + lastResponseMilliseconds) {
+		const now = performance.now();
+		const elapsed = now - startedAt;
+		// The process may have been suspended until after both times.
+		if (graceEndedAt !== undefined && now - graceEndedAt >= lastResponseMilliseconds) {
 			abortOpenResponses(connections);
 			server.closeAllConnections();
 			return;
 		}
 
-		if (elapsed >= graceMilliseconds && !isGraceOver) {
-			isGraceOver = true;
+		if (elapsed >= graceMilliseconds && graceEndedAt === undefined) {
+			graceEndedAt = now;
 			onGraceEnd();
 		}
 
 		if (elapsed >= linger) {
-			connections.closeIdle({keepsPartial: !isGraceOver});
+			connections.closeIdle({keepsPartial: graceEndedAt === undefined});
 		}
 	});
 }
@@ -88,7 +90,10 @@
 
 /** Closes the listening socket, and calls `closeConnections` at intervals until no connection is left. */
 async function closeUnused(server: Server, closeConnections: () => void): Promise<void> {
-	const check = setInterval(closeConnections, drainCheckIntervalMilliseconds);
+	const check = setInterval(() => {
+		// What arrived while the process was suspended or busy is read first.
+		setImmediate(closeConnections);
+	}, drainCheckIntervalMilliseconds);
 	const closed = new Promise<void>(resolve => {
 		// The `close` of the HTTP server would close connections at once that Node.js counts as idle.
 		Reflect.apply(NetServer.prototype.close, server, [() => {
