Begin no request behind a head that came too slowly

What callers saw: a request whose head took too long, sent behind another one on its connection, was answered with 408 and the outcome `not-run` although it had been passed on, and its answer was lost with the connection.

Cause: the refusal waits for the answers ahead of it. The parser goes on meanwhile, so that the rest of the head made a request that began.

Evidence: caller-server.test.ts, a head complete 2.5 s after its begin with a limit of 1 s behind an answer that takes 3 s: both requests began.

Change: a connection whose refusal is decided begins no further request.

Measured: only the first request begins, and the second is answered with 408.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -63,7 +63,14 @@
 		return true;
 	};
 
+	const malformedConnections = new WeakSet<Duplex>();
+
 	const serve: CallerHandler = (request, response) => {
+		if (malformedConnections.has(request.socket)) {
+			// A head that came too slowly is complete now, but its refusal is on its way.
+			return;
+		}
+
 		if (isDraining) {
 			const previous = getLatestResponse(request.socket);
 			if (previous && !withdrawClose(previous)) {
@@ -93,7 +100,6 @@
 	server.on('checkContinue', serve);
 	server.maxConnections = limits.callerConnections;
 	const connections = trackConnections(server);
-	const malformedConnections = new WeakSet<Duplex>();
 	server.on('clientError', (error: Error & {code?: string}, socket) => {
 		if (malformedConnections.has(socket)) {
 			return;
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -10,8 +10,10 @@
 
 const bodyBytes = 24_000_000;
 const graceMilliseconds = 3000;
+/** Longer than the limit for a head and the interval at which it is checked. */
+const slowMilliseconds = 3000;
 const limits = {
-	headerBytes: 16_384, callerConnections: 100, headerTimeoutMilliseconds: 10_000, idleTimeoutMilliseconds: 10_000,
+	headerBytes: 16_384, callerConnections: 100, headerTimeoutMilliseconds: 1000, idleTimeoutMilliseconds: 10_000,
 };
 
 describe('the drain of a server for callers', () => {
@@ -20,11 +22,14 @@
 	let socket: Socket;
 	let received: string;
 	let cutOff: string[];
+	let begun: string[];
 
 	beforeEach(async () => {
 		received = '';
 		cutOff = [];
+		begun = [];
 		callerServer = createCallerServer(limits, (request, response) => {
+			begun.push(request.url ?? '');
 			if (request.url === '/large') {
 				response.end('x'.repeat(bodyBytes));
 			} else if (request.url === '/begun') {
@@ -33,7 +38,7 @@
 			} else {
 				setTimeout(() => {
 					response.end(request.url);
-				}, 300);
+				}, request.url === '/slow' ? slowMilliseconds : 300);
 			}
 		});
 		const address = await listenOn(callerServer.server, '127.0.0.1:0');
@@ -93,6 +98,16 @@
 		expect(cutOff).toEqual(['/begun']);
 	});
 
+	// A head that is too slow is complete, and its request begun, before the refusal has its turn on the connection.
+	it('begins no request on a connection whose refusal waits for the answer ahead', async () => {
+		socket.write('GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /late HTTP/1.1\r\n');
+		await delay(2500);
+		socket.write('Host: a\r\n\r\n');
+		await once(socket, 'close');
+		expect(begun).toEqual(['/slow']);
+		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/slowHTTP\/1\.1 408 .*"outcome":"not-run"/sv);
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
