Take a status outside 100 to 599 for no answer

Callers got answers of status 600, 700 or 999 as they came from a target, with its signature, for requests that must not run twice. HTTP calls such a status invalid (RFC 9110, 15), and clients differ in what they make of it. Statuses below 100 were taken for interim answers; the HTTP client then failed on the bytes behind them, so that callers got 502.

Cause: the check of a head looked at its headers only, and every status from 200 on was a final one, every lower one an interim one.

The check of a head refuses the status first, for all dialects, targets and other entries. An unsafe request ends with 502; one that may be repeated goes to another target.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from './clock.js';
 export * from './constants.js';
 export * from './error-details.js';
+export * from './http-status.js';
 export * from './identifiers.js';
 export * from './invariant.js';
 export * from './log.js';
--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -6,7 +6,7 @@
 import type {ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
-import {getErrorMessage, requestOutcomes} from '@catkindale/common';
+import {getErrorMessage, isInterimStatus, requestOutcomes} from '@catkindale/common';
 import {
 	type ResponseHead, type BufferedResponse, abortResponse, isBodylessResponse, writeResponseHead,
 } from './target-response.js';
@@ -14,6 +14,7 @@
 import {headerNames} from './constants.js';
 import type {RequestDispatcher} from './link-meter.js';
 import {getResponseHeaders} from './request-headers.js';
+import {classifyHead} from './response-head-class.js';
 import {createResponseLimits} from './response-limits.js';
 import {
 	type HeaderReader, type TargetDialect, type TargetStatement, defaultDialect,
@@ -91,7 +92,6 @@
 export const maximumBufferedResponseBytes = 65_536;
 /** How long the rest of a refusal is read, so that its connection can be reused. */
 const discardTimeoutMilliseconds = 1000;
-const minimumFinalStatus = 200;
 const bodyFailureCauses = {'too-large': 'body-too-large', 'too-slow': 'body-too-slow', 'caller-gone': 'caller-gone'} as const;
 
 export function forwardRequest(options: ForwardOptions): Attempt {
@@ -308,7 +308,7 @@
 			options.watchReceivedBytes?.(limits.receiveBytes);
 		},
 		onResponseStart(requestController, status) {
-			if (status < minimumFinalStatus) {
+			if (isInterimStatus(status)) {
 				limits.receiveInterimHead();
 				return;
 			}
@@ -333,49 +333,6 @@
 	};
 }
 
-type HeadClass
-	= | {readonly kind: 'response'; readonly echoesRequestId: boolean}
-		/** The target states that it didn't run a request; `isCertain` if it can be no other than this one. */
-		| {readonly kind: 'refusal'; readonly isCertain: boolean; readonly isOtherTarget: boolean}
-		| {readonly kind: 'unusable'; readonly reason: string};
-
-/** Classifies the head of a response; calls `onLeaving` and `onStatement` with what the target says of itself. */
-function classifyHead(options: ForwardOptions, dialect: TargetDialect, status: number, readHeader: HeaderReader): HeadClass {
-	const echoedRequestId = readHeader(dialect.requestIdHeader);
-	const echoesRequestId = echoedRequestId !== undefined;
-	const isOtherTarget = dialect.isFromOtherTarget(status, readHeader);
-	const isRefusal = !options.isPeer && (isOtherTarget || dialect.isRefusal(status, readHeader));
-	if (!echoesRequestId && isRefusal && dialect.acceptsRefusalWithoutRequestId && options.isConnectionFresh?.()) {
-		options.onStatement?.(dialect.getStatement(status, readHeader));
-		return {kind: 'refusal', isCertain: true, isOtherTarget};
-	}
-
-	if (echoesRequestId ? echoedRequestId !== options.requestId : options.requiresRequestIdEcho) {
-		return {kind: 'unusable', reason: 'the response belongs to another request'};
-	}
-
-	if (echoesRequestId && dialect.isLeaving(readHeader)) {
-		options.onLeaving?.();
-	}
-
-	options.onStatement?.(dialect.getStatement(status, readHeader));
-	if (isRefusal) {
-		return {kind: 'refusal', isCertain: echoesRequestId, isOtherTarget};
-	}
-
-	if (!dialect.isFromTarget(status, readHeader)) {
-		return {kind: 'unusable', reason: 'the response doesn\'t come from the target itself'};
-	}
-
-	return dialect.allowsResponseWithoutLength || hasKnownEnd(options.method, status, readHeader)
-		? {kind: 'response', echoesRequestId}
-		: {kind: 'unusable', reason: 'the response has neither a length nor a transfer encoding'};
-}
-
-function hasKnownEnd(method: string, status: number, readHeader: HeaderReader): boolean {
-	return readHeader('content-length') !== undefined || readHeader('transfer-encoding') !== undefined || isBodylessResponse(method, status);
-}
-
 function getFailureCause(error: unknown): AttemptFailureCause {
 	if (error instanceof AttemptAbortError) {
 		return error.abortCause;
