Refuse recorded answers whose status HTTP doesn't know

A repeated request would have got a recorded answer of status 0, 99, 600 or 1000 from the row of a claim or from a stopping entry, or the writing of its head would have thrown. A row with the status "200" or 200.5 led to 503 with the outcome not-run, though the request had run.

Cause: the schemas of both took any integer.

Statuses of handed-over outcomes must lie between 200 and 599; else the message is refused, and the outcomes that it holds are unknown. In a row, any other status counts as none: the request ran, and the repetition gets 409 with the outcome unknown.

--- a/packages/node/src/idempotency-claims.ts
+++ b/packages/node/src/idempotency-claims.ts
@@ -6,7 +6,9 @@
  */
 import {Buffer} from 'node:buffer';
 import * as z from 'zod';
-import {createIdentifier, hashText} from '@catkindale/common';
+import {
+	createIdentifier, hashText, maximumStatus, minimumFinalStatus,
+} from '@catkindale/common';
 import type {Row, TableService} from '@catkindale/ports';
 import type {TicketOutcome} from '@catkindale/policy';
 
@@ -17,7 +19,8 @@
 	incarnation: z.string(),
 	claimedAt: z.string(),
 	outcome: z.enum(['ran', 'unknown']).optional(),
-	status: z.int().optional(),
+	/** Undefined also if HTTP doesn't know the status: the request ran, but its response can't be repeated. */
+	status: z.union([z.int().min(minimumFinalStatus).max(maximumStatus), z.unknown().transform(() => undefined)]).optional(),
 	headers: z.array(z.string()).optional(),
 	/** Base64; omitted if the body is too large for a row. */
 	body: z.string().optional(),
--- a/packages/protocol/src/ticket-messages.ts
+++ b/packages/protocol/src/ticket-messages.ts
@@ -1,10 +1,15 @@
 /** Messages in which a stopping entry hands over its stored request outcomes to a successor. */
 import * as z from 'zod';
+import {maximumStatus, minimumFinalStatus} from '@catkindale/common';
 
 const outcomeSchema = z.discriminatedUnion('kind', [
 	z.object({
 		kind: z.literal('ran'),
-		answer: z.object({status: z.int(), headers: z.array(z.string()), body: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional()}),
+		answer: z.object({
+			status: z.int().min(minimumFinalStatus).max(maximumStatus),
+			headers: z.array(z.string()),
+			body: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional(),
+		}),
 	}),
 	z.object({kind: z.literal('unknown')}),
 ]);
