Read on after the last response of a connection

A caller that sends requests before it has read the answers ahead of them lost the last answer of a connection that its gateway closed: the answer was sent and logged as answered, and the caller saw a closed connection.

Cause: Node.js closes both directions after a response that announces the close. A request that arrives then, or waits unread, resets the connection, and a caller that fails to send ends it before it reads the answer.

Only the sending direction ends now; what still comes is read and passed over until the caller closes, or 500 ms after the answer has left the process.

The new row 'goes on sending' of caller-server.test.ts failed before and passes now.

Two rows of that file waited for the close of the caller's connection only after the drain; as the caller closes first now, they would miss it. They wait from the beginning, for the same event.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -64,6 +64,12 @@
 	};
 
 	const serve: CallerHandler = (request, response) => {
+		if (connections.isClosing(request.socket)) {
+			// The caller sent it before it read that the connection closes, and sends it again elsewhere.
+			request.resume();
+			return;
+		}
+
 		if (isDraining) {
 			const previous = getLatestResponse(request.socket);
 			if (previous && !withdrawClose(previous)) {
--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -7,12 +7,16 @@
 import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 
+const lingerMilliseconds = 500;
+
 type Connection = {
 	readonly socket: Socket;
 	/** Responses that aren't handed over to the operating system yet, in the order of their requests. */
 	readonly openResponses: Set<ServerResponse>;
 	/** Bytes that had been received when the last response was complete. */
 	bytesAtRest: number;
+	/** Whether the last response was sent that this connection gets. */
+	isClosing: boolean;
 };
 
 export type HttpConnections = {
@@ -22,6 +26,8 @@
 	getAllOpenResponses: () => readonly ServerResponse[];
 	/** Returns the last open response of each connection. */
 	getLastResponses: () => readonly ServerResponse[];
+	/** Whether the connection's last response was sent, so that further requests of it aren't read. */
+	isClosing: (socket: Duplex) => boolean;
 	/** Closes the connections without a request. A part of a request counts as one if `keepsPartial`. */
 	closeIdle: (options: {readonly keepsPartial: boolean}) => void;
 };
@@ -29,13 +35,23 @@
 export function trackConnections(server: Server): HttpConnections {
 	const connections = new Map<Duplex, Connection>();
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {socket, openResponses: new Set(), bytesAtRest: 0});
+		const connection: Connection = {
+			socket, openResponses: new Set(), bytesAtRest: 0, isClosing: false,
+		};
+		connections.set(socket, connection);
+		lingerAfterLastResponse(socket, () => {
+			connection.isClosing = true;
+		});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
 	const recordRequest = ({socket}: IncomingMessage, response: ServerResponse): void => {
 		const connection = connections.get(socket);
+		if (connection?.isClosing) {
+			return;
+		}
+
 		connection?.openResponses.add(response);
 		response.once('close', () => {
 			connection?.openResponses.delete(response);
@@ -55,13 +71,34 @@
 		getOpenResponses: socket => [...connections.get(socket)?.openResponses ?? []],
 		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
 		getLastResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses].slice(-1)),
+		isClosing: socket => connections.get(socket)?.isClosing ?? false,
 		closeIdle({keepsPartial}) {
-			for (const {socket, openResponses, bytesAtRest} of connections.values()) {
+			for (const {socket, openResponses, bytesAtRest, isClosing} of connections.values()) {
 				const isPartial = socket.bytesRead > bytesAtRest;
-				if (openResponses.size === 0 && socket.writableLength === 0 && !(keepsPartial && isPartial)) {
+				if (!isClosing && openResponses.size === 0 && socket.writableLength === 0 && !(keepsPartial && isPartial)) {
 					socket.destroy();
 				}
 			}
 		},
 	};
 }
+
+/**
+ * Ends only the sending direction after the last response, and reads on until
+ * the caller closes the connection or some time has passed: bytes that arrive at
+ * a closed socket reset the connection, and a caller that gets the reset while it
+ * sends may never read the response.
+ */
+function lingerAfterLastResponse(socket: Socket, onEnd: () => void): void {
+	socket.destroySoon = () => {
+		onEnd();
+		socket.end(() => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, lingerMilliseconds);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	};
+}
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -59,6 +59,7 @@
 
 	// Node.js counts the connection as idle from the moment at which the response was ended.
 	it('leaves a response whole whose bytes wait in the process', async () => {
+		const closed = once(socket, 'close');
 		socket.pause();
 		socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n');
 		await delay(200);
@@ -66,11 +67,12 @@
 		await delay(1500);
 		socket.resume();
 		await drained;
-		await once(socket, 'close');
+		await closed;
 		expect(received.length).toBeGreaterThan(bodyBytes);
 	});
 
 	it('leaves a request whole that waits behind a response whose bytes wait in the process', async () => {
+		const closed = once(socket, 'close');
 		socket.pause();
 		socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\n\r\n');
 		await delay(200);
@@ -78,10 +80,40 @@
 		await delay(1500);
 		socket.resume();
 		await drained;
-		await once(socket, 'close');
+		await closed;
 		expect(received.endsWith('/behind')).toBe(true);
 	});
 
+	// A request that comes behind the last response resets a closed connection; its caller fails to send then, and never reads that response.
+	it('leaves the last response whole for a caller that reads late and goes on sending', async () => {
+		callerServer.startDraining();
+		socket.on('error', () => undefined);
+		const closed = once(socket, 'close');
+		socket.pause();
+		socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\n');
+		await delay(400);
+		for (const path of ['/second', '/third']) {
+			socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`);
+			await delay(50);
+		}
+
+		socket.resume();
+		await closed;
+		expect(received.endsWith('/first')).toBe(true);
+	});
+
+	it('closes the connection after its last response also if its caller doesn\'t', async () => {
+		callerServer.startDraining();
+		const halfOpen = connect({host: '127.0.0.1', port, allowHalfOpen: true});
+		halfOpen.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\n');
+		halfOpen.resume();
+		await once(halfOpen, 'end');
+		const startedAt = performance.now();
+		await drain();
+		expect(performance.now() - startedAt).toBeLessThan(graceMilliseconds / 2);
+		halfOpen.destroy();
+	});
+
 	// Without a length, the end of the connection would tell a caller of HTTP/1.0 that its response is complete.
 	it('resets a response that has begun when the grace time ends, and reports it', async () => {
 		socket.write('GET /begun HTTP/1.0\r\nHost: a\r\n\r\n');
