Read the rest of a request before its connection closes

What callers saw: the connection of a caller that still sent its body was reset when its request was answered early and the connection was to close: in a drain, or as the caller wanted it. A caller that writes meanwhile gets the reset in place of the answer.

Cause: Node.js destroys the connection after its last response, and a close with unread data is a reset.

Evidence: caller-server.test.ts, an answer ahead of a body of 480 kB that takes 0.7 s: `write EPIPE` in both rows.

Change: only the own side of the connection ends with the response; the rest of the request is read, for at most 1 s.

Measured: no error, and the whole answer, in both rows. caller-server (7), planned-stop, entry-exchange, entry-retries and whole-path (119 in all) pass.

--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -13,8 +13,14 @@
 	readonly openResponses: Set<ServerResponse>;
 	/** Bytes that had been received when the last response was complete. */
 	bytesAtRest: number;
+	latestRequest: IncomingMessage | undefined;
+	/** Whether the connection closes once the rest of its last request was read. */
+	isClosing: boolean;
 };
 
+/** How long the rest of a request that was answered early is read before its connection closes. */
+const unreadRequestMilliseconds = 1000;
+
 export type HttpConnections = {
 	/** Returns the open responses of the connection, in the order of their requests. */
 	getOpenResponses: (socket: Duplex) => readonly ServerResponse[];
@@ -29,14 +35,23 @@
 export function trackConnections(server: Server): HttpConnections {
 	const connections = new Map<Duplex, Connection>();
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {socket, openResponses: new Set(), bytesAtRest: 0});
+		const connection: Connection = {
+			socket, openResponses: new Set(), bytesAtRest: 0, latestRequest: undefined, isClosing: false,
+		};
+		connections.set(socket, connection);
+		closeAfterRequest(connection);
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
-	const recordRequest = ({socket}: IncomingMessage, response: ServerResponse): void => {
+	const recordRequest = (request: IncomingMessage, response: ServerResponse): void => {
+		const {socket} = request;
 		const connection = connections.get(socket);
-		connection?.openResponses.add(response);
+		if (connection) {
+			connection.latestRequest = request;
+			connection.openResponses.add(response);
+		}
+
 		response.once('close', () => {
 			connection?.openResponses.delete(response);
 			if (connection?.openResponses.size === 0) {
@@ -56,12 +71,39 @@
 		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
 		getLastResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses].slice(-1)),
 		closeIdle({keepsPartial}) {
-			for (const {socket, openResponses, bytesAtRest} of connections.values()) {
+			for (const {socket, openResponses, bytesAtRest, isClosing} of connections.values()) {
 				const isPartial = socket.bytesRead > bytesAtRest;
-				if (openResponses.size === 0 && socket.writableLength === 0 && !(keepsPartial && isPartial)) {
+				if (!isClosing && openResponses.size === 0 && socket.writableLength === 0 && !(keepsPartial && isPartial)) {
 					socket.destroy();
 				}
 			}
 		},
 	};
 }
+
+/**
+ * The HTTP server closes a connection after its last response, also while the
+ * caller still sends its request. A close with unread data resets the
+ * connection, which may take the response away from the caller: only the own
+ * side ends at once, and the rest of the request is read first.
+ */
+function closeAfterRequest(connection: Connection): void {
+	const {socket} = connection;
+	const close = socket.destroySoon.bind(socket);
+	socket.destroySoon = () => {
+		const request = connection.latestRequest;
+		if (!request || request.complete || connection.isClosing) {
+			close();
+			return;
+		}
+
+		connection.isClosing = true;
+		socket.end();
+		const timer = setTimeout(close, unreadRequestMilliseconds);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+		request.once('end', close);
+		request.resume();
+	};
+}
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -10,8 +10,11 @@
 
 const bodyBytes = 24_000_000;
 const graceMilliseconds = 3000;
-/** Longer than the limit for a head and the interval at which it is checked. */
-const slowMilliseconds = 3000;
+/** Longer than the time after which a drain closes idle connections. */
+const uploadParts = 12;
+const uploadPart = 'x'.repeat(40_000);
+/** `/slow` takes longer than the limit for a head and the interval at which it is checked. */
+const serviceMilliseconds: Record<string, number> = {'/slow': 3000, '/early': 0};
 const limits = {
 	headerBytes: 16_384, callerConnections: 100, headerTimeoutMilliseconds: 1000, idleTimeoutMilliseconds: 10_000,
 };
@@ -38,7 +41,7 @@
 			} else {
 				setTimeout(() => {
 					response.end(request.url);
-				}, request.url === '/slow' ? slowMilliseconds : 300);
+				}, serviceMilliseconds[request.url ?? ''] ?? 300);
 			}
 		});
 		const address = await listenOn(callerServer.server, '127.0.0.1:0');
@@ -108,6 +111,38 @@
 		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/slowHTTP\/1\.1 408 .*"outcome":"not-run"/sv);
 	});
 
+	// A close with unread data resets the connection, which takes the answer away from a caller that still writes.
+	it.each([
+		{name: 'when its caller wants the connection closed', isDraining: false, header: 'Connection: close'},
+		{name: 'in a drain', isDraining: true, header: 'Connection: keep-alive'},
+	])('reads the rest of a body that was answered early, $name', async ({isDraining, header}) => {
+		const errors: Error[] = [];
+		const uploader = connect({host: '127.0.0.1', port, allowHalfOpen: true});
+		uploader.on('error', error => {
+			errors.push(error);
+		});
+		let answer = '';
+		uploader.on('data', (chunk: Uint8Array) => {
+			answer += String(chunk);
+		});
+		await once(uploader, 'connect');
+		if (isDraining) {
+			callerServer.startDraining();
+		}
+
+		uploader.write(`POST /early HTTP/1.1\r\nHost: a\r\n${header}\r\nContent-Length: ${uploadParts * uploadPart.length}\r\n\r\n`);
+		const drained = isDraining ? drain() : undefined;
+		for (let part = 0; part < uploadParts; part++) {
+			uploader.write(uploadPart);
+			await delay(60);
+		}
+
+		uploader.end();
+		await drained;
+		expect(answer).toMatch(/\/early$/v);
+		expect(errors).toEqual([]);
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
