--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -7,7 +7,10 @@
 import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 
+/** How long a connection is read after its last response, unless its caller closes it before. */
 const lingerMilliseconds = 500;
+/** The same if the last request was answered before its body was complete. */
+const unreadRequestMilliseconds = 1000;
 
 type Connection = {
 	readonly socket: Socket;
@@ -15,6 +18,7 @@
 	readonly openResponses: Set<ServerResponse>;
 	/** Bytes that had been received when the last response was complete. */
 	bytesAtRest: number;
+	latestRequest: IncomingMessage | undefined;
 	/** Whether the last response was sent that this connection gets. */
 	isClosing: boolean;
 };
@@ -36,26 +40,26 @@
 	const connections = new Map<Duplex, Connection>();
 	server.on('connection', (socket: Socket) => {
 		const connection: Connection = {
-			socket, openResponses: new Set(), bytesAtRest: 0, isClosing: false,
+			socket, openResponses: new Set(), bytesAtRest: 0, latestRequest: undefined, isClosing: false,
 		};
 		connections.set(socket, connection);
-		lingerAfterLastResponse(socket, () => {
-			connection.isClosing = true;
-		});
+		lingerAfterLastResponse(connection);
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
-	const recordRequest = ({socket}: IncomingMessage, response: ServerResponse): void => {
+	const recordRequest = (request: IncomingMessage, response: ServerResponse): void => {
+		const {socket} = request;
 		const connection = connections.get(socket);
-		if (connection?.isClosing) {
+		if (!connection || connection.isClosing) {
 			return;
 		}
 
-		connection?.openResponses.add(response);
+		connection.latestRequest = request;
+		connection.openResponses.add(response);
 		response.once('close', () => {
-			connection?.openResponses.delete(response);
-			if (connection?.openResponses.size === 0) {
+			connection.openResponses.delete(response);
+			if (connection.openResponses.size === 0) {
 				connection.bytesAtRest = socket.bytesRead;
 			}
 		});
@@ -86,16 +90,24 @@
 /**
  * Ends only the sending direction after the last response, and reads on until
  * the caller closes the connection or some time has passed: bytes that arrive at
- * a closed socket reset the connection, and a caller that gets the reset while it
- * sends may never read the response.
+ * a closed socket, or wait there unread, reset the connection, and a caller that
+ * gets the reset while it sends may never read the response.
  */
-function lingerAfterLastResponse(socket: Socket, onEnd: () => void): void {
+function lingerAfterLastResponse(connection: Connection): void {
+	const {socket} = connection;
 	socket.destroySoon = () => {
-		onEnd();
+		if (connection.isClosing) {
+			return;
+		}
+
+		connection.isClosing = true;
+		const {latestRequest} = connection;
+		const isComplete = latestRequest?.complete ?? true;
+		latestRequest?.resume();
 		socket.end(() => {
 			const timer = setTimeout(() => {
 				socket.destroy();
-			}, lingerMilliseconds);
+			}, isComplete ? lingerMilliseconds : unreadRequestMilliseconds);
 			socket.once('close', () => {
 				clearTimeout(timer);
 			});
