Answer the requests ahead of a CONNECT

What callers saw: a connection closed without the answers of the requests at work on it when its caller sent a CONNECT behind them.

Cause: Node.js destroys the connection at a CONNECT that nothing handles.

Evidence: caller-server.test.ts, a GET with a CONNECT behind it: nothing was received.

Change: the CONNECT is refused with status 400 and the outcome `not-run`, as other requests that can't be served, behind the answers ahead of it.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -36,6 +36,8 @@
 
 /** Maximum time between two checks for callers that send their headers too slowly. */
 const headerCheckIntervalMilliseconds = 1000;
+/** How long a caller whose CONNECT was refused may keep its side of the connection open. */
+const refusedConnectionMilliseconds = 1000;
 
 export function createCallerServer(limits: CallerServerLimits, handleRequest: CallerHandler): CallerServer {
 	const closingResponses = new WeakSet<ServerResponse>();
@@ -117,6 +119,35 @@
 			refuseMalformedRequest(error, socket, latest);
 		}
 	});
+	// Node.js gives such a connection away, or closes it at once if nothing takes it.
+	server.on('connect', (_request, socket) => {
+		malformedConnections.add(socket);
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		// The HTTP server no longer continues the response at work once the connection has room.
+		socket.on('drain', () => {
+			connections.getOpenResponses(socket).at(0)?.emit('drain');
+		});
+		const last = connections.getOpenResponses(socket).at(-1);
+		const refuse = (): void => {
+			refuseMalformedRequest(new Error('CONNECT isn\'t served'), socket, last);
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, refusedConnectionMilliseconds);
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		};
+
+		socket.resume();
+
+		if (last) {
+			last.once('close', refuse);
+		} else {
+			refuse();
+		}
+	});
 	return {
 		server,
 		startDraining() {
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -101,6 +101,13 @@
 		expect(cutOff).toEqual(['/begun']);
 	});
 
+	// Node.js closes the connection at a CONNECT that nothing handles, whatever waits on it.
+	it('answers the request ahead of a CONNECT, and refuses the CONNECT', async () => {
+		socket.write('GET /ahead HTTP/1.1\r\nHost: a\r\n\r\nCONNECT b:1 HTTP/1.1\r\nHost: b:1\r\n\r\n');
+		await once(socket, 'close');
+		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/aheadHTTP\/1\.1 400 .*"outcome":"not-run"/sv);
+	});
+
 	// A head that is too slow is complete, and its request begun, before the refusal has its turn on the connection.
 	it('begins no request on a connection whose refusal waits for the answer ahead', async () => {
 		socket.write('GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET /late HTTP/1.1\r\n');
