Begin no request behind an announced close

What callers saw: a request sent behind an upload that a VM refused was passed on, and its connection closed without an answer. This happened in normal operation as well as in a planned stop.

Cause: the refusal of an upload announces the close of its connection and reads the rest of the body first. A request behind that body was handed to the handler while the close was due; only announcements made by a drain were looked at.

Evidence: the new test had begun ['/refused', '/behind'] with one answer (413).

Change: a request behind a response whose announcement of the close was sent is not begun, whoever announced it; its body is read on, so that the close doesn't reset the connection. A problem sets the header so that it can be read again.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -48,19 +48,11 @@
 		}
 	};
 
-	/** Takes the announcement back, since another request came behind this one; false if it was sent already. */
-	const withdrawClose = (response: ServerResponse): boolean => {
-		if (!closingResponses.has(response)) {
-			return true;
+	/** Takes the announcement back, since another request came behind this one. */
+	const withdrawClose = (response: ServerResponse): void => {
+		if (closingResponses.delete(response)) {
+			response.setHeader('connection', 'keep-alive');
 		}
-
-		if (response.headersSent) {
-			return false;
-		}
-
-		response.setHeader('connection', 'keep-alive');
-		closingResponses.delete(response);
-		return true;
 	};
 
 	const malformedConnections = new WeakSet<Duplex>();
@@ -71,17 +63,16 @@
 			return;
 		}
 
-		if (connections.isClosing(request.socket)) {
-			// The caller sent it before it read that the connection closes, and sends it again elsewhere.
+		const previous = getLatestResponse(request.socket);
+		if (connections.isClosing(request.socket) || (previous && hasAnnouncedClose(previous))) {
+			// The connection closes before this request could be answered. Its caller sends it again elsewhere.
 			request.resume();
 			return;
 		}
 
 		if (isDraining) {
-			const previous = getLatestResponse(request.socket);
-			if (previous && !withdrawClose(previous)) {
-				// The connection closes before this request could be answered; its caller sends it again elsewhere.
-				return;
+			if (previous) {
+				withdrawClose(previous);
 			}
 
 			announceClose(response);
@@ -148,6 +139,11 @@
 	};
 }
 
+/** Whether the caller was told that the connection closes after this response. */
+function hasAnnouncedClose(response: ServerResponse): boolean {
+	return response.headersSent && response.getHeader('connection') === 'close';
+}
+
 const stoppingProblem: Problem = {
 	status: 502, outcome: 'unknown', reason: 'stopping', detail: 'this VM stops before the request has ended',
 };
--- a/packages/node/src/problem.ts
+++ b/packages/node/src/problem.ts
@@ -54,7 +54,9 @@
 		// A string is sent together with the head, in one write.
 		response.end(body);
 	} else {
-		response.writeHead(problem.status, {...headers, connection: 'close'});
+		// Unlike headers that are given with the status, this one can be read again when a further request comes.
+		response.setHeader('connection', 'close');
+		response.writeHead(problem.status, headers);
 		endAfterBody(response, body);
 	}
 }
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -7,6 +7,7 @@
 } from 'vitest';
 import {type CallerServer, createCallerServer} from '../src/caller-server.js';
 import {listenOn} from '../src/http-server.js';
+import {sendProblem} from '../src/problem.js';
 
 const bodyBytes = 24_000_000;
 const graceMilliseconds = 3000;
@@ -32,6 +33,10 @@
 			begun.push(request.url ?? '');
 			if (request.url === '/large') {
 				response.end('x'.repeat(bodyBytes));
+			} else if (request.url === '/refused') {
+				sendProblem(response, {
+					status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
+				});
 			} else if (request.url === '/begun') {
 				response.writeHead(200);
 				response.write('begun');
@@ -140,6 +145,16 @@
 		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/slowHTTP\/1\.1 408 .*"outcome":"not-run"/sv);
 	});
 
+	// A refused upload is read to its end, so that a request behind it is read while the announced close is due.
+	it('begins no request behind a response that has announced the close of its connection', async () => {
+		const closed = once(socket, 'close');
+		socket.write('POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n');
+		await expect.poll(() => received).toContain('413');
+		socket.write(`${'x'.repeat(100_000)}GET /behind HTTP/1.1\r\nHost: a\r\n\r\n`);
+		await closed;
+		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv)}).toEqual({begun: ['/refused'], answers: ['HTTP/1.1 413']});
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
