--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -34,19 +34,30 @@
 		begun = [];
 		callerServer = createCallerServer(limits, (request, response) => {
 			begun.push(request.url ?? '');
-			if (request.url === '/large') {
-				response.end('x'.repeat(bodyBytes));
-			} else if (request.url === '/refused') {
-				sendProblem(response, {
-					status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
-				});
-			} else if (request.url === '/begun') {
-				response.writeHead(200);
-				response.write('begun');
-			} else {
-				setTimeout(() => {
-					response.end(request.url);
-				}, serviceMilliseconds[request.url ?? ''] ?? 300);
+			switch (request.url) {
+				case '/large': {
+					response.end('x'.repeat(bodyBytes));
+					break;
+				}
+
+				case '/refused': {
+					sendProblem(response, {
+						status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
+					});
+					break;
+				}
+
+				case '/begun': {
+					response.writeHead(200);
+					response.write('begun');
+					break;
+				}
+
+				default: {
+					setTimeout(() => {
+						response.end(request.url);
+					}, serviceMilliseconds[request.url ?? ''] ?? 300);
+				}
 			}
 		});
 		const address = await listenOn(callerServer.server, '127.0.0.1:0');
