--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -34,7 +34,7 @@
 		begun = [];
 		callerServer = createCallerServer(limits, (request, response) => {
 			begun.push(request.url ?? '');
-			switch (request.url) {
+			switch (request.url ?? '') {
 				case '/large': {
 					response.end('x'.repeat(bodyBytes));
 					break;
