Close the connection after a refused head

What callers saw: a caller that got status 400 or 408 for its head and didn't close its connection occupied it for ever, also if it went on sending; a planned stop waited for it until the end of its grace time.

Cause: the refusal only ended the sending direction. Since the refusal is sent just once, a further error of the connection no longer closed it either.

Evidence: both cases of the new test had 1 connection left 1 s after the refusal, not 0; a script that sent more after its refusal was still connected after 4 s, and a drain with a grace time of 3 s took 3.0 s.

The requests of the test file became a switch, as the style asks.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -6,7 +6,7 @@
 import type {Duplex} from 'node:stream';
 import {type Server, type ServerResponse, createServer} from 'node:http';
 import {getLatestResponse, recordResponse} from './caller-connections.js';
-import {trackConnections} from './http-connections.js';
+import {type HttpConnections, trackConnections} from './http-connections.js';
 import {abortResponse} from './target-response.js';
 import type {CallerHandler} from './node-context.js';
 import {drainServer} from './http-server.js';
@@ -108,10 +108,14 @@
 		const lastComplete = connections.getOpenResponses(socket).findLast(response => response !== latest || response.req.complete);
 		if (lastComplete && socket.writable) {
 			lastComplete.once('close', () => {
-				refuseMalformedRequest(error, socket, latest);
+				refuseMalformedRequest({
+					error, socket, latestResponse: latest, connections,
+				});
 			});
 		} else {
-			refuseMalformedRequest(error, socket, latest);
+			refuseMalformedRequest({
+				error, socket, latestResponse: latest, connections,
+			});
 		}
 	});
 	return {
@@ -154,7 +158,14 @@
 };
 const defaultMalformedRequestResponse = {status: '400 Bad Request', reason: 'malformed-request'};
 
-function refuseMalformedRequest(error: Error & {code?: string}, socket: Duplex, latestResponse: ServerResponse | undefined): void {
+type MalformedRequest = {
+	readonly error: Error & {code?: string};
+	readonly socket: Duplex;
+	readonly latestResponse: ServerResponse | undefined;
+	readonly connections: HttpConnections;
+};
+
+function refuseMalformedRequest({error, socket, latestResponse, connections}: MalformedRequest): void {
 	if (!socket.writable) {
 		socket.destroy();
 		return;
@@ -170,7 +181,7 @@
 	const outcome = isDuringRequest ? 'unknown' : 'not-run';
 	const {status, reason} = malformedRequestResponses[error.code ?? ''] ?? defaultMalformedRequestResponse;
 	const body = JSON.stringify({status: Number(status.slice(0, 3)), outcome, reason});
-	socket.end([
+	connections.end(socket, [
 		`HTTP/1.1 ${status}`,
 		'content-type: application/problem+json',
 		`content-length: ${body.length}`,
--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -28,6 +28,8 @@
 	getLastResponses: () => readonly ServerResponse[];
 	/** Whether the connection's last response was sent, so that further requests of it aren't read. */
 	isClosing: (socket: Duplex) => boolean;
+	/** Sends the bytes as the last ones of the connection, and closes it soon after, whether or not its caller does. */
+	end: (socket: Duplex, lastBytes: string) => void;
 	/** Closes the connections without a request. A part of a request counts as one if `keepsPartial`. */
 	closeIdle: (options: {readonly keepsPartial: boolean}) => void;
 };
@@ -72,6 +74,10 @@
 		getAllOpenResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses]),
 		getLastResponses: () => [...connections.values()].flatMap(({openResponses}) => [...openResponses].slice(-1)),
 		isClosing: socket => connections.get(socket)?.isClosing ?? false,
+		end(socket, lastBytes) {
+			socket.write(lastBytes);
+			connections.get(socket)?.socket.destroySoon();
+		},
 		closeIdle({keepsPartial}) {
 			for (const {socket, openResponses, bytesAtRest, isClosing} of connections.values()) {
 				const isPartial = socket.bytesRead > bytesAtRest;
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -31,19 +31,30 @@
 		begun = [];
 		callerServer = createCallerServer(limits, (request, response) => {
 			begun.push(request.url ?? '');
-			if (request.url === '/large') {
-				response.end('x'.repeat(bodyBytes));
-			} else if (request.url === '/refused') {
-				sendProblem(response, {
-					status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
-				});
-			} else if (request.url === '/begun') {
-				response.writeHead(200);
-				response.write('begun');
-			} else {
-				setTimeout(() => {
-					response.end(request.url);
-				}, request.url === '/slow' ? slowMilliseconds : 300);
+			switch (request.url ?? '') {
+				case '/large': {
+					response.end('x'.repeat(bodyBytes));
+					break;
+				}
+
+				case '/refused': {
+					sendProblem(response, {
+						status: 413, outcome: 'not-run', reason: 'body-too-large', detail: 'the body is above the limit',
+					});
+					break;
+				}
+
+				case '/begun': {
+					response.writeHead(200);
+					response.write('begun');
+					break;
+				}
+
+				default: {
+					setTimeout(() => {
+						response.end(request.url);
+					}, request.url === '/slow' ? slowMilliseconds : 300);
+				}
 			}
 		});
 		const address = await listenOn(callerServer.server, '127.0.0.1:0');
@@ -67,6 +78,12 @@
 		},
 	});
 
+	const countConnections = async (): Promise<number> => new Promise(resolve => {
+		callerServer.server.getConnections((_error, count) => {
+			resolve(count);
+		});
+	});
+
 	// Node.js counts the connection as idle from the moment at which the response was ended.
 	it('leaves a response whole whose bytes wait in the process', async () => {
 		const closed = once(socket, 'close');
@@ -155,6 +172,25 @@
 		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv)}).toEqual({begun: ['/refused'], answers: ['HTTP/1.1 413']});
 	});
 
+	// Such a caller may go on sending, or neither send nor close, and would occupy the connection for ever.
+	it.each([
+		{what: 'a head that can\'t be read', head: 'no head\r\n\r\n', status: 400},
+		{what: 'a head that comes too slowly', head: 'GET /first HT', status: 408},
+	])('closes the connection of a caller that doesn\'t, after the refusal of $what', async ({head, status}) => {
+		socket.destroy();
+		const halfOpen = connect({host: '127.0.0.1', port, allowHalfOpen: true});
+		let refusal = '';
+		halfOpen.on('data', chunk => {
+			refusal += String(chunk);
+		});
+		halfOpen.write(head);
+		await once(halfOpen, 'end');
+		expect(refusal).toMatch(new RegExp(`^HTTP/1\\.1 ${status} `, 'v'));
+		await delay(1000);
+		expect(await countConnections()).toBe(0);
+		halfOpen.destroy();
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
