Go on when the reader of the log has gone

What callers saw: a process of the command-line program ended with exit code 1, and with it every request that it had passed on, at a log line after its reader had closed the pipe; also in a planned stop, at the line of the signal.

Cause: a write to a closed pipe is an error of standard error, which nothing handled. The platform's program has handled that of its log already.

Evidence: the new test failed with a reset connection and exit code 1.

Change: the command ignores errors of standard error, where it logs. There is nothing left to report them to.

Measured: the new test passes, exit code 0 after two signals without a reader.

--- a/packages/cli/src/node-command.ts
+++ b/packages/cli/src/node-command.ts
@@ -14,6 +14,8 @@
 		type: 'string', demandOption: true, describe: 'the settings file (TOML)',
 	}),
 	async handler({settings: file}) {
+		// The reader of the log may close it. Without a listener, the next line would end the process and its requests.
+		process.stderr.on('error', () => undefined);
 		let logger = createSilentLogger();
 		const stopSignal = waitForStopSignal({getLogger: () => logger});
 		const settings = await readSettings(file);
