--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -6,7 +6,7 @@
 import type {Duplex} from 'node:stream';
 import {type Server, type ServerResponse, createServer} from 'node:http';
 import {getLatestResponse, recordResponse} from './caller-connections.js';
-import {trackConnections} from './http-connections.js';
+import {type HttpConnections, trackConnections} from './http-connections.js';
 import {abortResponse} from './target-response.js';
 import type {CallerHandler} from './node-context.js';
 import {drainServer} from './http-server.js';
@@ -36,8 +36,6 @@
 
 /** Maximum time between two checks for callers that send their headers too slowly. */
 const headerCheckIntervalMilliseconds = 1000;
-/** How long a caller whose CONNECT was refused may keep its side of the connection open. */
-const refusedConnectionMilliseconds = 1000;
 
 export function createCallerServer(limits: CallerServerLimits, handleRequest: CallerHandler): CallerServer {
 	const closingResponses = new WeakSet<ServerResponse>();
@@ -110,10 +108,14 @@
 		const lastComplete = connections.getOpenResponses(socket).findLast(response => response !== latest || response.req.complete);
 		if (lastComplete && socket.writable) {
 			lastComplete.once('close', () => {
-				refuseMalformedRequest(error, socket, latest);
+				refuseMalformedRequest({
+					error, socket, latestResponse: latest, connections,
+				});
 			});
 		} else {
-			refuseMalformedRequest(error, socket, latest);
+			refuseMalformedRequest({
+				error, socket, latestResponse: latest, connections,
+			});
 		}
 	});
 	// Node.js gives such a connection away, or closes it at once if nothing takes it.
@@ -128,17 +130,12 @@
 		});
 		const last = connections.getOpenResponses(socket).at(-1);
 		const refuse = (): void => {
-			refuseMalformedRequest(new Error('CONNECT isn\'t served'), socket, last);
-			const timer = setTimeout(() => {
-				socket.destroy();
-			}, refusedConnectionMilliseconds);
-			socket.once('close', () => {
-				clearTimeout(timer);
+			refuseMalformedRequest({
+				error: new Error('CONNECT isn\'t served'), socket, latestResponse: last, connections,
 			});
 		};
 
 		socket.resume();
-
 		if (last) {
 			last.once('close', refuse);
 		} else {
@@ -185,7 +182,14 @@
 };
 const defaultMalformedRequestResponse = {status: '400 Bad Request', reason: 'malformed-request'};
 
-function refuseMalformedRequest(error: Error & {code?: string}, socket: Duplex, latestResponse: ServerResponse | undefined): void {
+type MalformedRequest = {
+	readonly error: Error & {code?: string};
+	readonly socket: Duplex;
+	readonly latestResponse: ServerResponse | undefined;
+	readonly connections: HttpConnections;
+};
+
+function refuseMalformedRequest({error, socket, latestResponse, connections}: MalformedRequest): void {
 	if (!socket.writable) {
 		socket.destroy();
 		return;
@@ -201,7 +205,7 @@
 	const outcome = isDuringRequest ? 'unknown' : 'not-run';
 	const {status, reason} = malformedRequestResponses[error.code ?? ''] ?? defaultMalformedRequestResponse;
 	const body = JSON.stringify({status: Number(status.slice(0, 3)), outcome, reason});
-	socket.end([
+	connections.end(socket, [
 		`HTTP/1.1 ${status}`,
 		'content-type: application/problem+json',
 		`content-length: ${body.length}`,
