Count no request in a body read behind its response

What operators saw: a planned stop lasted for the whole grace time if a target had ever answered an upload before its end on a connection that was kept.

Cause: a connection with bytes that arrived after its last response counts as one with a part of a further request. The rest of the upload's body counted as well.

Change: the bytes are counted again when the request has been read to its end.

--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -13,7 +13,7 @@
 	readonly socket: Socket;
 	/** Responses that aren't handed over to the operating system yet, in the order of their requests. */
 	readonly openResponses: Set<ServerResponse>;
-	/** Bytes that had been received when the last response was complete. */
+	/** Bytes that had been received when the last request and its response were complete. */
 	bytesAtRest: number;
 	/** Whether the last response was sent that this connection gets. */
 	isClosing: boolean;
@@ -48,18 +48,25 @@
 			connections.delete(socket);
 		});
 	});
-	const recordRequest = ({socket}: IncomingMessage, response: ServerResponse): void => {
+	const recordRequest = (request: IncomingMessage, response: ServerResponse): void => {
+		const {socket} = request;
 		const connection = connections.get(socket);
 		if (connection?.isClosing) {
 			return;
 		}
 
 		connection?.openResponses.add(response);
-		response.once('close', () => {
-			connection?.openResponses.delete(response);
+		const recordRest = (): void => {
 			if (connection?.openResponses.size === 0) {
 				connection.bytesAtRest = socket.bytesRead;
 			}
+		};
+
+		// A target may answer before it has read the body.
+		request.once('end', recordRest);
+		response.once('close', () => {
+			connection?.openResponses.delete(response);
+			recordRest();
 		});
 	};
 
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -50,6 +50,12 @@
 					break;
 				}
 
+				case '/early': {
+					response.end('early');
+					request.resume();
+					break;
+				}
+
 				default: {
 					setTimeout(() => {
 						response.end(request.url);
@@ -191,6 +197,17 @@
 		halfOpen.destroy();
 	});
 
+	// The rest of the body was taken for a part of a further request, and the drain lasted for its whole grace time.
+	it('closes a connection without a request after a body that was read behind its response', async () => {
+		socket.write('POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n');
+		await expect.poll(() => received).toContain('early');
+		socket.write('x'.repeat(100_000));
+		await delay(200);
+		const startedAt = performance.now();
+		await drain();
+		expect(performance.now() - startedAt).toBeLessThan(graceMilliseconds / 2);
+	});
+
 	it('closes connections without a request', async () => {
 		const startedAt = performance.now();
 		await drain();
