--- a/packages/node/src/http-connections.ts
+++ b/packages/node/src/http-connections.ts
@@ -16,7 +16,7 @@
 	readonly socket: Socket;
 	/** Responses that aren't handed over to the operating system yet, in the order of their requests. */
 	readonly openResponses: Set<ServerResponse>;
-	/** Bytes that had been received when the last response was complete. */
+	/** Bytes that had been received when the last request and its response were complete. */
 	bytesAtRest: number;
 	latestRequest: IncomingMessage | undefined;
 	/** Whether the last response was sent that this connection gets. */
@@ -59,11 +59,17 @@
 
 		connection.latestRequest = request;
 		connection.openResponses.add(response);
-		response.once('close', () => {
-			connection.openResponses.delete(response);
+		const recordRest = (): void => {
 			if (connection.openResponses.size === 0) {
 				connection.bytesAtRest = socket.bytesRead;
 			}
+		};
+
+		// A target may answer before it has read the body.
+		request.once('end', recordRest);
+		response.once('close', () => {
+			connection.openResponses.delete(response);
+			recordRest();
 		});
 	};
 
