Accept the connections that wait before a listening socket closes

What callers saw: a caller that connected and sent its request while the event loop of a stopping gateway was late got a reset 405 ms later, without an answer. It never ran, but the caller couldn't know.

Cause: the timer that ends the hold fires before the loop has polled its sockets, and the close of a listening socket resets what waits to be accepted.

The new row 'waited to be accepted' of planned-stop.test.ts, with SIGSTOP over the end of the hold, failed before (no byte).

The listening socket closes two turns of the event loop later, in which waiting connections are accepted and read.

--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -10,6 +10,7 @@
 /** Time for the responses that are sent at the end of the grace time to leave the process. */
 const lastResponseMilliseconds = 100;
 const defaultCloseMilliseconds = 200;
+const turnsToAccept = 2;
 
 /** Listens and returns the address in use. Throws if the address is taken or malformed. */
 export async function listenOn(server: NetServer, text: string): Promise<string> {
@@ -94,6 +95,7 @@
 		// What arrived while the process was suspended or busy is read first.
 		setImmediate(closeConnections);
 	}, drainCheckIntervalMilliseconds);
+	await acceptWaitingConnections();
 	const closed = new Promise<void>(resolve => {
 		// The `close` of the HTTP server would close connections at once that Node.js counts as idle.
 		Reflect.apply(NetServer.prototype.close, server, [() => {
@@ -105,6 +107,18 @@
 	clearInterval(check);
 }
 
+/**
+ * Lets the event loop accept the connections that wait: the close of a listening
+ * socket resets them. The first `setImmediate` may run before the loop has polled its sockets.
+ */
+async function acceptWaitingConnections(): Promise<void> {
+	for (let turn = 0; turn < turnsToAccept; turn++) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
 export function parseListenAddress(text: string): Address {
 	const address = parseAddress(text);
 	if (!address.ok) {
