Accept all connections that wait before a listening socket closes

Cause: the event loop accepts one connection in a turn, and the close waited for two turns only.

The close waits until no connection came in two turns, at most for 500 ms.

--- a/packages/node/src/http-server.ts
+++ b/packages/node/src/http-server.ts
@@ -10,7 +10,8 @@
 /** Time for the responses that are sent at the end of the grace time to leave the process. */
 const lastResponseMilliseconds = 100;
 const defaultCloseMilliseconds = 200;
-const turnsToAccept = 2;
+/** Connections that come later than this in the close of a listening socket are reset. */
+const maximumAcceptMilliseconds = 500;
 
 /** Listens and returns the address in use. Throws if the address is taken or malformed. */
 export async function listenOn(server: NetServer, text: string): Promise<string> {
@@ -95,7 +96,7 @@
 		// What arrived while the process was suspended or busy is read first.
 		setImmediate(closeConnections);
 	}, drainCheckIntervalMilliseconds);
-	await acceptWaitingConnections();
+	await acceptWaitingConnections(server);
 	const closed = new Promise<void>(resolve => {
 		// The `close` of the HTTP server would close connections at once that Node.js counts as idle.
 		Reflect.apply(NetServer.prototype.close, server, [() => {
@@ -108,15 +109,31 @@
 }
 
 /**
- * Lets the event loop accept the connections that wait: the close of a listening
- * socket resets them. The first `setImmediate` may run before the loop has polled its sockets.
+ * Lets the event loop accept the connections that wait, one in a turn: the close
+ * of a listening socket resets them.
  */
-async function acceptWaitingConnections(): Promise<void> {
-	for (let turn = 0; turn < turnsToAccept; turn++) {
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
+async function acceptWaitingConnections(server: Server): Promise<void> {
+	const endsAt = performance.now() + maximumAcceptMilliseconds;
+	let hasAccepted = true;
+	const recordAccept = (): void => {
+		hasAccepted = true;
+	};
+
+	server.on('connection', recordAccept);
+	while (hasAccepted && performance.now() < endsAt) {
+		hasAccepted = false;
+		// The first turn may end before the loop has polled its sockets.
+		await endTurn();
+		await endTurn();
 	}
+
+	server.off('connection', recordAccept);
+}
+
+async function endTurn(): Promise<void> {
+	return new Promise(resolve => {
+		setImmediate(resolve);
+	});
 }
 
 export function parseListenAddress(text: string): Address {
