Begin no request behind one of HTTP/1.0

Callers of HTTP/1.0 that ask for keep-alive and send further requests before they have the answer: the answer has no length, Node.js ends it with the connection, and the requests behind it, which were passed on, lost their answers.

Cause: only an announced close kept requests behind it from being begun, and here Node.js announces it itself when the head of the answer is written, after the next request was read.

Change: HTTP/1.0 has no pipelining, so that each answer to it announces the close of the connection, and no request behind it is begun.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -4,7 +4,9 @@
  * read still gets its response.
  */
 import type {Duplex} from 'node:stream';
-import {type Server, type ServerResponse, createServer} from 'node:http';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer,
+} from 'node:http';
 import {getLatestResponse, recordResponse} from './caller-connections.js';
 import {type HttpConnections, trackConnections} from './http-connections.js';
 import {abortResponse} from './target-response.js';
@@ -64,7 +66,7 @@
 		}
 
 		const previous = getLatestResponse(request.socket);
-		if (connections.isClosing(request.socket) || (previous && hasAnnouncedClose(previous))) {
+		if (connections.isClosing(request.socket) || (previous && isLastOfConnection(previous))) {
 			// The connection closes before this request could be answered. Its caller sends it again elsewhere.
 			request.resume();
 			return;
@@ -78,6 +80,10 @@
 			announceClose(response);
 		}
 
+		if (knowsNoPipelining(request)) {
+			announceClose(response);
+		}
+
 		recordResponse(request.socket, response);
 		handleRequest(request, response);
 	};
@@ -167,9 +173,15 @@
 	};
 }
 
-/** Whether the caller was told that the connection closes after this response. */
-function hasAnnouncedClose(response: ServerResponse): boolean {
-	return response.headersSent && response.getHeader('connection') === 'close';
+/** Whether no request behind this one is begun: the caller was told that the connection closes, or waits for each response. */
+function isLastOfConnection(response: ServerResponse): boolean {
+	const hasAnnouncedClose = response.headersSent && response.getHeader('connection') === 'close';
+	return hasAnnouncedClose || knowsNoPipelining(response.req);
+}
+
+/** In HTTP/1.0 the end of the connection may be the only sign of the end of a response. */
+function knowsNoPipelining(request: IncomingMessage): boolean {
+	return request.httpVersion === '1.0';
 }
 
 const stoppingProblem: Problem = {
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -53,6 +53,14 @@
 					break;
 				}
 
+				case '/unframed': {
+					response.write('un');
+					setTimeout(() => {
+						response.end('framed');
+					}, 300);
+					break;
+				}
+
 				case '/read-on': {
 					response.end('early');
 					request.resume();
@@ -220,6 +228,14 @@
 		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv)}).toEqual({begun: ['/refused'], answers: ['HTTP/1.1 413']});
 	});
 
+	// HTTP/1.0 has no pipelining: without a length, the end of the connection is the end of the response.
+	it('begins no request behind one of HTTP/1.0', async () => {
+		const closed = once(socket, 'close');
+		socket.write('GET /unframed HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\nGET /behind HTTP/1.0\r\nHost: a\r\n\r\n');
+		await closed;
+		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv), isWhole: received.endsWith('unframed')}).toEqual({begun: ['/unframed'], answers: ['HTTP/1.1 200'], isWhole: true});
+	});
+
 	// Such a caller may go on sending, or neither send nor close, and would occupy the connection for ever.
 	it.each([
 		{what: 'a head that can\'t be read', head: 'no head\r\n\r\n', status: 400},
