Refuse a request without a host and answer those around it

Callers that send several requests on a connection, one of them without a Host header: Node.js answers that one with 400 itself, without the outcome, and closes the connection; the requests behind it had been passed on and lost their answers.

Cause: the HTTP server checks for the header ahead of the handler, so that neither the open responses of the connection nor the drain know of the refusal.

Change: the check is the caller server's own. The request gets 400 with the outcome not-run in its turn, and the connection goes on. The new case of caller-server.test.ts failed before; all 16 pass now.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -85,6 +85,11 @@
 		}
 
 		recordResponse(request.socket, response);
+		if (request.headers.host === undefined && request.httpVersion !== '1.0') {
+			sendProblem(response, missingHostProblem);
+			return;
+		}
+
 		handleRequest(request, response);
 	};
 
@@ -95,6 +100,8 @@
 		keepAliveTimeout: limits.idleTimeoutMilliseconds,
 		connectionsCheckingInterval: Math.min(limits.headerTimeoutMilliseconds, headerCheckIntervalMilliseconds),
 		insecureHTTPParser: false,
+		// Node.js would close the connection, also with other requests at work on it.
+		requireHostHeader: false,
 		noDelay: true,
 	}, (request, response) => {
 		serve(request, response);
@@ -184,6 +191,11 @@
 	return request.httpVersion === '1.0';
 }
 
+/** RFC 9112, section 3.2. */
+const missingHostProblem: Problem = {
+	status: 400, outcome: 'not-run', reason: 'malformed-request', detail: 'a request needs a host header',
+};
+
 const stoppingProblem: Problem = {
 	status: 502, outcome: 'unknown', reason: 'stopping', detail: 'this VM stops before the request has ended',
 };
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -236,6 +236,14 @@
 		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv), isWhole: received.endsWith('unframed')}).toEqual({begun: ['/unframed'], answers: ['HTTP/1.1 200'], isWhole: true});
 	});
 
+	// Node.js answers such a request itself, and closes the connection with the requests behind it.
+	it('refuses a request without a host, and answers those around it', async () => {
+		socket.write('GET /ahead HTTP/1.1\r\nHost: a\r\n\r\nGET /without HTTP/1.1\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+		await once(socket, 'close');
+		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/aheadHTTP\/1\.1 400 .*"outcome":"not-run".*HTTP\/1\.1 200 .*\/behind$/sv);
+		expect(begun).toEqual(['/ahead', '/behind']);
+	});
+
 	// Such a caller may go on sending, or neither send nor close, and would occupy the connection for ever.
 	it.each([
 		{what: 'a head that can\'t be read', head: 'no head\r\n\r\n', status: 400},
