Keep a gateway running when a target closes behind a waiting answer

Callers of a gateway lost all their requests at once, without an answer and without a line: the process ended with an uncaught error, 'assert(!this.paused)'.

Cause: undici 7 asserts, in the events of its socket, that the parser isn't paused when a connection ends or is reset whose response has no length or announces the close. The gateway pauses the parser while the caller of a response can't take more: it reads slowly, or its answers ahead aren't finished. A target that closes its connection behind such an answer ended the gateway.

Change: connections are opened by a connector of our own, for targets, other entries and services alike. The end of a connection is signalled to a read that finds nothing, which a paused parser doesn't make; a reset loses the code for which undici finishes the response as if it were whole.

--- a/packages/node/src/idempotency-hop.ts
+++ b/packages/node/src/idempotency-hop.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {createHmac, timingSafeEqual} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createConnector} from '@catkindale/ports';
 import {Pool} from 'undici';
 import type {CallerBody} from './caller-body.js';
 import {headerNames} from './constants.js';
@@ -47,7 +48,7 @@
 			void oldest[1].close();
 		}
 
-		const pool = new Pool(`http://${address}`, {pipelining: 1});
+		const pool = new Pool(`http://${address}`, {pipelining: 1, connect: createConnector()});
 		pools.set(address, pool);
 		return pool;
 	};
--- a/packages/node/src/target-connection-pools.ts
+++ b/packages/node/src/target-connection-pools.ts
@@ -1,5 +1,6 @@
 /** The HTTP connection pools of an entry, one per target address. */
 import {Pool} from 'undici';
+import {createConnector} from '@catkindale/ports';
 import type {Target} from '@catkindale/policy';
 
 export type TargetConnectionPools = {
@@ -28,7 +29,7 @@
 
 			for (const address of addresses) {
 				if (!pools.has(address)) {
-					pools.set(address, new Pool(`http://${address}`, {connections, pipelining: 1}));
+					pools.set(address, new Pool(`http://${address}`, {connections, pipelining: 1, connect: createConnector()}));
 				}
 			}
 		},
--- a/packages/node/src/target-connections.ts
+++ b/packages/node/src/target-connections.ts
@@ -4,7 +4,8 @@
  * open, and an unresponsive connection can be closed without the others.
  */
 import type {Socket} from 'node:net';
-import {Client, type Dispatcher, buildConnector} from 'undici';
+import {Client, type Dispatcher} from 'undici';
+import {createConnector} from '@catkindale/ports';
 
 export type TargetConnection = Pick<Dispatcher, 'dispatch'> & {
 	/** Whether the connection was reset by the target or in the network. */
@@ -73,7 +74,7 @@
 	};
 
 	const createClient = (): PooledClient => {
-		const connect = buildConnector({timeout: limits.connectTimeoutMilliseconds});
+		const connect = createConnector({timeoutMilliseconds: limits.connectTimeoutMilliseconds});
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			keepAliveTimeout: limits.idleTimeoutMilliseconds,
--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -7,6 +7,7 @@
 import VError from 'verror';
 import {getErrorCode, getErrorMessage} from '@catkindale/common';
 import type {DriverSettings} from './driver-registry.js';
+import {createConnector} from './http-connector.js';
 
 export type CallOutcome
 	= | {readonly kind: 'answered'; readonly status: number; readonly body: Uint8Array}
@@ -45,7 +46,7 @@
 export function createHttpCaller(settings: HttpCallerSettings): HttpCaller {
 	const pool = new Pool(settings.address, {
 		connections: settings.maximumCallsInFlight,
-		connect: {timeout: settings.timeoutMilliseconds},
+		connect: createConnector(settings),
 		pipelining: 1,
 		maxResponseSize: settings.maximumResponseBytes ?? defaultMaximumResponseBytes,
 	});
--- /dev/null
+++ b/packages/ports/src/http-connector.ts
@@ -0,0 +1,64 @@
+/**
+ * Opens the connections of HTTP clients (undici). Its version 7 fails an
+ * assertion, which would end the process, if a connection ends or is reset while
+ * the parser of its response is paused: the caller of the response can't take
+ * more yet. It also takes a reset for the end of a response without a length.
+ */
+import type {Socket} from 'node:net';
+import {buildConnector} from 'undici';
+import VError from 'verror';
+
+const defaultTimeoutMilliseconds = 10_000;
+
+export type ConnectorOptions = {
+	/** Maximum time for opening a connection. */
+	readonly timeoutMilliseconds?: number;
+};
+
+export function createConnector({timeoutMilliseconds = defaultTimeoutMilliseconds}: ConnectorOptions = {}): buildConnector.connector {
+	const connect = buildConnector({timeout: timeoutMilliseconds});
+	return (options, callback) => {
+		connect(options, (error, socket) => {
+			if (error) {
+				callback(error, null);
+				return;
+			}
+
+			keepEndUntilRead(socket);
+			replaceResetErrors(socket);
+			callback(null, socket);
+		});
+	};
+}
+
+/** Signals the end of the connection only to a read that finds nothing: a paused parser doesn't read. */
+function keepEndUntilRead(socket: Socket): void {
+	const push = socket.push.bind(socket);
+	const read = socket.read.bind(socket);
+	let hasHiddenEnd = false;
+	socket.push = (chunk, encoding) => {
+		if (chunk !== null) {
+			return push(chunk, encoding);
+		}
+
+		hasHiddenEnd = true;
+		socket.emit('readable');
+		return false;
+	};
+
+	socket.read = size => {
+		const chunk = read(size) as unknown;
+		if (chunk === null && size === undefined && hasHiddenEnd) {
+			hasHiddenEnd = false;
+			push(null);
+		}
+
+		return chunk;
+	};
+}
+
+/** The client treats errors with another code alike, whether its parser is paused or not. */
+function replaceResetErrors(socket: Socket): void {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = error => destroy(error && 'code' in error && error.code === 'ECONNRESET' ? new VError(error, 'the connection was reset') : error);
+}
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -10,6 +10,7 @@
 export {
 	type CallOutcome, type HttpCaller, createHttpCaller, maximumInterimResponses,
 } from './http-caller.js';
+export {createConnector} from './http-connector.js';
 export type * from './machine-list-port.js';
 export type * from './object-store-port.js';
 export type * from './table-port.js';
--- a/packages/ports/src/target-health-http.ts
+++ b/packages/ports/src/target-health-http.ts
@@ -7,6 +7,7 @@
 import * as z from 'zod';
 import {getErrorMessage} from '@catkindale/common';
 import {type TargetHealthSettings, targetHealthDrivers} from './driver-registry.js';
+import {createConnector} from './http-connector.js';
 import {maximumInterimResponses, parseJson} from './http-caller.js';
 import type {TargetHealthOutcome, TargetHealthReader} from './target-health-port.js';
 
@@ -26,7 +27,7 @@
 		connections: 1,
 		pipelining: 1,
 		keepAliveTimeout: keepAliveMilliseconds,
-		connect: {timeout: settings.timeoutMilliseconds},
+		connect: createConnector(settings),
 		maxResponseSize: maximumResponseBytes,
 	});
 	let callsInFlight = 0;
