Offer the hidden end of a connection in a turn of its own

Cause: when undici resumes a parser, it reads once and then passes on an empty chunk. If that read finds nothing, the end was signalled, and the handler could pause again at the empty chunk, so that the end met a paused parser.

Change: the end is signalled only to a read that follows an offer of it, behind which undici does nothing more in that turn. A reset that is reported as an end closes the connection with an error.

--- a/packages/ports/src/http-connector.ts
+++ b/packages/ports/src/http-connector.ts
@@ -9,6 +9,7 @@
 import VError from 'verror';
 
 const defaultTimeoutMilliseconds = 10_000;
+const resetMessage = 'the connection was reset';
 
 export type ConnectorOptions = {
 	/** Maximum time for opening a connection. */
@@ -31,26 +32,56 @@
 	};
 }
 
-/** Signals the end of the connection only to a read that finds nothing: a paused parser doesn't read. */
+/**
+ * Signals the end of the connection to a read that finds nothing, which a paused
+ * parser doesn't make. The read must follow an offer of the end: the client's
+ * other ones may be followed by a pause in the same turn of the event loop.
+ */
 function keepEndUntilRead(socket: Socket): void {
 	const push = socket.push.bind(socket);
 	const read = socket.read.bind(socket);
-	let hasHiddenEnd = false;
+	let isEndHidden = false;
+	let isOffering = false;
+	let isOfferPlanned = false;
+	const offerEnd = (): void => {
+		isOfferPlanned = false;
+		if (!isEndHidden || socket.destroyed) {
+			return;
+		}
+
+		isOffering = true;
+		socket.emit('readable');
+		isOffering = false;
+	};
+
 	socket.push = (chunk, encoding) => {
 		if (chunk !== null) {
 			return push(chunk, encoding);
 		}
 
-		hasHiddenEnd = true;
-		socket.emit('readable');
+		// A reset that arrives together with data is reported as an end; the socket then has no remote address.
+		if (socket.remoteAddress === undefined) {
+			socket.destroy(new VError(resetMessage));
+			return false;
+		}
+
+		isEndHidden = true;
+		offerEnd();
 		return false;
 	};
 
 	socket.read = size => {
 		const chunk = read(size) as unknown;
-		if (chunk === null && size === undefined && hasHiddenEnd) {
-			hasHiddenEnd = false;
+		if (chunk !== null || size !== undefined || !isEndHidden) {
+			return chunk;
+		}
+
+		if (isOffering) {
+			isEndHidden = false;
 			push(null);
+		} else if (!isOfferPlanned) {
+			isOfferPlanned = true;
+			setImmediate(offerEnd);
 		}
 
 		return chunk;
@@ -60,5 +91,5 @@
 /** The client treats errors with another code alike, whether its parser is paused or not. */
 function replaceResetErrors(socket: Socket): void {
 	const destroy = socket.destroy.bind(socket);
-	socket.destroy = error => destroy(error && 'code' in error && error.code === 'ECONNRESET' ? new VError(error, 'the connection was reset') : error);
+	socket.destroy = error => destroy(error && 'code' in error && error.code === 'ECONNRESET' ? new VError(error, resetMessage) : error);
 }
