Resume a paused answer once, and not within another one

Callers that read slowly and send a further request meanwhile: the further one got 502 though its target had answered, and the slow answer stood still until its deadline and was cut.

Cause: Node.js reports room for an answer also when one behind it is written, though its caller has read nothing. The gateway resumed the answer at once, within the parsing of the other one, where undici's parser fails an assertion. An answer that was written in several pieces was also resumed once for each.

Change: one wait for room at a time, which resumes the answer in a turn of its own; the empty chunk that undici passes on after a pause isn't written.

The new case of slow-callers.test.ts failed before and passes now.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -108,6 +108,8 @@
 	let abortReason: AttemptAbortError | undefined;
 	let isSettled = false;
 	let responseState: ResponseState = {kind: 'waiting'};
+	/** Whether the response is paused until its caller can take more. */
+	let isWaitingForRoom = false;
 
 	let discardTimer: NodeJS.Timeout | undefined;
 	const abortDiscarded = (): void => {
@@ -173,12 +175,20 @@
 	};
 
 	const writeChunk = (response: ServerResponse, chunk: Buffer): void => {
-		if (!response.write(chunk)) {
-			controller?.pause();
-			response.once('drain', () => {
+		// The HTTP client passes on an empty chunk after each pause.
+		if (chunk.length === 0 || response.write(chunk) || isWaitingForRoom) {
+			return;
+		}
+
+		isWaitingForRoom = true;
+		controller?.pause();
+		response.once('drain', () => {
+			// Node.js reports room also while a response behind this one is written, within the parsing of that one.
+			setImmediate(() => {
+				isWaitingForRoom = false;
 				controller?.resume();
 			});
-		}
+		});
 	};
 
 	const streamIfIncomplete = (): void => {
