--- a/packages/ports/src/http-connector.ts
+++ b/packages/ports/src/http-connector.ts
@@ -3,6 +3,7 @@
  * assertion, which would end the process, if a connection ends or is reset while
  * the parser of its response is paused: the caller of the response can't take
  * more yet. It also takes a reset for the end of a response without a length.
+ * Version 8 doesn't need this, but a newer Node.js.
  */
 import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
--- a/packages/ports/tests/http-connector.test.ts
+++ b/packages/ports/tests/http-connector.test.ts
@@ -1,6 +1,8 @@
 /** Connections that end while the response on them is paused, with a raw server. */
 import {once} from 'node:events';
-import {type AddressInfo, type Server, createServer} from 'node:net';
+import {
+	type AddressInfo, type Server, type Socket, createServer,
+} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {
 	afterEach, describe, expect, it,
@@ -64,13 +66,7 @@
 	// An assertion of the client ended the process, at the next pause too: after each, the client passes on an empty chunk.
 	it.each(cases)('keeps the end of its connection: $name, $pauses pauses', async ({response, result, pauses}) => {
 		server = createServer(socket => {
-			socket.on('error', () => undefined);
-			socket.once('data', () => {
-				socket.write(response);
-				setTimeout(() => {
-					socket.end();
-				}, endAfterMilliseconds);
-			});
+			answerAndEnd(socket, response);
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
@@ -78,3 +74,13 @@
 		expect(await receive(pauses)).toEqual({text: 'abc', result});
 	});
 });
+
+function answerAndEnd(socket: Socket, response: string): void {
+	socket.on('error', () => undefined);
+	socket.once('data', () => {
+		socket.write(response);
+		setTimeout(() => {
+			socket.end();
+		}, endAfterMilliseconds);
+	});
+}
