Report an answer that is reset at once as lost, not as begun

Cause: undici reports a reset without its code when the socket has closed, which is after the turn in which the gateway begins to send an incomplete answer.

Change: the gateway doesn't begin to send an answer whose connection it knows to be reset.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -243,7 +243,8 @@
 		};
 		if (length === undefined) {
 			setImmediate(() => {
-				if (!options.isHeldUntilComplete?.()) {
+				// The HTTP client reports a reset later than this.
+				if (!options.isHeldUntilComplete?.() && !options.isConnectionReset?.()) {
 					streamIfIncomplete();
 				}
 			});
