Refuse requests that wait for a token once the keys are out of date

What callers saw: a request that came 1,952 ms after the cut waited 3,039 ms and got 429 'rate-exceeded', where the node refuses with 503 at once from 2.0 s on. Cause: a node that is cut off has no tokens to use any more from some moment before its knowledge ends, and a request waits up to 3 s for one. The end of the knowledge ended only the waits for a slot; after the wait for a token it was looked at, but only if the token came. Ruled out: late timers of the machine, as the requests around it took 2 to 17 ms.

The end of the knowledge refuses all that wait for a token now, and such a request is answered with the reason 'knowledge-out-of-date'. Both new tests fail on the code before (one by its timeout of 30 s). Only the product's own entry is affected; gateways on the users' platform don't use this code.

--- a/packages/node/src/entry-plugin.ts
+++ b/packages/node/src/entry-plugin.ts
@@ -127,6 +127,7 @@
 		routing: state.routing,
 		quotas: state.quotas,
 		isCurrent: state.knowledge.isCurrent,
+		onExpiry: state.knowledge.onExpiry,
 		isForwarded,
 		getTokenDeadline: route => startedAt + getTimeoutMilliseconds(request, route) - state.selector.getLatencyBound(route.service),
 	});
--- a/packages/node/src/request-check.ts
+++ b/packages/node/src/request-check.ts
@@ -26,6 +26,8 @@
 	readonly quotas: RequestQuotas;
 	/** Whether this node's keys and rates are current. */
 	readonly isCurrent: () => boolean;
+	/** Calls the function once, when the keys and rates are no longer current; returns a function that no longer waits for it. */
+	readonly onExpiry: (run: () => void) => () => void;
 	/** Whether the request comes from another entry, which has taken its token already. */
 	readonly isForwarded: boolean;
 	/** Monotonic time in milliseconds by which a request of the route must have its token. */
@@ -74,13 +76,19 @@
 		return {kind: 'admitted', route, customer};
 	}
 
+	const stopWatching = dependencies.onExpiry(() => {
+		quotas.refuseWaiters();
+	});
 	const admission = await quotas.admitOrWait(customer.name, dependencies.getTokenDeadline(route));
-	if (admission.kind === 'refused') {
-		return refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
+	stopWatching();
+	// The validity may have ended while the request waited for its token.
+	if (!isCurrent()) {
+		return {kind: 'refused', problem: outOfDateProblem};
 	}
 
-	// The validity may have ended while the request waited for its token.
-	return isCurrent() ? {kind: 'admitted', route, customer} : {kind: 'refused', problem: outOfDateProblem};
+	return admission.kind === 'admitted'
+		? {kind: 'admitted', route, customer}
+		: refuse(429, 'rate-exceeded', `customer ${customer.name} has used its rate and burst`, admission.retryAfterMilliseconds);
 }
 
 function refuse(status: number, reason: string, detail: string, retryAfterMilliseconds?: number): CheckedRequest {
--- a/packages/node/src/request-quotas.ts
+++ b/packages/node/src/request-quotas.ts
@@ -37,6 +37,8 @@
 	 * time, for a token from a refill, a loan or the first allocation.
 	 */
 	admitOrWait: (customer: string, requestDeadlineAt?: number) => Promise<Admission>;
+	/** Refuses all requests that wait for a token. */
+	refuseWaiters: () => void;
 	/** Returns the rate and burst that this node may use at present, including loans. */
 	getUsableQuota: (customer: string) => TokenAllocation;
 	receive: (from: string, message: PeerMessage) => void;
@@ -257,6 +259,11 @@
 				}
 			});
 		},
+		refuseWaiters() {
+			for (const state of states.values()) {
+				refuseExpiredWaiters(state, Number.POSITIVE_INFINITY);
+			}
+		},
 		getUsableQuota(name) {
 			const state = getRefilledState(name);
 			const isUsable = state && (state.quota.allocation.burst === 0 || lease.isValid());
--- a/packages/node/tests/request-check.test.ts
+++ b/packages/node/tests/request-check.test.ts
@@ -7,6 +7,9 @@
 import type {RoutingTable} from '../src/routing-table.js';
 
 const customer: Pick<Customer, 'name'> = {name: 'wideroe'};
+const keyedRequest = {
+	method: 'GET', url: '/prices/ENGM', headers: {authorization: 'Bearer key'}, rawHeaders: ['authorization', 'Bearer key'],
+} as unknown as IncomingMessage;
 
 type Case = {
 	readonly name: string;
@@ -36,9 +39,7 @@
 	it.each(cases)('$name: $expected', async ({isOpen, isCurrentBefore, isCurrentAfter, expected}) => {
 		let isCurrent = isCurrentBefore;
 		const route: Pick<Route, 'open'> = {open: isOpen};
-		const checked = await checkRequest({
-			method: 'GET', url: '/prices/ENGM', headers: {authorization: 'Bearer key'}, rawHeaders: ['authorization', 'Bearer key'],
-		} as unknown as IncomingMessage, {
+		const checked = await checkRequest(keyedRequest, {
 			routing: {findRoute: () => route, findCustomer: () => customer} as unknown as RoutingTable,
 			quotas: {
 				async admitOrWait() {
@@ -47,9 +48,41 @@
 				},
 			} as unknown as RequestQuotas,
 			isCurrent: () => isCurrent,
+			onExpiry: () => () => undefined,
 			isForwarded: false,
 			getTokenDeadline: () => 0,
 		});
 		expect(checked.kind === 'refused' ? checked.problem.reason : checked.kind).toBe(expected);
 	});
+
+	// Guards against a wait of seconds for a token on a node that may use none any more.
+	it('out of date while no token comes: refused at once', async () => {
+		let isCurrent = true;
+		let expire = (): void => undefined;
+		let refuseWaiters = (): void => undefined;
+		const checking = checkRequest(keyedRequest, {
+			routing: {findRoute: () => ({open: false}), findCustomer: () => customer} as unknown as RoutingTable,
+			quotas: {
+				admitOrWait: async () => new Promise(resolve => {
+					refuseWaiters = () => {
+						resolve({kind: 'refused', retryAfterMilliseconds: 3000});
+					};
+				}),
+				refuseWaiters() {
+					refuseWaiters();
+				},
+			} as unknown as RequestQuotas,
+			isCurrent: () => isCurrent,
+			onExpiry(run) {
+				expire = run;
+				return () => undefined;
+			},
+			isForwarded: false,
+			getTokenDeadline: () => Number.POSITIVE_INFINITY,
+		});
+		isCurrent = false;
+		expire();
+		const checked = await checking;
+		expect(checked.kind === 'refused' && checked.problem).toMatchObject({status: 503, outcome: 'not-run', reason: 'knowledge-out-of-date'});
+	});
 });
--- a/packages/node/tests/request-quotas.test.ts
+++ b/packages/node/tests/request-quotas.test.ts
@@ -88,6 +88,17 @@
 	quotas.end();
 });
 
+test('requests that wait for a token are refused together, and the token goes to a later one', async () => {
+	const {quotas, runFor} = createFixture();
+	const waiting = Promise.all([1, 2].map(async () => quotas.requests.admitOrWait('kiel', Number.POSITIVE_INFINITY)));
+	quotas.requests.refuseWaiters();
+	const admissions = await waiting;
+	expect(admissions.map(({kind}) => kind)).toEqual(['refused', 'refused']);
+	await runFor(600);
+	expect(quotas.requests.admit('kiel').kind).toBe('admitted');
+	quotas.end();
+});
+
 test('a request whose deadline has been reached is refused without waiting', async () => {
 	const {quotas} = createFixture();
 	const admission = await quotas.requests.admitOrWait('kiel', quotas.clock.monotonic());
