Keep a gateway running when the caller of a failed upload leaves

What callers saw: a gateway ended at once, with all requests that it ran: their connections closed without an answer and without a line of their own.

Cause: a body above 524,288 bytes is streamed. The HTTP client listens for errors of the stream only until its attempt has failed. If the caller left after that and before the problem was sent (up to 1 s, as the rest of the body is read first), the stream was destroyed with an error that nobody listened to: an uncaught exception.

Evidence: "CallerBodyError: the caller's body ended early: caller-gone", "Unhandled 'error' event", in the gateway's standard error.

Change: the body listens for errors of each stream that it opens. An attempt that still reads the stream gets them as before.

--- a/packages/node/src/caller-body.ts
+++ b/packages/node/src/caller-body.ts
@@ -177,6 +177,8 @@
 			}
 
 			reader = createReader();
+			// The HTTP client listens only until its attempt has ended; the caller may leave later.
+			reader.on('error', () => undefined);
 			return reader;
 		},
 		canOpen: () => !hasStartedStreaming,
