Leave the last response whole when what follows it can't be read

What callers saw: a caller that asked for the close of its connection, read its response late and went on sending got a reset (EPIPE, no byte of the response) in place of it, if what it sent behind its request couldn't be read as a head or came too slowly.

Cause: the refusal of such a head waits for the response ahead. After the last response of a connection there is no place for it, and the connection was closed at once, where it is read for 500 ms else.

Evidence: both new cases of caller-server.test.ts failed before; the response was empty.

Change: nothing is refused on a connection whose last response was sent; its end is left to the time for which it is read on.

Measured: caller-server.test.ts, 18 of 18.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -214,6 +214,11 @@
 };
 
 function refuseMalformedRequest({error, socket, latestResponse, connections}: MalformedRequest): void {
+	if (connections.isClosing(socket)) {
+		// The last response has been sent; its caller may still be reading it.
+		return;
+	}
+
 	if (!socket.writable) {
 		socket.destroy();
 		return;
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -16,6 +16,7 @@
 const uploadPart = 'x'.repeat(40_000);
 /** `/slow` takes longer than the limit for a head and the interval at which it is checked. */
 const serviceMilliseconds: Record<string, number> = {'/slow': 3000, '/early': 0};
+const defaultServiceMilliseconds = 300;
 const limits = {
 	headerBytes: 16_384, callerConnections: 100, headerTimeoutMilliseconds: 1000, idleTimeoutMilliseconds: 10_000,
 };
@@ -70,7 +71,7 @@
 				default: {
 					setTimeout(() => {
 						response.end(request.url);
-					}, serviceMilliseconds[request.url ?? ''] ?? 300);
+					}, serviceMilliseconds[request.url ?? ''] ?? defaultServiceMilliseconds);
 				}
 			}
 		});
@@ -146,6 +147,28 @@
 		expect(received.endsWith('/first')).toBe(true);
 	});
 
+	// The refusal of what came behind the last response had no place any more, and closed the connection in its stead.
+	it.each([
+		{what: 'a head that can\'t be read', path: '/first', behind: 'no head\r\n\r\n'},
+		{what: 'a head that comes too slowly', path: '/slow', behind: 'GET /behind HTTP/1.1\r\n'},
+	])('leaves the last response whole for a caller that reads late and goes on sending behind $what', async ({path, behind}) => {
+		socket.on('error', () => undefined);
+		const closed = new Promise(resolve => {
+			socket.once('close', resolve);
+		});
+		socket.pause();
+		socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n${behind}`);
+		await delay(serviceMilliseconds[path] ?? defaultServiceMilliseconds);
+		for (let part = 0; part < 4; part++) {
+			await delay(50);
+			socket.write('a: b\r\n');
+		}
+
+		socket.resume();
+		await closed;
+		expect(received.endsWith(path)).toBe(true);
+	});
+
 	it('closes the connection after its last response also if its caller doesn\'t', async () => {
 		callerServer.startDraining();
 		const halfOpen = connect({host: '127.0.0.1', port, allowHalfOpen: true});
