Send no interim response to a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 whose request expects 100 Continue got `HTTP/1.1 100 Continue` ahead of its response; HTTP/1.0 knows no interim responses, so that the caller may take it for the last one.

Cause: the header was followed whatever the version of the request (RFC 9110, section 10.1.1, asks a server to ignore it in HTTP/1.0).

Evidence: the case of HTTP/1.0 in caller-body.test.ts failed before: 100 and 200 in place of 200.

Change: such a request gets no interim response.

Measured: 2 of 2 cases pass; that of HTTP/1.1 passed before too.

--- a/packages/node/src/caller-body.ts
+++ b/packages/node/src/caller-body.ts
@@ -69,7 +69,7 @@
 		return fail('too-large');
 	}
 
-	if (request.headers.expect) {
+	if (request.headers.expect && request.httpVersion !== '1.0') {
 		response.writeContinue();
 	}
 
