Refuse a request with more than one host

What callers saw: while one caller sent requests with two `Host` headers, requests of others were refused with 503 `no-target`.

Cause: such a request passed the checks, which read the first host, and the HTTP client refused to send it. The attempt counted as one that didn't reach its target, at each target that was tried, so that the gateway avoided sound targets.

The case of two hosts in caller-server.test.ts failed before; that of no host is the earlier test, with another path.

Change: the server for callers answers such a request with 400 `not-run`, as RFC 9112, section 3.2, asks for, beside the check for a missing host.

--- a/packages/node/src/caller-server.ts
+++ b/packages/node/src/caller-server.ts
@@ -85,8 +85,9 @@
 		}
 
 		recordResponse(request.socket, response);
-		if (request.headers.host === undefined && request.httpVersion !== '1.0') {
-			sendProblem(response, missingHostProblem);
+		const hostCount = countHosts(request);
+		if (hostCount > 1 || (hostCount === 0 && request.httpVersion !== '1.0')) {
+			sendProblem(response, wrongHostProblem);
 			return;
 		}
 
@@ -191,9 +192,14 @@
 	return request.httpVersion === '1.0';
 }
 
+/** Node.js keeps only the first one in the headers that it has parsed. */
+function countHosts({rawHeaders}: IncomingMessage): number {
+	return rawHeaders.filter((name, index) => index % 2 === 0 && name.toLowerCase() === 'host').length;
+}
+
 /** RFC 9112, section 3.2. */
-const missingHostProblem: Problem = {
-	status: 400, outcome: 'not-run', reason: 'malformed-request', detail: 'a request needs a host header',
+const wrongHostProblem: Problem = {
+	status: 400, outcome: 'not-run', reason: 'malformed-request', detail: 'a request needs one host header',
 };
 
 const stoppingProblem: Problem = {
--- a/packages/node/tests/caller-server.test.ts
+++ b/packages/node/tests/caller-server.test.ts
@@ -259,9 +259,12 @@
 		expect({begun, answers: received.match(/HTTP\/1\.1 \d+/gv), isWhole: received.endsWith('unframed')}).toEqual({begun: ['/unframed'], answers: ['HTTP/1.1 200'], isWhole: true});
 	});
 
-	// Node.js answers such a request itself, and closes the connection with the requests behind it.
-	it('refuses a request without a host, and answers those around it', async () => {
-		socket.write('GET /ahead HTTP/1.1\r\nHost: a\r\n\r\nGET /without HTTP/1.1\r\n\r\nGET /behind HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+	// Node.js answers the first itself, and closes the connection with the requests behind it; the HTTP client can't send the second, which looked like an unreachable target.
+	it.each([
+		{hosts: 'no host', lines: ''},
+		{hosts: 'two hosts', lines: 'Host: a\r\nhost: a\r\n'},
+	])('refuses a request with $hosts, and answers those around it', async ({lines}) => {
+		socket.write(`GET /ahead HTTP/1.1\r\nHost: a\r\n\r\nGET /refused-head HTTP/1.1\r\n${lines}\r\nGET /behind HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`);
 		await once(socket, 'close');
 		expect(received).toMatch(/^HTTP\/1\.1 200 .*\/aheadHTTP\/1\.1 400 .*"outcome":"not-run".*HTTP\/1\.1 200 .*\/behind$/sv);
 		expect(begun).toEqual(['/ahead', '/behind']);
