--- a/packages/node/src/caller-body.ts
+++ b/packages/node/src/caller-body.ts
@@ -69,7 +69,7 @@
 		return fail('too-large');
 	}
 
-	if (request.headers.expect) {
+	if (request.headers.expect && request.httpVersion !== '1.0') {
 		response.writeContinue();
 	}
 
@@ -177,6 +177,8 @@
 			}
 
 			reader = createReader();
+			// The HTTP client listens only until its attempt has ended; the caller may leave later.
+			reader.on('error', () => undefined);
 			return reader;
 		},
 		canOpen: () => !hasStartedStreaming,
