Take no answer in a transfer encoding other than chunked

Callers could get a part of an answer as a whole one from an entry, and from an entry behind the hop; through a gateway and an entry they could get a body that was still encoded, with the sizes of its chunks in it, as a whole answer.

Cause: an entry accepts an answer only if its head says where it ends, and took any `Transfer-Encoding` for that. With `gzip`, `identity`, an empty one, or `chunked` that isn't the last or only coding, the answer ends with its connection, so that a target that ends in the middle looks done. The header is then removed from the answer, as it applies to one connection only, which leaves the body encoded. Only the first of repeated headers was read.

Requests are sent without a `TE` header, which permits nothing but `chunked`.

--- a/packages/node/src/forward.ts
+++ b/packages/node/src/forward.ts
@@ -218,7 +218,7 @@
 
 	const receiveHead = (status: number, rawHeaders: readonly string[]): void => {
 		const readHeader: HeaderReader = name => getRawHeader(rawHeaders, name);
-		const headClass = classifyHead(options, dialect, status, readHeader);
+		const headClass = classifyHead(options, dialect, {status, readHeader, transferEncoding: getTransferEncoding(rawHeaders)});
 		if (headClass.kind === 'refusal') {
 			receiveRefusal(headClass.isCertain, headClass.isOtherTarget);
 			return;
@@ -356,6 +356,11 @@
 	return Array.isArray(rawHeaders) ? rawHeaders.map(header => Buffer.isBuffer(header) ? header.toString('latin1') : String(header)) : [];
 }
 
+function getTransferEncoding(rawHeaders: readonly string[]): string | undefined {
+	const values = rawHeaders.filter((_, index) => index % 2 === 1 && rawHeaders[index - 1]?.toLowerCase() === 'transfer-encoding');
+	return values.length > 0 ? values.join(', ') : undefined;
+}
+
 function getRawHeader(rawHeaders: readonly string[], name: string): string | undefined {
 	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
 		if (rawHeaders[index]?.toLowerCase() === name) {
--- a/packages/node/src/response-head-class.ts
+++ b/packages/node/src/response-head-class.ts
@@ -13,8 +13,15 @@
 		| {readonly kind: 'refusal'; readonly isCertain: boolean; readonly isOtherTarget: boolean}
 		| {readonly kind: 'unusable'; readonly reason: string};
 
+export type ResponseHeadFields = {
+	readonly status: number;
+	readonly readHeader: HeaderReader;
+	/** All transfer codings, those of repeated headers too; undefined without any such header. */
+	readonly transferEncoding: string | undefined;
+};
+
 /** Classifies the head of a response; calls `onLeaving` and `onStatement` with what the target says of itself. */
-export function classifyHead(options: ForwardOptions, dialect: TargetDialect, status: number, readHeader: HeaderReader): HeadClass {
+export function classifyHead(options: ForwardOptions, dialect: TargetDialect, {status, readHeader, transferEncoding}: ResponseHeadFields): HeadClass {
 	if (!isValidStatus(status)) {
 		return {kind: 'unusable', reason: 'the status is outside the range of HTTP'};
 	}
@@ -45,11 +52,16 @@
 		return {kind: 'unusable', reason: 'the response doesn\'t come from the target itself'};
 	}
 
-	return dialect.allowsResponseWithoutLength || hasKnownEnd(options.method, status, readHeader)
-		? {kind: 'response', echoesRequestId}
-		: {kind: 'unusable', reason: 'the response has neither a length nor a transfer encoding'};
+	const framingFault = isBodylessResponse(options.method, status) ? undefined : findFramingFault(dialect, readHeader('content-length'), transferEncoding);
+	return framingFault === undefined ? {kind: 'response', echoesRequestId} : {kind: 'unusable', reason: framingFault};
 }
 
-function hasKnownEnd(method: string, status: number, readHeader: HeaderReader): boolean {
-	return readHeader('content-length') !== undefined || readHeader('transfer-encoding') !== undefined || isBodylessResponse(method, status);
+/** Returns why the end or the content of the body can't be told; undefined if they can. */
+function findFramingFault(dialect: TargetDialect, contentLength: string | undefined, transferEncoding: string | undefined): string | undefined {
+	if (transferEncoding === undefined) {
+		return contentLength !== undefined || dialect.allowsResponseWithoutLength ? undefined : 'the response has neither a length nor a transfer encoding';
+	}
+
+	// Requests are sent without a `TE` header, which permits no other coding. A body in another one may end with its connection only, and the caller would get it still encoded.
+	return transferEncoding.trim().toLowerCase() === 'chunked' ? undefined : 'the response has a transfer encoding other than chunked';
 }
--- a/packages/node/tests/entry-cut-answers.test.ts
+++ b/packages/node/tests/entry-cut-answers.test.ts
@@ -25,6 +25,9 @@
 	{framing: 'no length', header: ''},
 	{framing: 'chunks', header: 'transfer-encoding: chunked\r\n'},
 	{framing: 'chunks, then a close', header: 'transfer-encoding: chunked\r\nconnection: close\r\n'},
+	{framing: 'another transfer encoding', header: 'transfer-encoding: gzip\r\n'},
+	{framing: 'chunks within another transfer encoding', header: 'transfer-encoding: chunked, identity\r\n'},
+	{framing: 'chunks, and another transfer encoding', header: 'transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n'},
 	{framing: 'a length', header: 'content-length: 300000\r\n'},
 	{framing: 'a length, then a close', header: 'content-length: 300000\r\nconnection: close\r\n'},
 ] as const;
