Read what arrived before a reset

Callers got a cut answer although all of it had arrived: it waited for a caller that couldn't take more yet, when its target reset the connection.

Cause: the connection was destroyed as soon as the reset was seen, with what the paused parser hadn't read. An end of the connection waits until the parser finds nothing more; a reset waits in the same way now. An answer whose length or last chunk has arrived is whole; any other fails after its last byte, as before. Only a reset that is seen by reading waits. One that is seen by writing, while a request is still being sent, still cuts the answer off.

A connection that is known to be reset may so get the next request for a moment.

--- a/packages/ports/src/http-connector.ts
+++ b/packages/ports/src/http-connector.ts
@@ -2,7 +2,8 @@
  * Opens the connections of HTTP clients (undici). Its version 7 fails an
  * assertion, which would end the process, if a connection ends or is reset while
  * the parser of its response is paused: the caller of the response can't take
- * more yet. It also takes a reset for the end of a response without a length.
+ * more yet. It also takes a reset for the end of a response without a length,
+ * and drops what arrived before a reset and isn't read.
  * Version 8 doesn't need this, but a newer Node.js.
  */
 import type {Socket} from 'node:net';
@@ -27,21 +28,22 @@
 			}
 
 			keepEndUntilRead(socket);
-			replaceResetErrors(socket);
 			callback(null, socket);
 		});
 	};
 }
 
 /**
- * Signals the end of the connection to a read that finds nothing, which a paused
- * parser doesn't make. The read must follow an offer of the end: the client's
+ * Signals the end of the connection, or its reset, to a read that finds nothing,
+ * which a paused parser doesn't make. The read must follow an offer of the end: the client's
  * other ones may be followed by a pause in the same turn of the event loop.
  */
 function keepEndUntilRead(socket: Socket): void {
 	const push = socket.push.bind(socket);
 	const read = socket.read.bind(socket);
+	const destroy = socket.destroy.bind(socket);
 	let isEndHidden = false;
+	let resetError: Error | undefined;
 	let isOffering = false;
 	let isOfferPlanned = false;
 	const offerEnd = (): void => {
@@ -62,8 +64,7 @@
 
 		// A reset that arrives together with data is reported as an end; the socket then has no remote address.
 		if (socket.remoteAddress === undefined) {
-			socket.destroy(new VError(resetMessage));
-			return false;
+			resetError = createResetError();
 		}
 
 		isEndHidden = true;
@@ -71,6 +72,22 @@
 		return false;
 	};
 
+	socket.destroy = error => {
+		if (!error || !('code' in error) || error.code !== 'ECONNRESET') {
+			return destroy(error);
+		}
+
+		const replacement = createResetError();
+		if (!('syscall' in error) || error.syscall !== 'read' || socket.destroyed) {
+			return destroy(replacement);
+		}
+
+		resetError = replacement;
+		isEndHidden = true;
+		offerEnd();
+		return socket;
+	};
+
 	socket.read = size => {
 		const chunk = read(size) as unknown;
 		if (chunk !== null || size !== undefined || !isEndHidden) {
@@ -79,7 +96,11 @@
 
 		if (isOffering) {
 			isEndHidden = false;
-			push(null);
+			if (resetError) {
+				destroy(resetError);
+			} else {
+				push(null);
+			}
 		} else if (!isOfferPlanned) {
 			isOfferPlanned = true;
 			setImmediate(offerEnd);
@@ -89,8 +110,7 @@
 	};
 }
 
-/** The client treats errors with another code alike, whether its parser is paused or not. */
-function replaceResetErrors(socket: Socket): void {
-	const destroy = socket.destroy.bind(socket);
-	socket.destroy = error => destroy(error && 'code' in error && error.code === 'ECONNRESET' ? new VError(error, resetMessage) : error);
+/** With this code, the client treats the error alike whether its parser is paused or not, and opens a new connection for requests that it hasn't sent. */
+function createResetError(): Error {
+	return Object.assign(new VError(resetMessage), {code: 'UND_ERR_SOCKET'});
 }
--- a/packages/ports/tests/http-connector.test.ts
+++ b/packages/ports/tests/http-connector.test.ts
@@ -12,12 +12,28 @@
 const endAfterMilliseconds = 50;
 const resumeAfterMilliseconds = 150;
 const timeoutMilliseconds = 2000;
+/** Less than a socket reads ahead. */
+const largeBytes = 100_000;
 const cases = [
 	{name: 'without a length', response: 'HTTP/1.1 200 OK\r\n\r\nabc', result: 'end'},
 	{name: 'with a length and all its bytes', response: 'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc', result: 'end'},
 	{name: 'with a length and a part of its bytes', response: 'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nabc', result: 'error'},
 	{name: 'in chunks, cut', response: 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc', result: 'error'},
 ].flatMap(given => [1, 2, 3].map(pauses => ({...given, pauses})));
+const resetCases = [
+	{name: 'without a length', response: 'HTTP/1.1 200 OK\r\n\r\n', isWhole: false},
+	{name: 'with a length and all its bytes', response: `HTTP/1.1 200 OK\r\nContent-Length: ${largeBytes}\r\n\r\n`, isWhole: true},
+	{name: 'with a length, all its bytes and a close', response: `HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: ${largeBytes}\r\n\r\n`, isWhole: true},
+	{name: 'with a length and a part of its bytes', response: `HTTP/1.1 200 OK\r\nContent-Length: ${largeBytes + 1}\r\n\r\n`, isWhole: false},
+	{
+		name: 'in chunks', response: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${largeBytes.toString(16)}\r\n`, tail: '\r\n0\r\n\r\n', isWhole: true,
+	},
+	{
+		name: 'in chunks, cut', response: `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${largeBytes.toString(16)}\r\n`, tail: '\r\n0\r\n', isWhole: false,
+	},
+].flatMap(given => [1, 2, 3].flatMap(pauses => [0, endAfterMilliseconds].map(delayMilliseconds => ({
+	tail: '', ...given, pauses, delayMilliseconds,
+}))));
 
 describe('a response that is paused', () => {
 	let server: Server;
@@ -73,6 +89,25 @@
 		client = new Client(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {connect: createConnector()});
 		expect(await receive(pauses)).toEqual({text: 'abc', result});
 	});
+
+	// A reset dropped what had arrived and waited for its caller.
+	it.each(resetCases)('that is reset is complete if all of it had arrived: $name, $pauses pauses, $delayMilliseconds ms', async ({response, tail, isWhole, pauses, delayMilliseconds}) => {
+		let connections = 0;
+		server = createServer(socket => {
+			connections += 1;
+			answerAndReset(socket, response + 'x'.repeat(largeBytes) + tail, delayMilliseconds);
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		client = new Client(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {connect: createConnector()});
+		const expected = {bytes: largeBytes, result: isWhole ? 'end' : 'error'};
+		for (const connection of [1, 2]) {
+			// The second request comes at once, before the client may have seen the reset.
+			const {text, result} = await receive(pauses);
+			expect({bytes: text.length, result}).toEqual(expected);
+			expect(connections).toBe(connection);
+		}
+	});
 });
 
 function answerAndEnd(socket: Socket, response: string): void {
@@ -84,3 +119,16 @@
 		}, endAfterMilliseconds);
 	});
 }
+
+function answerAndReset(socket: Socket, response: string, delayMilliseconds: number): void {
+	const reset = (): void => {
+		socket.resetAndDestroy();
+	};
+
+	socket.on('error', () => undefined);
+	socket.once('data', () => {
+		socket.write(response, () => {
+			setTimeout(reset, delayMilliseconds);
+		});
+	});
+}
