Pass on an answer that names no transfer coding

Such an answer ends with its connection, like one without the header: a gateway takes it, an entry doesn't.

--- a/packages/node/src/response-head-class.ts
+++ b/packages/node/src/response-head-class.ts
@@ -58,10 +58,12 @@
 
 /** Returns why the end or the content of the body can't be told; undefined if they can. */
 function findFramingFault(dialect: TargetDialect, contentLength: string | undefined, transferEncoding: string | undefined): string | undefined {
-	if (transferEncoding === undefined) {
+	const coding = transferEncoding?.trim().toLowerCase();
+	// Old servers say `identity` for no coding (RFC 2616, section 3.6); the body then ends with its connection.
+	if (coding === undefined || coding === 'identity') {
 		return contentLength !== undefined || dialect.allowsResponseWithoutLength ? undefined : 'the response has neither a length nor a transfer encoding';
 	}
 
 	// Requests are sent without a `TE` header, which permits no other coding. A body in another one may end with its connection only, and the caller would get it still encoded.
-	return transferEncoding.trim().toLowerCase() === 'chunked' ? undefined : 'the response has a transfer encoding other than chunked';
+	return coding === 'chunked' ? undefined : 'the response has a transfer encoding other than chunked';
 }
