--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -54,9 +54,26 @@
 			bus.publish({type: 'knowledge-revised', revisions: getRevisions()});
 		};
 
+		/** A state that is the one in force is dropped without a report: several ways bring it. */
+		const reportDropped = (part: KnowledgePart, revision: number, inForce: number, source: string): void => {
+			if (revision >= inForce) {
+				return;
+			}
+
+			const fields = {
+				part, revision, inForce, source,
+			};
+			if (source === ownSource) {
+				logger.warn('revision_dropped', fields);
+			} else {
+				logger.info('peer_state_old', fields);
+			}
+		};
+
 		const applyConfiguration = (configuration: TrafficConfiguration, source: string): void => {
 			const previous = current.configuration?.version ?? 0;
 			if (configuration.version <= previous) {
+				reportDropped('configuration', configuration.version, previous, source);
 				return;
 			}
 
@@ -93,6 +110,7 @@
 
 		const applyOrders = (orders: TrafficOrders, source: string): void => {
 			if (current.orders && orders.revision <= current.orders.revision) {
+				reportDropped('orders', orders.revision, current.orders.revision, source);
 				return;
 			}
 
@@ -107,6 +125,7 @@
 
 		const applyTargets = (targets: RegisteredTargets, source: string): void => {
 			if (current.targets && targets.revision <= current.targets.revision) {
+				reportDropped('targets', targets.revision, current.targets.revision, source);
 				return;
 			}
 
--- a/packages/ports/src/http-caller.ts
+++ b/packages/ports/src/http-caller.ts
@@ -10,10 +10,13 @@
 import {createConnector} from './http-connector.js';
 
 export type CallOutcome
-	= | {readonly kind: 'answered'; readonly status: number; readonly body: Uint8Array}
+	= | {readonly kind: 'answered'; readonly status: number; readonly headers: CallHeaders; readonly body: Uint8Array}
 		| {readonly kind: 'not-sent'; readonly reason: string}
 		| {readonly kind: 'lost'; readonly reason: string};
 
+/** Headers of a response by their names in lower case. */
+export type CallHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** Options of a single call. */
 export type CallOptions = {
 	/** Overrides the default timeout, for example for long polling. */
@@ -112,7 +115,9 @@
 			...(options.headers && {headers: options.headers}),
 		});
 		const body = await response.body.bytes();
-		return {kind: 'answered', status: response.statusCode, body};
+		return {
+			kind: 'answered', status: response.statusCode, headers: response.headers, body,
+		};
 	} catch (error) {
 		const code = getErrorCode(error) ?? '';
 		return {kind: connectErrorCodes.has(code) ? 'not-sent' : 'lost', reason: `${code} ${getErrorMessage(error)}`.trim()};
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -8,7 +8,7 @@
 export * from './driver-registry.js';
 export * from './errors.js';
 export {
-	type CallOutcome, type HttpCaller, createHttpCaller, maximumInterimResponses,
+	type CallHeaders, type CallOptions, type CallOutcome, type HttpCaller, createHttpCaller, maximumInterimResponses,
 } from './http-caller.js';
 export {createConnector} from './http-connector.js';
 export type * from './machine-list-port.js';
