Order the states of the store by its era, and hold what a copy would undo

What callers saw: after the store had come back from a copy, routes that were added stayed refused, moved routes and withdrawn keys stayed in force, and targets that were leaving got requests, for good.

Cause: the store's version was taken for an order of its states. It goes back with the copy and is given out again. Followers went on behind changes that had reused lower numbers, orders and targets of lower revisions were dropped, and peers handed the old ones back to a gateway that had read the copy.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -279,12 +279,13 @@
 			bus.subscribe('knowledge-revised', message => {
 				const wasServing = isServing();
 				const isConfigurationNew = message.revisions.configuration !== revisions.configuration;
+				const isEraNew = message.revisions.eras?.orders !== revisions.eras?.orders || message.revisions.eras?.targets !== revisions.eras?.targets;
 				revisions = message.revisions;
 				if (isServing() !== wasServing) {
 					broadcastReport();
 					publishServing();
-				} else if (isConfigurationNew && (readers.isReader() || links.kind === 'relay')) {
-					// The gateways that don't follow the store hear of the configuration from this report; other changes are sent to them.
+				} else if ((isConfigurationNew || isEraNew) && (readers.isReader() || links.kind === 'relay')) {
+					// The gateways that don't follow the store hear of the configuration and of a later era from this report; other changes are sent to them.
 					broadcastReport();
 				}
 			}),
--- a/packages/node/src/gateway-targets.ts
+++ b/packages/node/src/gateway-targets.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock} from '@catkindale/common';
 import {
-	type ObjectAdmission, type TargetCondition, type TrafficTarget, type RateBucket, createTargetCondition, createRateBucket, fullAdmission, hashName,
+	type ObjectAdmission, type TargetCondition, type TrafficTarget, type RateBucket, createTargetCondition, createRateBucket, fullAdmission, hashName, isSameInstance,
 } from '@catkindale/policy';
 import {type ConnectionTraffic, type TargetConnections, createTargetConnections} from './target-connections.js';
 
@@ -114,8 +114,8 @@
 	};
 
 	const updateRegistration = (target: GatewayTarget, registration: TrafficTarget): void => {
-		// An unchanged registration has no new information on how long the target stays cold.
-		if (registration.revision !== target.registration.revision) {
+		// An unchanged registration has no new information on how long the target stays cold. Its revision may be given out again when the source comes back from a copy.
+		if (registration.revision !== target.registration.revision || registration.coldForMilliseconds !== target.registration.coldForMilliseconds) {
 			target.coldUntil = clock.monotonic() + registration.coldForMilliseconds;
 		}
 
@@ -182,7 +182,3 @@
 		},
 	};
 }
-
-function isSameInstance(left: TrafficTarget, right: TrafficTarget): boolean {
-	return left.startedAt === right.startedAt && left.address === right.address;
-}
--- a/packages/node/src/node-messages.ts
+++ b/packages/node/src/node-messages.ts
@@ -80,6 +80,8 @@
 		| {readonly type: 'traffic-orders-read'; readonly orders: TrafficOrders}
 	/** A traffic source has read all registrations of targets. */
 		| {readonly type: 'traffic-targets-read'; readonly targets: RegisteredTargets}
+	/** The source has come back from a copy of its rows. What this node wrote to it last may be missing. */
+		| {readonly type: 'traffic-source-restored'; readonly era: number}
 	/** A peer has a newer revision than this node's traffic source has published. */
 		| {readonly type: 'traffic-source-behind'}
 	/** The source of this node or of a peer (`from`) answers again. The answer of its last failed call was due the given time before; calls that wait since then or longer may never be answered. */
--- a/packages/node/src/target-history.ts
+++ b/packages/node/src/target-history.ts
@@ -2,13 +2,14 @@
  * The removals of targets in the last revisions, so that a peer with an earlier
  * revision of the registrations can be sent the changes alone.
  */
+import type {SourceRevision} from '@catkindale/policy';
 import type {RegisteredTargets, TargetChanges} from '@catkindale/protocol';
 
 export type TargetHistory = {
 	/** Records the change from one revision to the next one. */
 	record: (previous: RegisteredTargets | undefined, next: RegisteredTargets) => void;
 	/** Returns the changes after the revision; undefined if the history doesn't reach back to it. */
-	getChanges: (current: RegisteredTargets, after: number) => TargetChanges | undefined;
+	getChanges: (current: RegisteredTargets, after: SourceRevision) => TargetChanges | undefined;
 };
 
 const maximumRemovals = 1000;
@@ -21,7 +22,8 @@
 
 	return {
 		record(previous, next) {
-			if (!previous) {
+			if (previous?.era !== next.era) {
+				removals = [];
 				completeSince = next.revision;
 				return;
 			}
@@ -37,11 +39,11 @@
 			completeSince = Math.max(completeSince, dropped.at(-1)?.revision ?? completeSince);
 			removals = removals.slice(-maximumRemovals);
 		},
-		getChanges({revision, targets}, after) {
-			return after < completeSince
+		getChanges({era, revision, targets}, {era: afterEra, revision: after}) {
+			return afterEra !== era || after < completeSince
 				? undefined
 				: {
-					after, revision, changed: targets.filter(target => target.revision > after), removed: removals.filter(removal => removal.revision > after).map(({id}) => id),
+					era, after, revision, changed: targets.filter(target => target.revision > after), removed: removals.filter(removal => removal.revision > after).map(({id}) => id),
 				};
 		},
 	};
--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -1,17 +1,21 @@
 /**
  * Holds the traffic configuration, the operator's orders and the registered
- * targets of this gateway. Each of them has a revision that only increases.
+ * targets of this gateway. Each of them has a revision that only increases, within
+ * an era of the source; a later era is later whatever its revisions.
  * Updates come from the node's own source or from a peer that reports a higher
  * revision: at once if this node leaves following the source to others,
  * otherwise if its own source is slower.
  */
-import type {TrafficConfiguration} from '@catkindale/policy';
 import {
-	type KnowledgeMessage, type KnowledgePart, type KnowledgeRevisions, type RegisteredTargets, type TargetChanges, type TrafficOrders, knowledgeParts,
+	type SourceRevision, type TrafficConfiguration, isLaterRevision, isSameRevision, noRevision,
+} from '@catkindale/policy';
+import {
+	type KnowledgeMessage, type KnowledgePart, type KnowledgeRequest, type KnowledgeRevisions, type RegisteredTargets, type TargetChanges, type TrafficOrders, knowledgeParts,
 } from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
 import type {FleetLinks} from './fleet-links.js';
 import {nodePlugins} from './node-context.js';
+import {createSourceRestoration} from './source-restoration.js';
 import {createTargetHistory} from './target-history.js';
 
 const startOrder = 15;
@@ -32,22 +36,43 @@
 	roles: [gatewayRole],
 	order: startOrder,
 	async start(context) {
-		const {bus, clock, logger, settings} = context;
+		const {
+			bus, clock, logger, metrics, settings,
+		} = context;
 		const {name: ownId, region: ownRegion} = settings.node;
+		/** As received, which is what peers are told; `restoration` says what of it to follow. */
 		const current: Knowledge = {};
 		const targetHistory = createTargetHistory();
+		const restoration = createSourceRestoration({
+			clock,
+			logger,
+			metrics,
+			onRestored(era) {
+				bus.publish({type: 'traffic-source-restored', era});
+			},
+			onReleased({orders, targets}) {
+				if (orders) {
+					bus.publish({type: 'traffic-orders-changed', orders});
+				}
+
+				if (targets) {
+					bus.publish({type: 'traffic-targets-changed', targets});
+				}
+			},
+		});
 		let isSourceReader = true;
 		/** Peers of this node's region; a change is cheapest from there. */
 		let regionPeers: ReadonlySet<string> = new Set();
 		let links: FleetLinks = {kind: 'mesh'};
 		/** The revisions of this node that a peer was ahead of, and the monotonic times at which that was first noticed. */
-		const behindByPart = new Map<KnowledgePart, {readonly ownRevision: number; readonly since: number}>();
+		const behindByPart = new Map<KnowledgePart, {readonly ownRevision: SourceRevision; readonly since: number}>();
 		const requestedAt = new Map<KnowledgePart, number>();
 
 		const getRevisions = (): KnowledgeRevisions => ({
 			configuration: current.configuration?.version ?? 0,
 			orders: current.orders?.revision ?? 0,
 			targets: current.targets?.revision ?? 0,
+			eras: {orders: current.orders?.era ?? 0, targets: current.targets?.era ?? 0},
 		});
 
 		const publishRevisions = (): void => {
@@ -55,13 +80,13 @@
 		};
 
 		/** A state that is the one in force is dropped without a report: several ways bring it. */
-		const reportDropped = (part: KnowledgePart, revision: number, inForce: number, source: string): void => {
-			if (revision >= inForce) {
+		const reportDropped = (part: KnowledgePart, dropped: SourceRevision, inForce: SourceRevision, source: string): void => {
+			if (isSameRevision(dropped, inForce)) {
 				return;
 			}
 
 			const fields = {
-				part, revision, inForce, source,
+				part, era: dropped.era, revision: dropped.revision, inForceEra: inForce.era, inForce: inForce.revision, source,
 			};
 			if (source === ownSource) {
 				logger.warn('revision_dropped', fields);
@@ -73,7 +98,7 @@
 		const applyConfiguration = (configuration: TrafficConfiguration, source: string): void => {
 			const previous = current.configuration?.version ?? 0;
 			if (configuration.version <= previous) {
-				reportDropped('configuration', configuration.version, previous, source);
+				reportDropped('configuration', {era: 0, revision: configuration.version}, {era: 0, revision: previous}, source);
 				return;
 			}
 
@@ -109,34 +134,35 @@
 		};
 
 		const applyOrders = (orders: TrafficOrders, source: string): void => {
-			if (current.orders && orders.revision <= current.orders.revision) {
-				reportDropped('orders', orders.revision, current.orders.revision, source);
+			if (current.orders && !isLaterRevision(orders, current.orders)) {
+				reportDropped('orders', orders, current.orders, source);
 				return;
 			}
 
 			current.orders = orders;
 			logger.info('orders_changed', {
-				revision: orders.revision, source, versions: orders.versions.map(({service, version}) => `${service}:${version}`).join(','), evacuated: orders.evacuatedZones.join(','),
+				era: orders.era, revision: orders.revision, source, versions: orders.versions.map(({service, version}) => `${service}:${version}`).join(','), evacuated: orders.evacuatedZones.join(','),
 			});
-			bus.publish({type: 'traffic-orders-changed', orders});
+			bus.publish({type: 'traffic-orders-changed', orders: restoration.receiveOrders(orders)});
 			pushChange({type: 'knowledge', orders}, source);
 			publishRevisions();
 		};
 
 		const applyTargets = (targets: RegisteredTargets, source: string): void => {
-			if (current.targets && targets.revision <= current.targets.revision) {
-				reportDropped('targets', targets.revision, current.targets.revision, source);
+			if (current.targets && !isLaterRevision(targets, current.targets)) {
+				reportDropped('targets', targets, current.targets, source);
 				return;
 			}
 
-			const previous = current.targets?.revision;
+			const previous = current.targets;
 			targetHistory.record(current.targets, targets);
 			current.targets = targets;
+			const followed = restoration.receiveTargets(targets);
 			logger.info('targets_changed', {
-				revision: targets.revision, source, targets: targets.targets.length, leaving: targets.targets.filter(target => target.isLeaving).length,
+				era: targets.era, revision: targets.revision, source, targets: targets.targets.length, leaving: followed.targets.filter(target => target.isLeaving).length,
 			});
-			bus.publish({type: 'traffic-targets-changed', targets});
-			const targetChanges = previous === undefined ? undefined : targetHistory.getChanges(targets, previous);
+			bus.publish({type: 'traffic-targets-changed', targets: followed});
+			const targetChanges = previous && targetHistory.getChanges(targets, previous);
 			if (targetChanges) {
 				pushChange({type: 'knowledge', targetChanges}, source);
 			}
@@ -155,14 +181,15 @@
 			const ownRevisions = getRevisions();
 			const now = clock.monotonic();
 			const parts = knowledgeParts.filter(part => {
+				const ownRevision = getPartRevision(ownRevisions, part);
 				const behind = behindByPart.get(part);
-				if (peerRevisions[part] <= ownRevisions[part]) {
+				if (!isLaterRevision(getPartRevision(peerRevisions, part), ownRevision)) {
 					return false;
 				}
 
 				// Peers that aren't ahead say nothing about how long this node has been behind.
-				const since = behind?.ownRevision === ownRevisions[part] ? behind.since : now;
-				behindByPart.set(part, {ownRevision: ownRevisions[part], since});
+				const since = behind && isSameRevision(behind.ownRevision, ownRevision) ? behind.since : now;
+				behindByPart.set(part, {ownRevision, since});
 				return now - since >= getLeadMilliseconds(from) && now - (requestedAt.get(part) ?? Number.NEGATIVE_INFINITY) >= requestIntervalMilliseconds;
 			});
 			if (parts.length === 0) {
@@ -175,23 +202,29 @@
 
 			logger.info('knowledge_behind', {peer: from, parts: parts.join(','), milliseconds: Math.round(Math.max(...parts.map(part => now - (behindByPart.get(part)?.since ?? now))))});
 			bus.publish({type: 'traffic-source-behind'});
-			bus.publish({type: 'peer-send', to: from, message: {type: 'knowledge-wish', parts, ...(current.targets && {targetsRevision: current.targets.revision})}});
+			const {era: targetsEra, revision: targetsRevision} = current.targets ?? {...noRevision, revision: undefined};
+			bus.publish({
+				type: 'peer-send', to: from, message: {
+					type: 'knowledge-wish', parts, targetsEra, ...(targetsRevision !== undefined && {targetsRevision}),
+				},
+			});
 		};
 
-		const sendKnowledge = (to: string, parts: readonly KnowledgePart[], targetsRevision: number | undefined): void => {
-			const targetChanges = current.targets && targetsRevision !== undefined ? targetHistory.getChanges(current.targets, targetsRevision) : undefined;
+		const sendKnowledge = (to: string, {parts, targetsEra: era, targetsRevision: revision}: KnowledgeRequest): void => {
+			const targetChanges = current.targets && revision !== undefined ? targetHistory.getChanges(current.targets, {era, revision}) : undefined;
 			const message: KnowledgeMessage = {
 				type: 'knowledge',
 				...(parts.includes('configuration') && {configuration: current.configuration}),
 				...(parts.includes('orders') && {orders: current.orders}),
 				...(parts.includes('targets') && (targetChanges ? {targetChanges} : {targets: current.targets})),
+				...(revision === undefined && {held: restoration.getHeld()}),
 			};
 			bus.publish({type: 'peer-send', to, message});
 		};
 
 		/** Ignores changes after a revision that this node doesn't have; it requests all targets with the peer's next report. */
-		const applyTargetChanges = ({after, revision, changed, removed}: TargetChanges, from: string): void => {
-			if (!current.targets || after > current.targets.revision || revision <= current.targets.revision) {
+		const applyTargetChanges = ({era, after, revision, changed, removed}: TargetChanges, from: string): void => {
+			if (current.targets?.era !== era || after > current.targets.revision || revision <= current.targets.revision) {
 				return;
 			}
 
@@ -204,10 +237,14 @@
 				targets.set(target.id, target);
 			}
 
-			applyTargets({revision, targets: [...targets.values()]}, from);
+			applyTargets({era, revision, targets: [...targets.values()]}, from);
 		};
 
-		const applyPeerKnowledge = ({configuration, orders, targets, targetChanges}: KnowledgeMessage, from: string): void => {
+		const applyPeerKnowledge = ({configuration, orders, targets, targetChanges, held}: KnowledgeMessage, from: string): void => {
+			if (held) {
+				restoration.addHeld(held);
+			}
+
 			if (configuration) {
 				applyConfiguration(configuration, from);
 			}
@@ -253,7 +290,7 @@
 				}
 
 				if (message.type === 'knowledge-wish') {
-					sendKnowledge(from, message.parts, message.targetsRevision);
+					sendKnowledge(from, message);
 				}
 
 				if (message.type === 'knowledge') {
@@ -263,6 +300,7 @@
 		];
 		return {
 			async stop() {
+				restoration.stop();
 				for (const unsubscribe of unsubscribers) {
 					unsubscribe();
 				}
@@ -270,3 +308,7 @@
 		};
 	},
 });
+
+function getPartRevision(revisions: KnowledgeRevisions, part: KnowledgePart): SourceRevision {
+	return {era: part === 'configuration' ? 0 : revisions.eras?.[part] ?? 0, revision: revisions[part]};
+}
--- a/packages/node/tests/target-history.test.ts
+++ b/packages/node/tests/target-history.test.ts
@@ -34,7 +34,7 @@
 
 function parseState(revision: number, text: string): RegisteredTargets {
 	return {
-		revision, targets: text.split(' ').map(word => {
+		era: 1, revision, targets: text.split(' ').map(word => {
 			const [id = '', targetRevision] = word.split('@');
 			return createTarget(id, Number(targetRevision));
 		}),
@@ -51,7 +51,7 @@
 			current = next;
 		}
 
-		const changes = history.getChanges(current!, after);
+		const changes = history.getChanges(current!, {era: 1, revision: after});
 		expect(changes?.changed.map(({id}) => id)).toEqual(changed);
 		expect(changes?.removed).toEqual(removed);
 	});
@@ -59,7 +59,7 @@
 	it('are unknown after a revision before the first one', () => {
 		const history = createTargetHistory();
 		history.record(undefined, parseState(5, 'a@1'));
-		expect(history.getChanges(parseState(5, 'a@1'), 4)).toBeUndefined();
+		expect(history.getChanges(parseState(5, 'a@1'), {era: 1, revision: 4})).toBeUndefined();
 	});
 
 	it('are unknown once removals were dropped', () => {
@@ -68,7 +68,7 @@
 		const few = parseState(9, 'a@1');
 		history.record(undefined, many);
 		history.record(many, few);
-		expect(history.getChanges(few, 5)).toBeUndefined();
-		expect(history.getChanges(few, 9)).toMatchObject({changed: [], removed: []});
+		expect(history.getChanges(few, {era: 1, revision: 5})).toBeUndefined();
+		expect(history.getChanges(few, {era: 1, revision: 9})).toMatchObject({changed: [], removed: []});
 	});
 });
--- a/packages/node/tests/traffic-knowledge.test.ts
+++ b/packages/node/tests/traffic-knowledge.test.ts
@@ -2,6 +2,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {Registry} from 'prom-client';
 import {type Clock, createSilentLogger} from '@catkindale/common';
 import {type MessageBus, createMessageBus} from '@catkindale/kernel';
 import type {Member} from '@catkindale/policy';
@@ -32,7 +33,7 @@
 async function startKnowledge(bus: MessageBus<NodeMessage>): Promise<() => Promise<void>> {
 	const plugin = nodePlugins.getPlugins(['gateway']).find(({name}) => name === 'traffic-knowledge')!;
 	const task = await plugin.start({
-		bus, clock, logger: createSilentLogger(), settings: {node: {name: 'own', region: 'east'}},
+		bus, clock, logger: createSilentLogger(), metrics: new Registry(), settings: {node: {name: 'own', region: 'east'}, peers: []},
 	} as unknown as NodeContext);
 	return task.stop;
 }
@@ -104,10 +105,14 @@
 			part: 'configuration', read: {type: 'traffic-configuration-read', configuration: createConfiguration(5)}, message: {configuration: {version: 5}},
 		},
 		{
-			part: 'orders', read: {type: 'traffic-orders-read', orders: {revision: 5, versions: [], evacuatedZones: []}}, message: {orders: {revision: 5}},
+			part: 'orders', read: {
+				type: 'traffic-orders-read', orders: {
+					era: 1, revision: 5, versions: [], evacuatedZones: [],
+				},
+			}, message: {orders: {revision: 5}},
 		},
 		{
-			part: 'targets', read: {type: 'traffic-targets-read', targets: {revision: 5, targets: []}}, message: {targetChanges: {after: 4, revision: 5}},
+			part: 'targets', read: {type: 'traffic-targets-read', targets: {era: 1, revision: 5, targets: []}}, message: {targetChanges: {after: 4, revision: 5}},
 		},
 	];
 	let bus: MessageBus<NodeMessage>;
@@ -120,8 +125,12 @@
 		bus = createMessageBus<NodeMessage>();
 		stop = await startKnowledge(bus);
 		bus.publish({type: 'traffic-configuration-read', configuration: createConfiguration(4)});
-		bus.publish({type: 'traffic-orders-read', orders: {revision: 4, versions: [], evacuatedZones: []}});
-		bus.publish({type: 'traffic-targets-read', targets: {revision: 4, targets: []}});
+		bus.publish({
+			type: 'traffic-orders-read', orders: {
+				era: 1, revision: 4, versions: [], evacuatedZones: [],
+			},
+		});
+		bus.publish({type: 'traffic-targets-read', targets: {era: 1, revision: 4, targets: []}});
 		bus.publish({type: 'serving-gateways-changed', members: ['own', 'relay', 'other-relay', 'first', 'second'].map(id => createMember(id))});
 		published = [];
 		bus.subscribe('peer-send', ({to, message}) => {
@@ -161,7 +170,9 @@
 		const report = (): void => {
 			bus.publish({
 				type: 'peer-received', from, message: {
-					type: 'gateway-report', isServing: true, use: 0, revisions: {configuration: 4, orders: 4, targets: 5}, demands: {},
+					type: 'gateway-report', isServing: true, use: 0, revisions: {
+						configuration: 4, orders: 4, targets: 5, eras: {orders: 1, targets: 1},
+					}, demands: {},
 				},
 			});
 		};
--- a/packages/node/tests/version-trial.test.ts
+++ b/packages/node/tests/version-trial.test.ts
@@ -233,7 +233,11 @@
 		start,
 		order(ordered: typeof order) {
 			for (const {bus} of gateways.values()) {
-				bus.publish({type: 'traffic-orders-changed', orders: {revision: ordered.revision, versions: [ordered], evacuatedZones: []}});
+				bus.publish({
+					type: 'traffic-orders-changed', orders: {
+						era: 1, revision: ordered.revision, versions: [ordered], evacuatedZones: [],
+					},
+				});
 			}
 		},
 		async advanceTo(until: number, count?: (gateway: Gateway, now: number) => void) {
--- a/packages/protocol/src/gateway-messages.ts
+++ b/packages/protocol/src/gateway-messages.ts
@@ -1,14 +1,18 @@
 /** Messages in which gateways report their state and exchange configuration, version orders and targets. */
 import * as z from 'zod';
-import {trafficConfigurationSchema, trafficTargetSchema, versionOrderSchema} from '@catkindale/policy';
+import {
+	sourceRevisionFields, trafficConfigurationSchema, trafficTargetSchema, versionOrderSchema,
+} from '@catkindale/policy';
 
-/** Parts of a gateway's traffic data; each has its own revision, which only increases. */
+/** Parts of a gateway's traffic data; each has its own revision, which only increases within an era of the source. */
 export const knowledgeParts = ['configuration', 'orders', 'targets'] as const;
 
 const revisionsSchema = z.object({
 	configuration: z.int(),
 	orders: z.int(),
 	targets: z.int(),
+	/** The eras of the orders and targets; the configuration has a version of its own, which increases in all eras. */
+	eras: z.object({orders: sourceRevisionFields.era, targets: sourceRevisionFields.era}).optional(),
 });
 
 /** Sent with each heartbeat. */
@@ -42,30 +46,41 @@
 export const knowledgeRequestMessageSchema = z.object({
 	type: z.literal('knowledge-wish'),
 	parts: z.array(z.enum(knowledgeParts)),
-	/** The revision of the targets that the sender has, so that it is sent only the later changes. */
+	/** The revision of the targets that the sender has, so that it is sent only the later changes; absent if it has none. */
 	targetsRevision: z.int().optional(),
+	targetsEra: sourceRevisionFields.era,
 });
 
 export const trafficOrdersSchema = z.object({
-	revision: z.int(),
+	...sourceRevisionFields,
 	versions: z.array(versionOrderSchema),
 	evacuatedZones: z.array(z.string()),
 });
 
 export const registeredTargetsSchema = z.object({
-	revision: z.int(),
+	...sourceRevisionFields,
 	targets: z.array(trafficTargetSchema),
 });
 
-/** The changes of the registered targets after one revision up to another. */
+/** The changes of the registered targets after one revision up to another of the same era. */
 export const targetChangesSchema = z.object({
+	...sourceRevisionFields,
 	after: z.int(),
-	revision: z.int(),
 	changed: z.array(trafficTargetSchema),
 	/** Identifiers of removed targets; those that were registered again since are also in `changed`. */
 	removed: z.array(z.string()),
 });
 
+/** What a gateway holds while its source has just come back from a copy, and the departures that it would hold after the next return. */
+export const heldStateSchema = z.object({
+	departed: z.array(trafficTargetSchema.pick({id: true, startedAt: true, address: true})),
+	evacuatedZones: z.array(z.string()),
+	orders: z.array(versionOrderSchema),
+	restoredRevision: z.int(),
+	/** Remaining time for which the sender holds this; 0 if it only knows the departures. */
+	remainingMilliseconds: z.number().min(0),
+});
+
 export const knowledgeMessageSchema = z.object({
 	type: z.literal('knowledge'),
 	configuration: trafficConfigurationSchema.optional(),
@@ -74,6 +89,8 @@
 	targets: registeredTargetsSchema.optional(),
 	/** In place of `targets` for a requester whose revision of the targets the sender can continue. */
 	targetChanges: targetChangesSchema.optional(),
+	/** Sent with all targets, so that a gateway that starts while a copy is served doesn't take it for the truth. */
+	held: heldStateSchema.optional(),
 });
 
 /**
@@ -146,6 +163,7 @@
 ] as const;
 
 export type KnowledgePart = typeof knowledgeParts[number];
+export type KnowledgeRequest = z.infer<typeof knowledgeRequestMessageSchema>;
 export type KnowledgeRevisions = z.infer<typeof revisionsSchema>;
 export type GatewayReport = z.infer<typeof gatewayReportMessageSchema>;
 export type TargetLimit = NonNullable<GatewayReport['targetLimits']>[number];
@@ -153,6 +171,7 @@
 export type RegisteredTargets = z.infer<typeof registeredTargetsSchema>;
 export type ObjectPlacements = z.infer<typeof objectPlacementsMessageSchema>;
 export type ObjectPlacement = z.infer<typeof objectPlacementsMessageSchema>['placements'][number];
+export type HeldStateMessage = z.infer<typeof heldStateSchema>;
 export type TargetChanges = z.infer<typeof targetChangesSchema>;
 export type GatewayPhase = typeof gatewayPhases[number];
 export type AttachedGateways = z.infer<typeof attachedGatewaysMessageSchema>;
