Let a gateway that starts hear from a peer before it takes what the store says

What callers saw: requests run at the old service, or at a target that was leaving, by a gateway that was started while the store served a copy.

Cause: it remembers nothing, so it took the copy for the truth, and no peer's state was newer than the copy's by its own account.

Change: it asks the first peer that reports a configuration for all it knows and holds, and takes what its own source says after that; without an answer it goes on 500 ms after its first read, and at once if it has no peer addresses.

--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -14,6 +14,7 @@
 } from '@catkindale/protocol';
 import {gatewayRole} from './constants.js';
 import type {FleetLinks} from './fleet-links.js';
+import {createKnowledgeIntroduction} from './knowledge-introduction.js';
 import {nodePlugins} from './node-context.js';
 import {createSourceRestoration} from './source-restoration.js';
 import {createTargetHistory} from './target-history.js';
@@ -43,6 +44,7 @@
 		/** As received, which is what peers are told; `restoration` says what of it to follow. */
 		const current: Knowledge = {};
 		const targetHistory = createTargetHistory();
+		const introduction = createKnowledgeIntroduction({clock, logger, hasPeers: settings.peers.length > 0});
 		const restoration = createSourceRestoration({
 			clock,
 			logger,
@@ -172,6 +174,10 @@
 
 		/** Returns how long to wait for another way to a revision that the peer has. */
 		const getLeadMilliseconds = (from: string): number => {
+			if (introduction.isWaiting()) {
+				return 0;
+			}
+
 			const isSentByOtherRelay = links.kind === 'attached' && links.ownRelayIds[0] !== from;
 			return isSourceReader || isSentByOtherRelay || !regionPeers.has(from) ? sourceLeadMilliseconds : 0;
 		};
@@ -260,17 +266,27 @@
 			if (targetChanges) {
 				applyTargetChanges(targetChanges, from);
 			}
+
+			if (held) {
+				introduction.end(from);
+			}
 		};
 
 		const unsubscribers = [
 			bus.subscribe('traffic-configuration-read', ({configuration}) => {
-				applyConfiguration(configuration, ownSource);
+				introduction.apply(() => {
+					applyConfiguration(configuration, ownSource);
+				});
 			}),
 			bus.subscribe('traffic-orders-read', ({orders}) => {
-				applyOrders(orders, ownSource);
+				introduction.apply(() => {
+					applyOrders(orders, ownSource);
+				});
 			}),
 			bus.subscribe('traffic-targets-read', ({targets}) => {
-				applyTargets(targets, ownSource);
+				introduction.apply(() => {
+					applyTargets(targets, ownSource);
+				});
 			}),
 			bus.subscribe('source-readers-changed', message => {
 				isSourceReader = message.isReader;
@@ -300,6 +316,7 @@
 		];
 		return {
 			async stop() {
+				introduction.stop();
 				restoration.stop();
 				for (const unsubscribe of unsubscribers) {
 					unsubscribe();
