Write a gateway's row again when the store has come back without it

What callers saw: nothing so far; a gateway that starts while no known peer runs finds the others through their rows, and wouldn't find one whose row was written after the copy was made, unless it was one of the two that read rows at intervals.

Change: after a return of the store each gateway checks its own row, within 5 s and at its own moment, and writes it if it is missing.

Evidence: 'are written again when the store has come back from a copy without them' in gateway-rows.test.ts, red without the change.

--- a/packages/node/src/fleet-rows.ts
+++ b/packages/node/src/fleet-rows.ts
@@ -2,7 +2,8 @@
  * The rows of the gateways in the table, through which gateways find each other
  * that have no peer in common. Each gateway writes its own row and reads all of
  * them once; later changes are read by two gateways of the fleet, and by those
- * without any peer.
+ * without any peer. After the store has come back from a copy, each gateway
+ * writes its row again if it is missing.
  */
 import {createIdentifier, rankMembers} from '@catkindale/common';
 import {type Member, memberSchema} from '@catkindale/policy';
@@ -19,15 +20,19 @@
 /** The key that ranks the gateways for reading and removing rows. It must be the same on all gateways. */
 const rankKey = 'rows of gateways that are gone';
 const rowReaders = 2;
+/** The gateways of a large fleet check their rows spread over this time after a return. */
+const maximumCheckDelayMilliseconds = 5000;
 
 /** @param getServing returns the gateways that serve, as this one sees them */
 export function startFleetRows(context: NodeContext, members: FleetMembers, getServing: () => readonly Member[]): PeriodicWork {
-	const {clock, logger, platform: {table}} = context;
+	const {bus, clock, logger, platform: {table}} = context;
 	const ownId = context.settings.node.name;
 	const ownKey = `${rowKeys.gatewayPrefix}${ownId}`;
 	let isWritten = false;
 	let hasRead = false;
 	let triedAt = Number.NEGATIVE_INFINITY;
+	/** Monotonic time at which the own row is checked; undefined if it is known to be written. */
+	let checkAt: number | undefined;
 
 	const writeOwnRow = async (expectedVersion: number): Promise<void> => {
 		const outcome = await table.transact(createIdentifier(), [{key: ownKey, expectedVersion, value: getOwnMember(context)}]);
@@ -88,8 +93,24 @@
 	/** Whether this gateway reads the rows at intervals: the others hear from it, or it has nobody to hear from. */
 	const isRowReader = (): boolean => getServing().every(({id}) => id === ownId) || getReaders().some(({id}) => id === ownId);
 
+	const checkOwnRow = async (): Promise<void> => {
+		const outcome = await table.get(ownKey);
+		if (outcome.kind !== 'done') {
+			return;
+		}
+
+		checkAt = undefined;
+		if (!outcome.value) {
+			await writeOwnRow(0);
+		}
+	};
+
 	const maintainRows = async (): Promise<void> => {
 		members.removeExpired();
+		if (checkAt !== undefined && clock.monotonic() >= checkAt) {
+			await checkOwnRow();
+		}
+
 		const isJoined = isWritten && hasRead;
 		const now = clock.monotonic();
 		if (now - triedAt < (isJoined ? readIntervalMilliseconds : retryIntervalMilliseconds) || (isJoined && !isRowReader())) {
@@ -100,5 +121,15 @@
 		triedAt = clock.monotonic();
 	};
 
-	return startPeriodicWork(maintainRows, retryIntervalMilliseconds);
+	const unsubscribe = bus.subscribe('traffic-source-restored', () => {
+		checkAt = clock.monotonic() + (Math.random() * maximumCheckDelayMilliseconds);
+	});
+	const work = startPeriodicWork(maintainRows, retryIntervalMilliseconds);
+	return {
+		...work,
+		async stop() {
+			unsubscribe();
+			await work.stop();
+		},
+	};
 }
