Let a version move go on when its order is written again after a return

What callers saw: in tests, a move that was complete or taken back began again after the store's return from a copy, with 5 in 100 requests at the version that was taken back, because its order had another revision; and an end that was recorded could be missing from the copy for good.

Cause: trials and their records knew the order by its revision alone.

Change: both have the era too. In a later era, an order of the same service, version and duration is the same one, and its trial goes on or stays settled. The leader reads the records again after a return and writes what is missing or stands under the earlier revision, also a completion. It leaves the record of a later order alone.

Evidence: five cases of 'the trial goes on after the store's return' in version-trial.test.ts, red without the change.

--- a/packages/node/src/apply-trial-record.ts
+++ b/packages/node/src/apply-trial-record.ts
@@ -2,7 +2,7 @@
 import type {Clock, Logger} from '@catkindale/common';
 import {endVersionTrial} from './end-version-trial.js';
 import type {TrialRecord} from './trial-record-store.js';
-import {getSettledVersion} from './version-trial-records.js';
+import {getSettledVersion, isRecordOf} from './version-trial-records.js';
 import type {VersionTrials} from './version-trials.js';
 
 export function applyTrialRecord(trials: Pick<VersionTrials, 'get' | 'setSettledVersion'>, record: TrialRecord, {clock, logger}: {readonly clock: Clock; readonly logger: Logger}): void {
@@ -11,12 +11,12 @@
 		return;
 	}
 
-	const settledVersion = getSettledVersion(record, trial.revision);
+	const settledVersion = getSettledVersion(record, trial);
 	if (settledVersion !== undefined) {
 		trials.setSettledVersion(trial.service, settledVersion);
 	}
 
-	if (record.revision !== trial.revision) {
+	if (!isRecordOf(record, trial)) {
 		return;
 	}
 
--- a/packages/node/src/trial-record-store.ts
+++ b/packages/node/src/trial-record-store.ts
@@ -4,7 +4,8 @@
 export type TrialRecord = {
 	readonly service: string;
 	readonly version: string;
-	/** The revision of the operator's order. */
+	/** The era and revision of the operator's order. Records of older builds have the era 0. */
+	readonly era: number;
 	readonly revision: number;
 	readonly state: TrialState;
 	/** Wall time in milliseconds at which the order was first observed. */
--- a/packages/node/src/version-trial-leader.ts
+++ b/packages/node/src/version-trial-leader.ts
@@ -25,12 +25,10 @@
 			break;
 		}
 
+		// Also an end that was recorded may be missing once the store has come back from a copy.
+		case 'complete':
 		case 'reverted': {
-			await (dependencies.records.isRecorded(trial, 'reverted') || dependencies.records.write(trial, 'reverted'));
-			break;
-		}
-
-		case 'complete': {
+			await (dependencies.records.isRecorded(trial, trial.state) || dependencies.records.write(trial, trial.state));
 			break;
 		}
 	}
--- a/packages/node/src/version-trial-records.ts
+++ b/packages/node/src/version-trial-records.ts
@@ -4,6 +4,7 @@
  * be read again.
  */
 import type {Clock, Logger} from '@catkindale/common';
+import {isLaterRevision, isSameRevision} from '@catkindale/policy';
 import type {TrialState} from '@catkindale/protocol';
 import type {StoredTrialRecord, TrialRecord, TrialRecordStore} from './trial-record-store.js';
 import type {Trial} from './version-trials.js';
@@ -17,7 +18,7 @@
 	isStoreUnreachable: () => boolean;
 	/** Reads all records. Returns none if the store can't be read. */
 	read: () => Promise<readonly TrialRecord[]>;
-	/** Whether the trial is already recorded in this state. */
+	/** Whether the trial is already recorded in this state, under the order's latest revision. */
 	isRecorded: (trial: Trial, state: TrialState) => boolean;
 	/** Whether the service's record belongs to this trial and not to an earlier one. */
 	hasRecordOf: (trial: Trial) => boolean;
@@ -32,9 +33,19 @@
 	readonly logger: Logger;
 };
 
-/** Returns the version of the last completed trial before the trial of this revision; undefined if the record has none. */
-export function getSettledVersion(record: TrialRecord, revision: number): string | undefined {
-	return record.revision < revision && record.state === 'complete' ? record.version : record.settledVersion;
+/** Whether the record belongs to this trial and not to an earlier one; the order may have been written again in a later era since. */
+export function isRecordOf(record: TrialRecord, trial: Trial): boolean {
+	if (record.era === 0) {
+		return record.revision === trial.revision;
+	}
+
+	return isSameRevision(record, trial) || (record.era < trial.era && record.version === trial.version);
+}
+
+/** Returns the version of the last completed trial before this one; undefined if the record has none. */
+export function getSettledVersion(record: TrialRecord, trial: Trial): string | undefined {
+	const isEarlier = isLaterRevision(trial, record) && !isRecordOf(record, trial);
+	return isEarlier && record.state === 'complete' ? record.version : record.settledVersion;
 }
 
 /** A healthy store responds within some milliseconds, a slow one within a few hundred. A later response is too late for the last step of a trial. */
@@ -70,23 +81,36 @@
 		},
 		isRecorded(trial, state) {
 			const record = records?.get(trial.service);
-			return record?.revision === trial.revision && record.state === state;
+			return record !== undefined && isSameRevision(record, trial) && record.state === state;
+		},
+		hasRecordOf(trial) {
+			const record = records?.get(trial.service);
+			return record !== undefined && isRecordOf(record, trial);
 		},
-		hasRecordOf: trial => records?.get(trial.service)?.revision === trial.revision,
 		async write(trial, state) {
-			const {service, version, revision} = trial;
+			const {service, version, era, revision} = trial;
 			const previous = records?.get(service);
+			if (previous && isLaterRevision(previous, trial)) {
+				// The order that this node follows was replaced, or written again in a later era.
+				logger.info('version_record_later', {
+					service, era, revision, recordedEra: previous.era, recordedRevision: previous.revision,
+				});
+				records = undefined;
+				return false;
+			}
+
 			const record = {
 				service,
 				version,
+				era,
 				revision,
 				state,
 				startedAt: clock.wall() - (clock.monotonic() - trial.startedAt),
-				settledVersion: previous && getSettledVersion(previous, revision),
+				settledVersion: previous && getSettledVersion(previous, trial),
 			};
 			const outcome = await call(store?.write(record, previous?.rowVersion ?? 0));
 			logger.info('version_record_written', {
-				service, version, revision, state, outcome: outcome?.kind,
+				service, version, era, revision, state, outcome: outcome?.kind,
 			});
 			if (outcome?.kind === 'done') {
 				records?.set(service, {...record, rowVersion: outcome.value});
--- a/packages/node/src/version-trial-task.ts
+++ b/packages/node/src/version-trial-task.ts
@@ -8,7 +8,7 @@
  */
 import {rankMembers} from '@catkindale/common';
 import type {Task} from '@catkindale/kernel';
-import {evaluateTrial} from '@catkindale/policy';
+import {evaluateTrial, isLaterRevision} from '@catkindale/policy';
 import type {TrialCountsMessage, TrialStageMessage} from '@catkindale/protocol';
 import {applyTrialRecord} from './apply-trial-record.js';
 import {endVersionTrial} from './end-version-trial.js';
@@ -17,7 +17,9 @@
 import {startPeriodicWork} from './periodic-work.js';
 import {advanceTrial} from './version-trial-leader.js';
 import {createTrialRecords} from './version-trial-records.js';
-import {type Trial, getSummedCounts, getTrialEvidence} from './version-trials.js';
+import {
+	type Trial, getSummedCounts, getTrialEvidence, isTrialOf,
+} from './version-trials.js';
 
 /** Interval at which counts and shares are broadcast during a trial. */
 const tickMilliseconds = 250;
@@ -38,10 +40,10 @@
 	let isYielding = false;
 	const records = createTrialRecords({store: trialRecordStore, clock, logger});
 
-	const broadcastHalt = ({service, version, revision}: Trial, reason: string): void => {
+	const broadcastHalt = ({service, version, era, revision}: Trial, reason: string): void => {
 		bus.publish({
 			type: 'peer-broadcast', message: {
-				type: 'trial-halt', service, version, revision, reason,
+				type: 'trial-halt', service, version, era, revision, reason,
 			},
 		});
 	};
@@ -79,8 +81,8 @@
 		return rankMembers(trial.service, candidates.map(id => ({id})))[0]?.id === ownId;
 	};
 
-	const createStageMessage = ({service, version, revision, state, share}: Trial): TrialStageMessage => ({
-		type: 'trial-stage', service, version, revision, state, share, settledVersion: trials.getSettledVersion(service),
+	const createStageMessage = ({service, version, era, revision, state, share}: Trial): TrialStageMessage => ({
+		type: 'trial-stage', service, version, era, revision, state, share, settledVersion: trials.getSettledVersion(service),
 	});
 
 	const broadcastStage = (trial: Trial): void => {
@@ -109,14 +111,14 @@
 			return;
 		}
 
-		const {service, version, revision} = trial;
+		const {service, version, era, revision} = trial;
 		const attachedIds = links.kind === 'relay' ? links.attachedIds : [];
 		const routes = getSummedCounts(trial, attachedIds);
 		const to = getCountReceivers();
 		if (Object.keys(routes).length > 0) {
 			bus.publish({
 				type: 'peer-broadcast', message: {
-					type: 'trial-counts', service, version, revision, routes,
+					type: 'trial-counts', service, version, era, revision, routes,
 				}, ...(to && {to}),
 			});
 		}
@@ -192,9 +194,9 @@
 		}
 	};
 
-	const findTrial = ({service, revision}: {readonly service: string; readonly revision: number}): Trial | undefined => {
-		const trial = trials.get(service);
-		return trial?.revision === revision ? trial : undefined;
+	const findTrial = (order: Pick<Trial, 'service' | 'version' | 'era' | 'revision'>): Trial | undefined => {
+		const trial = trials.get(order.service);
+		return trial && isTrialOf(trial, order) ? trial : undefined;
 	};
 
 	/** Stages of trials whose order hasn't arrived yet, for example after a restart. */
@@ -209,8 +211,8 @@
 	const receiveStage = (message: TrialStageMessage, from: string): void => {
 		const trial = findTrial(message);
 		if (!trial) {
-			const knownRevision = Math.max(trials.get(message.service)?.revision ?? -1, pendingStages.get(message.service)?.message.revision ?? -1);
-			if (message.revision > knownRevision) {
+			const known = [trials.get(message.service), pendingStages.get(message.service)?.message];
+			if (known.every(order => !order || isLaterRevision(message, order))) {
 				pendingStages.set(message.service, {message, from});
 			}
 
@@ -242,7 +244,7 @@
 
 	const subscriptions = [
 		bus.subscribe('traffic-orders-changed', ({orders}) => {
-			trials.setOrders(orders.versions.map(order => ({...order})), clock.monotonic());
+			trials.setOrders(orders.versions.map(order => ({...order, era: orders.era})), clock.monotonic());
 			const stages = [...pendingStages.values()];
 			pendingStages.clear();
 			for (const {message, from} of stages) {
@@ -264,6 +266,10 @@
 			records.invalidate();
 			lastReadAt = Number.NEGATIVE_INFINITY;
 		}),
+		bus.subscribe('traffic-source-restored', () => {
+			records.invalidate();
+			lastReadAt = Number.NEGATIVE_INFINITY;
+		}),
 		bus.subscribe('fleet-links-changed', message => {
 			({links} = message);
 		}),
--- a/packages/node/src/version-trials.ts
+++ b/packages/node/src/version-trials.ts
@@ -3,14 +3,16 @@
  * new version, and how the attempts end.
  */
 import {
-	type TrialEvidence, type VersionCounts, addVersionCounts, getObjectPosition, emptyVersionCounts, trialShare,
+	type TrialEvidence, type VersionCounts, addVersionCounts, getObjectPosition, emptyVersionCounts, isLaterRevision, isSameMove, isSameRevision, trialShare,
 } from '@catkindale/policy';
 import type {TrialCountsMessage, TrialState} from '@catkindale/protocol';
 
 export type Trial = {
 	readonly service: string;
 	readonly version: string;
-	readonly revision: number;
+	/** Era and revision of the order, which gets later ones when it is written again after the source came back from a copy. */
+	era: number;
+	revision: number;
 	readonly durationMilliseconds: number;
 	/** Monotonic time at which the trial began, as far as this gateway can tell. */
 	startedAt: number;
@@ -35,8 +37,8 @@
 export type AttemptQuality = 'good' | 'slow' | 'failed';
 
 export type VersionTrials = {
-	/** Starts a trial for each order whose revision is higher than that of the service's trial. */
-	setOrders: (orders: ReadonlyArray<Pick<Trial, 'service' | 'version' | 'revision' | 'durationMilliseconds'>>, now: number) => void;
+	/** Starts a trial for each order that is later than that of the service's trial, unless it is the same order written again in another era. */
+	setOrders: (orders: ReadonlyArray<Pick<Trial, 'service' | 'version' | 'era' | 'revision' | 'durationMilliseconds'>>, now: number) => void;
 	get: (service: string) => Trial | undefined;
 	getAll: () => readonly Trial[];
 	/** Sets the version of the service's last completed trial before the present one. */
@@ -101,9 +103,16 @@
 
 	return {
 		setOrders(orders, now) {
-			for (const {service, version, revision, durationMilliseconds} of orders) {
+			for (const order of orders) {
+				const {service, version, era, revision, durationMilliseconds} = order;
 				const previous = trials.get(service);
-				if ((previous?.revision ?? -1) >= revision) {
+				if (previous && !isLaterRevision(order, previous)) {
+					continue;
+				}
+
+				if (previous && previous.era !== era && isSameMove(previous, order)) {
+					previous.era = era;
+					previous.revision = revision;
 					continue;
 				}
 
@@ -115,6 +124,7 @@
 				trials.set(service, {
 					service,
 					version,
+					era,
 					revision,
 					durationMilliseconds,
 					startedAt: now,
@@ -170,3 +180,8 @@
 
 	return Object.fromEntries(sums);
 }
+
+/** Whether what names the order belongs to this trial; in another era, the order of the same version may be the same one, written again. */
+export function isTrialOf(trial: Trial, order: Pick<Trial, 'version' | 'era' | 'revision'>): boolean {
+	return order.era === trial.era ? isSameRevision(order, trial) : order.version === trial.version;
+}
--- a/packages/node/tests/version-trial.test.ts
+++ b/packages/node/tests/version-trial.test.ts
@@ -75,7 +75,7 @@
 function createTrial(): {readonly trials: VersionTrials; readonly trial: Trial} {
 	const trials = createVersionTrials();
 	trials.setOrders([{
-		service: 'pricing', version: '2', revision: 1, durationMilliseconds,
+		service: 'pricing', version: '2', era: 1, revision: 1, durationMilliseconds,
 	}], 0);
 	const trial = trials.get('pricing')!;
 	trial.ownCounts.set('lookup', {trial: {requests: 100, failures: 0, slow: 0}, settled: {requests: 1000, failures: 0, slow: 0}});
@@ -84,10 +84,10 @@
 
 describe('requests outside a trial go', () => {
 	const first = {
-		service: 'pricing', version: '2', revision: 1, durationMilliseconds,
+		service: 'pricing', version: '2', era: 1, revision: 1, durationMilliseconds,
 	};
 	const second = {
-		service: 'pricing', version: '3', revision: 2, durationMilliseconds,
+		service: 'pricing', version: '3', era: 1, revision: 2, durationMilliseconds,
 	};
 	const cases: ReadonlyArray<{name: string; ends: readonly TrialState[]; allowed: readonly string[]}> = [
 		{name: 'to the old version during the first trial', ends: ['running'], allowed: ['1']},
@@ -180,7 +180,7 @@
 const [leader, follower, last] = rankMembers('pricing', names.map(id => ({id}))).map(({id}) => id);
 const stepMilliseconds = tickMilliseconds / 5;
 const order = {
-	service: 'pricing', version: '2', revision: 1, durationMilliseconds,
+	service: 'pricing', version: '2', era: 1, revision: 1, durationMilliseconds,
 };
 const nextOrder = {...order, version: '3', revision: 2};
 
@@ -229,13 +229,15 @@
 
 	return {
 		gateways,
+		/** The stored record. */
+		shared,
 		/** Replaces the gateway of this name. */
 		start,
 		order(ordered: typeof order) {
 			for (const {bus} of gateways.values()) {
 				bus.publish({
 					type: 'traffic-orders-changed', orders: {
-						era: 1, revision: ordered.revision, versions: [ordered], evacuatedZones: [],
+						era: ordered.era, revision: ordered.revision, versions: [ordered], evacuatedZones: [],
 					},
 				});
 			}
@@ -318,6 +320,55 @@
 		await fleet.stop();
 	});
 
+	const returns: ReadonlyArray<{name: string; at: number; copy: 'of before the trial' | 'of its start' | 'of now'; failures: number; state: TrialState; share: number}> = [
+		{
+			name: 'that runs', at: 3000, copy: 'of before the trial', failures: 0, state: 'running', share: 0.05,
+		},
+		{
+			name: 'that runs at a risen share', at: 7500, copy: 'of its start', failures: 0, state: 'running', share: 0.75,
+		},
+		{
+			name: 'that was complete', at: 11_000, copy: 'of its start', failures: 0, state: 'complete', share: 1,
+		},
+		{
+			name: 'that was complete and recorded', at: 11_000, copy: 'of now', failures: 0, state: 'complete', share: 1,
+		},
+		{
+			name: 'that was reverted', at: 5000, copy: 'of its start', failures: 4, state: 'reverted', share: 0,
+		},
+	];
+	// Guards against a settled move that begins again, or is lost, because the copy changes the revision of its order.
+	it.each(returns)('the trial $name goes on after the store\'s return from a copy $copy', async ({at, copy, failures, state, share}) => {
+		const fleet = startGateways([]);
+		fleet.order(order);
+		await fleet.advanceTo(1000, countGood);
+		const start = fleet.shared.row;
+		await fleet.advanceTo(2000, ({trials}) => {
+			for (let index = 0; index < failures; index++) {
+				trials.recordAttempt('pricing', 'lookup', '2', 'failed');
+			}
+		});
+		await fleet.advanceTo(at, countGood);
+		const recorded = {'of before the trial': undefined, 'of its start': start, 'of now': fleet.shared.row};
+		fleet.shared.row = recorded[copy];
+		for (const {bus} of fleet.gateways.values()) {
+			bus.publish({type: 'traffic-source-restored', era: 2});
+		}
+
+		await fleet.advanceTo(at + 500, countGood);
+		const reordered = {...order, era: 2, revision: 9};
+		fleet.order(reordered);
+		await fleet.advanceTo(at + 1000, countGood);
+		for (const {trials} of fleet.gateways.values()) {
+			expect(trials.get('pricing')).toMatchObject({...reordered, state, share});
+		}
+
+		expect(fleet.shared.row).toMatchObject({
+			service: 'pricing', version: '2', era: 2, revision: 9, state,
+		});
+		await fleet.stop();
+	});
+
 	it('add up failures while the store is unresponsive', async () => {
 		const fleet = startGateways([{from: 0, until: 8000, kind: 'unresponsive'}]);
 		fleet.order(order);
--- a/packages/protocol/src/version-trial-messages.ts
+++ b/packages/protocol/src/version-trial-messages.ts
@@ -1,10 +1,11 @@
 /** Messages about the trial of a service's new version. */
 import * as z from 'zod';
+import {sourceRevisionFields} from '@catkindale/policy';
 
 const countsSchema = z.object({requests: z.int().min(0), failures: z.int().min(0), slow: z.int().min(0)});
 
-/** Identifies the version order that a message belongs to; a later order for the same service has a higher revision. */
-const orderFields = {service: z.string(), version: z.string(), revision: z.int()};
+/** Identifies the version order that a message belongs to; a later order for the same service has a later revision. */
+const orderFields = {service: z.string(), version: z.string(), ...sourceRevisionFields};
 
 export const trialStates = ['running', 'complete', 'reverted'] as const;
 
