Follow peers of older builds, which name no era

What callers would have seen: during an upgrade, a gateway of this build that leaves following the store to readers of the build before would have missed all changes, since a state without an era counted as earlier than its own.

Change: a state without an era counts as of the era of what the gateway has, for orders, targets and trials.

--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -143,7 +143,11 @@
 
 			current.orders = orders;
 			logger.info('orders_changed', {
-				era: orders.era, revision: orders.revision, source, versions: orders.versions.map(({service, version}) => `${service}:${version}`).join(','), evacuated: orders.evacuatedZones.join(','),
+				era: orders.era,
+				revision: orders.revision,
+				source,
+				versions: orders.versions.map(({service, version}) => `${service}:${version}`).join(','),
+				evacuated: orders.evacuatedZones.join(','),
 			});
 			bus.publish({type: 'traffic-orders-changed', orders: restoration.receiveOrders(orders)});
 			pushChange({type: 'knowledge', orders}, source);
@@ -187,9 +191,9 @@
 			const ownRevisions = getRevisions();
 			const now = clock.monotonic();
 			const parts = knowledgeParts.filter(part => {
-				const ownRevision = getPartRevision(ownRevisions, part);
+				const ownRevision = getPartRevision(ownRevisions, part, 0);
 				const behind = behindByPart.get(part);
-				if (!isLaterRevision(getPartRevision(peerRevisions, part), ownRevision)) {
+				if (!isLaterRevision(getPartRevision(peerRevisions, part, ownRevision.era), ownRevision)) {
 					return false;
 				}
 
@@ -256,15 +260,15 @@
 			}
 
 			if (orders) {
-				applyOrders(orders, from);
+				applyOrders({...orders, era: getNamedEra(orders, current.orders)}, from);
 			}
 
 			if (targets) {
-				applyTargets(targets, from);
+				applyTargets({...targets, era: getNamedEra(targets, current.targets)}, from);
 			}
 
 			if (targetChanges) {
-				applyTargetChanges(targetChanges, from);
+				applyTargetChanges({...targetChanges, era: getNamedEra(targetChanges, current.targets)}, from);
 			}
 
 			if (held) {
@@ -326,6 +330,12 @@
 	},
 });
 
-function getPartRevision(revisions: KnowledgeRevisions, part: KnowledgePart): SourceRevision {
-	return {era: part === 'configuration' ? 0 : revisions.eras?.[part] ?? 0, revision: revisions[part]};
+/** @param ownEra taken for a peer of an older build, which names none */
+function getPartRevision(revisions: KnowledgeRevisions, part: KnowledgePart, ownEra: number): SourceRevision {
+	return {era: part === 'configuration' ? 0 : revisions.eras?.[part] ?? ownEra, revision: revisions[part]};
+}
+
+/** Returns the era of a peer's state; one of an older build, which names none, counts as of the era of what this node has. */
+function getNamedEra(state: SourceRevision, own: SourceRevision | undefined): number {
+	return state.era === 0 && own ? own.era : state.era;
 }
--- a/packages/node/src/version-trials.ts
+++ b/packages/node/src/version-trials.ts
@@ -3,7 +3,7 @@
  * new version, and how the attempts end.
  */
 import {
-	type TrialEvidence, type VersionCounts, addVersionCounts, getObjectPosition, emptyVersionCounts, isLaterRevision, isSameMove, isSameRevision, trialShare,
+	type TrialEvidence, type VersionCounts, addVersionCounts, getObjectPosition, emptyVersionCounts, isLaterRevision, isSameMove, trialShare,
 } from '@catkindale/policy';
 import type {TrialCountsMessage, TrialState} from '@catkindale/protocol';
 
@@ -181,7 +181,11 @@
 	return Object.fromEntries(sums);
 }
 
-/** Whether what names the order belongs to this trial; in another era, the order of the same version may be the same one, written again. */
+/**
+ * Whether what names the order belongs to this trial. In another era, the order
+ * of the same version may be the same one, written again; a peer of an older build
+ * names no era.
+ */
 export function isTrialOf(trial: Trial, order: Pick<Trial, 'version' | 'era' | 'revision'>): boolean {
-	return order.era === trial.era ? isSameRevision(order, trial) : order.version === trial.version;
+	return order.era === trial.era || order.era === 0 ? order.revision === trial.revision : order.version === trial.version;
 }
--- a/packages/node/tests/traffic-knowledge.test.ts
+++ b/packages/node/tests/traffic-knowledge.test.ts
@@ -6,7 +6,7 @@
 import {type Clock, createSilentLogger} from '@catkindale/common';
 import {type MessageBus, createMessageBus} from '@catkindale/kernel';
 import type {Member} from '@catkindale/policy';
-import type {PeerMessage} from '@catkindale/protocol';
+import type {KnowledgeRevisions, PeerMessage} from '@catkindale/protocol';
 import '../src/traffic-knowledge-plugin.js';
 import {type NodeContext, nodePlugins} from '../src/node-context.js';
 import type {NodeMessage} from '../src/node-messages.js';
@@ -160,18 +160,22 @@
 		expect(published).toMatchObject([{to: ['relay', 'first'], message: {type: 'knowledge', ...message}}, 'revised']);
 	});
 
-	const senders = [
-		{name: 'the relay that sends changes', from: 'relay', isAsked: true},
-		{name: 'the other relay', from: 'other-relay', isAsked: false},
-	];
-	it.each(senders)('that $name reports first is asked for: $isAsked, and in any case if it doesn\'t come', async ({from, isAsked}) => {
+	const senders = [undefined, {orders: 1, targets: 1}].flatMap(eras => [
+		{
+			name: 'the relay that sends changes', from: 'relay', isAsked: true, eras,
+		},
+		{
+			name: 'the other relay', from: 'other-relay', isAsked: false, eras,
+		},
+	]);
+	it.each(senders)('that $name reports first is asked for: $isAsked, and in any case if it doesn\'t come, era $eras', async ({from, isAsked, eras}) => {
 		bus.publish({type: 'source-readers-changed', readerIds: ['relay', 'other-relay'], isReader: false});
 		bus.publish({type: 'fleet-links-changed', links: {kind: 'attached', relayIds: ['relay', 'other-relay'], ownRelayIds: ['relay', 'other-relay']}});
 		const report = (): void => {
 			bus.publish({
 				type: 'peer-received', from, message: {
 					type: 'gateway-report', isServing: true, use: 0, revisions: {
-						configuration: 4, orders: 4, targets: 5, eras: {orders: 1, targets: 1},
+						configuration: 4, orders: 4, targets: 5, eras,
 					}, demands: {},
 				},
 			});
@@ -183,4 +187,40 @@
 		report();
 		expect(published[0]).toMatchObject({to: from, message: {type: 'knowledge-wish', parts: ['targets'], targetsRevision: 4}});
 	});
+
+	const states = [
+		{
+			name: 'of a later era', era: 2, revision: 3, inForce: {era: 2, revision: 3},
+		},
+		{
+			name: 'of an earlier era', era: 1, revision: 9, inForce: {era: 2, revision: 2},
+		},
+		{
+			name: 'of an older build, which names no era', era: 0, revision: 9, inForce: {era: 2, revision: 9},
+		},
+		{
+			name: 'of an older build that is behind', era: 0, revision: 1, inForce: {era: 2, revision: 2},
+		},
+	];
+	// Guards against peers that hand the state of an old era on.
+	it.each(states)('from a peer, $name, leaves $inForce in force', ({era, revision, inForce}) => {
+		bus.publish({
+			type: 'traffic-orders-read', orders: {
+				era: 2, revision: 2, versions: [], evacuatedZones: [],
+			},
+		});
+		let revisions: KnowledgeRevisions | undefined;
+		bus.subscribe('knowledge-revised', message => {
+			({revisions} = message);
+		});
+		bus.publish({
+			type: 'peer-received', from: 'relay', message: {
+				type: 'knowledge', orders: {
+					era, revision, versions: [], evacuatedZones: [],
+				},
+			},
+		});
+		bus.publish({type: 'traffic-configuration-read', configuration: createConfiguration(9)});
+		expect({era: revisions?.eras?.orders, revision: revisions?.orders}).toEqual(inForce);
+	});
 });
