Hold back earlier runs of a target that left, too

Cause: of each target only its last run that left was remembered, and a copy may show the run before it.

Change: a run that started earlier than the one that left is held back too, and doesn't replace it in what is remembered.

--- a/packages/policy/src/held-state.ts
+++ b/packages/policy/src/held-state.ts
@@ -9,7 +9,7 @@
 export type TargetInstance = Pick<TrafficTarget, 'id' | 'startedAt' | 'address'>;
 
 export type HeldState = {
-	/** Targets that were leaving or gone, by identifier. */
+	/** Targets that were leaving or gone, by identifier; of several runs the last one. */
 	readonly departed: ReadonlyMap<string, TargetInstance>;
 	readonly evacuatedZones: ReadonlySet<string>;
 	/** The latest order of each service. */
@@ -48,8 +48,11 @@
 	});
 	const updated = new Map(departed);
 	for (const {id, startedAt, address} of [...gone, ...next.filter(({isLeaving}) => isLeaving)]) {
-		updated.delete(id);
-		updated.set(id, {id, startedAt, address});
+		// A copy may also show an earlier run of the target.
+		if (startedAt >= (updated.get(id)?.startedAt ?? startedAt)) {
+			updated.delete(id);
+			updated.set(id, {id, startedAt, address});
+		}
 	}
 
 	return new Map([...updated].slice(-maximumDepartures));
@@ -68,11 +71,12 @@
 	return remaining;
 }
 
-/** Returns the targets with those as leaving that had departed before the return. */
+/** Returns the targets with those as leaving that had departed before the return, also in an earlier run than the last one that did. */
 export function withholdDeparted(targets: readonly TrafficTarget[], {departed}: HeldState): TrafficTarget[] {
 	return targets.map(target => {
 		const instance = departed.get(target.id);
-		return instance && isSameInstance(instance, target) ? {...target, isLeaving: true} : target;
+		const hasDeparted = instance !== undefined && (isSameInstance(instance, target) || target.startedAt < instance.startedAt);
+		return hasDeparted ? {...target, isLeaving: true} : target;
 	});
 }
 
--- a/packages/policy/tests/held-state.test.ts
+++ b/packages/policy/tests/held-state.test.ts
@@ -32,6 +32,12 @@
 		{
 			name: 'that has started again since it was leaving', states: [[createTarget('a', leaving)]], copy: [createTarget('a', {startedAt: 2})], isWithheld: false,
 		},
+		{
+			name: 'of which a later run was leaving too', states: [[createTarget('a', leaving)], [createTarget('a', {...leaving, startedAt: 2})]], copy: [createTarget('a')], isWithheld: true,
+		},
+		{
+			name: 'that the copy before showed as leaving in an earlier run', states: [[createTarget('a', {...leaving, startedAt: 2})], [createTarget('a', leaving)]], copy: [createTarget('a', {startedAt: 2})], isWithheld: true,
+		},
 		{
 			name: 'that has another address since it was leaving', states: [[createTarget('a', leaving)]], copy: [createTarget('a', {address: '127.0.0.1:2'})], isWithheld: false,
 		},
