--- a/packages/node/tests/traffic-knowledge.test.ts
+++ b/packages/node/tests/traffic-knowledge.test.ts
@@ -190,7 +190,7 @@
 
 	const states = [
 		{
-			name: 'of a later era', era: 2, revision: 3, inForce: {era: 2, revision: 3},
+			name: 'of a later era', era: 3, revision: 1, inForce: {era: 3, revision: 1},
 		},
 		{
 			name: 'of an earlier era', era: 1, revision: 9, inForce: {era: 2, revision: 2},
