Take a source that begins to name its era for no return

What callers would have seen: a gateway that started among builds of before held for 10 s what these had told it, and reported a return that there was none of.

Change: only a rise between two named eras is a return, also for the report that a reader sends at once. A gateway that starts no longer ends its wait by what a peer tells that starts, too. The log names what is held once both tables were read.

--- a/packages/node/src/fleet-plugin.ts
+++ b/packages/node/src/fleet-plugin.ts
@@ -279,7 +279,7 @@
 			bus.subscribe('knowledge-revised', message => {
 				const wasServing = isServing();
 				const isConfigurationNew = message.revisions.configuration !== revisions.configuration;
-				const isEraNew = message.revisions.eras?.orders !== revisions.eras?.orders || message.revisions.eras?.targets !== revisions.eras?.targets;
+				const isEraNew = hasEraRisen(revisions, message.revisions);
 				revisions = message.revisions;
 				if (isServing() !== wasServing) {
 					broadcastReport();
@@ -382,3 +382,10 @@
 		}
 	}
 }
+
+function hasEraRisen(previous: KnowledgeRevisions, next: KnowledgeRevisions): boolean {
+	return (['orders', 'targets'] as const).some(part => {
+		const era = previous.eras?.[part] ?? 0;
+		return era > 0 && (next.eras?.[part] ?? 0) > era;
+	});
+}
--- a/packages/node/src/source-restoration.ts
+++ b/packages/node/src/source-restoration.ts
@@ -5,9 +5,9 @@
  * some seconds; one that is lifted wrongly breaks a promise to the operator or a target.
  */
 import {Gauge, type Registry} from 'prom-client';
-import type {Clock, Logger} from '@catkindale/common';
+import type {Clock, LogFields, Logger} from '@catkindale/common';
 import {
-	type HeldState, addDepartures, dropReturned, emptyHeldState, holdOrders, releaseOrders, withholdDeparted, withholdOrders,
+	type HeldState, addDepartures, dropReturned, emptyHeldState, holdOrders, noRevision, releaseOrders, withholdDeparted, withholdOrders,
 } from '@catkindale/policy';
 import type {HeldStateMessage, RegisteredTargets, TrafficOrders} from '@catkindale/protocol';
 
@@ -28,11 +28,11 @@
 	readonly metrics: Registry;
 	/** Called when orders or targets of a later era were received first. */
 	readonly onRestored: (era: number) => void;
-	/** Called at the end of the time with what was received last. */
+	/** Called at the end of the hold with what was received last. */
 	readonly onReleased: (latest: {readonly orders: TrafficOrders | undefined; readonly targets: RegisteredTargets | undefined}) => void;
 };
 
-/** Within this time after the return, the operator and the targets have written again what is missing from the copy. */
+/** The operator and the targets write again what is missing from the copy within this time after the return. */
 const holdMilliseconds = 10_000;
 
 export function createSourceRestoration({clock, logger, metrics, onRestored, onReleased}: SourceRestorationOptions): SourceRestoration {
@@ -41,17 +41,18 @@
 	let followedOrders: TrafficOrders | undefined;
 	let targets: RegisteredTargets | undefined;
 	let era: number | undefined;
-	/** Monotonic times of the latest return and of the end of the time; undefined outside it. */
+	/** Monotonic time of the latest return, until orders and targets are of its era. */
 	let restoredAt: number | undefined;
+	/** Monotonic time at which the hold ends; undefined without one. */
 	let heldUntil: number | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	const eraGauge = new Gauge({name: 'catkindale_source_era', help: 'Latest era of the traffic source that this node follows', registers: [metrics]});
 	const holdGauge = new Gauge({name: 'catkindale_source_restoration', help: 'Whether this node holds what it knew before its traffic source came back from a copy', registers: [metrics]});
 
-	const getCounts = () => ({departed: held.departed.size, evacuated: [...held.evacuatedZones].join(','), orders: [...held.orders.keys()].join(',')});
+	const describeHeld = (): LogFields => ({departed: held.departed.size, evacuated: [...held.evacuatedZones].join(','), orders: [...held.orders.keys()].join(',')});
 
 	const release = (): void => {
-		logger.info('restoration_ended', {era, ...getCounts()});
+		logger.info('restoration_ended', {era, ...describeHeld()});
 		held = {...emptyHeldState, departed: dropReturned(held.departed, targets?.targets ?? [])};
 		heldUntil = undefined;
 		holdGauge.set(0);
@@ -74,20 +75,20 @@
 
 		era = next;
 		eraGauge.set(next);
-		if (previous === undefined) {
+		if (!isNamed(previous)) {
 			return;
 		}
 
 		restoredAt = clock.monotonic();
 		holdFor(holdMilliseconds);
-		logger.info('restoration_started', {era, previous, ...getCounts()});
+		logger.info('restoration_started', {era, previous});
 		onRestored(era);
 	};
 
 	const reportCurrent = (): void => {
 		if (restoredAt !== undefined && orders?.era === era && targets?.era === era) {
 			logger.info('restoration_current', {
-				era, orders: orders?.revision, targets: targets?.revision, milliseconds: Math.round(clock.monotonic() - restoredAt),
+				era, revisions: `orders:${orders?.revision},targets:${targets?.revision}`, milliseconds: Math.round(clock.monotonic() - restoredAt), ...describeHeld(),
 			});
 			restoredAt = undefined;
 		}
@@ -95,15 +96,15 @@
 
 	return {
 		receiveOrders(next) {
-			if (followedOrders && next.era > followedOrders.era) {
+			if (followedOrders && isNamed(followedOrders.era) && next.era > followedOrders.era) {
 				held = holdOrders(held, followedOrders, next.revision);
 			}
 
 			receiveEra(next.era);
 			orders = next;
-			reportCurrent();
 			held = releaseOrders(held, next);
 			followedOrders = heldUntil === undefined ? next : withholdOrders(next, held);
+			reportCurrent();
 			return followedOrders;
 		},
 		receiveTargets(next) {
@@ -134,3 +135,8 @@
 		},
 	};
 }
+
+/** Whether the source named an era. That it begins to, as when a peer of an older build is replaced, is no return. */
+function isNamed(era: number | undefined): era is number {
+	return era !== undefined && era !== noRevision.era;
+}
--- a/packages/node/src/traffic-knowledge-plugin.ts
+++ b/packages/node/src/traffic-knowledge-plugin.ts
@@ -212,10 +212,9 @@
 
 			logger.info('knowledge_behind', {peer: from, parts: parts.join(','), milliseconds: Math.round(Math.max(...parts.map(part => now - (behindByPart.get(part)?.since ?? now))))});
 			bus.publish({type: 'traffic-source-behind'});
-			const {era: targetsEra, revision: targetsRevision} = current.targets ?? {...noRevision, revision: undefined};
 			bus.publish({
 				type: 'peer-send', to: from, message: {
-					type: 'knowledge-wish', parts, targetsEra, ...(targetsRevision !== undefined && {targetsRevision}),
+					type: 'knowledge-wish', parts, targetsEra: current.targets?.era ?? noRevision.era, ...(current.targets && {targetsRevision: current.targets.revision}),
 				},
 			});
 		};
@@ -271,7 +270,8 @@
 				applyTargetChanges({...targetChanges, era: getNamedEra(targetChanges, current.targets)}, from);
 			}
 
-			if (held) {
+			// A peer without a configuration starts, too.
+			if (held && configuration) {
 				introduction.end(from);
 			}
 		};
--- a/packages/node/tests/source-restoration.test.ts
+++ b/packages/node/tests/source-restoration.test.ts
@@ -105,6 +105,16 @@
 		started.stop();
 	});
 
+	it('isn\'t one that begins to name its era', () => {
+		const started = create();
+		started.receiveOrders(createOrders(0, ['east-a'], 'v2'));
+		started.receiveTargets(createTargets(0, true));
+		expect(started.receiveOrders(createOrders(1, []))).toMatchObject({versions: [{version: 'v1'}], evacuatedZones: []});
+		expect(isLeaving(started.receiveTargets(createTargets(1, false)))).toBe(false);
+		expect(restoredEras).toEqual([]);
+		started.stop();
+	});
+
 	it('leaves what is written after the hold to the source alone', async () => {
 		restoration.receiveTargets(createTargets(2, true));
 		restoration.receiveOrders(createOrders(2, ['east-a'], 'v2', 8));
